--- /dev/null
+++ b/common/operatorapi/operatorapi.go
@@ -0,0 +1,79 @@
+// Package operatorapi holds the messages between hemlockctl and the operators'
+// port of a daemon: JSON over HTTP.
+//
+// # Usage
+//
+//	GET  /v1/settings           -> SettingsAnswer
+//	POST /v1/settings           settings.Change -> ApplyAnswer or problem+json
+//	GET  /v1/settings/history   -> []settings.AuditRow
+//	GET  /v1/settings/status    -> []DaemonStatus, one for each daemon known
+//	GET  /v1/verdicts/{id}      -> VerdictAnswer
+//	GET  /v1/upstreams          -> []UpstreamStatus
+package operatorapi
+
+import (
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/common/verdict"
+)
+
+// SettingsAnswer is the newest settings known to the daemon.
+type SettingsAnswer struct {
+	Version int64           `json:"version"`
+	Nodes   []settings.Node `json:"nodes"`
+	// FromPlatform is false where the platform was out of reach and the
+	// settings in force were given instead.
+	FromPlatform bool `json:"fromPlatform"`
+}
+
+// ApplyAnswer is the answer to an accepted change.
+type ApplyAnswer struct {
+	Version int64 `json:"version"`
+}
+
+// Codes of a refused change.
+const (
+	CodeBadSettings = "badSettings"
+	CodeConflict    = "conflict"
+	CodeUnsettled   = "unsettled"
+	CodeUnavailable = "platformUnavailable"
+	CodeDenied      = "denied"
+	CodeNotFound    = "notFound"
+	CodeBadRequest  = "badRequest"
+)
+
+// Refusal is the body of every answer that is not 200.
+type Refusal struct {
+	Code     string              `json:"code"`
+	Detail   string              `json:"detail"`
+	ChangeID string              `json:"changeId,omitempty"`
+	Findings []settings.Finding  `json:"findings,omitempty"`
+	Theirs   []settings.AuditRow `json:"theirs,omitempty"`
+}
+
+// DaemonStatus is what one daemon knows of another (or of itself).
+type DaemonStatus struct {
+	Name            string       `json:"name"`
+	DataCentre      string       `json:"dataCentre"`
+	Address         string       `json:"address"`
+	State           string       `json:"state"` // "live", "suspect", "dead" or "leaving"
+	SettingsVersion int64        `json:"settingsVersion"`
+	HeardMsAgo      clock.Millis `json:"heardMsAgo"`
+}
+
+// UpstreamStatus is what the daemon knows of one upstream.
+type UpstreamStatus struct {
+	Name       string `json:"name"`
+	Kind       string `json:"kind"`
+	DataCentre string `json:"dataCentre"`
+	Keeper     string `json:"keeper,omitempty"`
+	State      string `json:"state"` // "up", "down", "leaving" or "unknown"
+	InFlight   int    `json:"inFlight"`
+	PiecesHeld int    `json:"piecesHeld"`
+}
+
+// VerdictAnswer is a verdict and where it was found.
+type VerdictAnswer struct {
+	Verdict verdict.Verdict `json:"verdict"`
+	Source  string          `json:"source"` // "daemon", "copy" or "store"
+}
--- /dev/null
+++ b/common/settings/parse.go
@@ -0,0 +1,239 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Finding is one thing wrong with the settings.
+type Finding struct {
+	// Path is the node, which operators see as the file Path + ".toml".
+	Path string `json:"path"`
+	// Line is the line in the node's text; 0 where it can't be told.
+	Line int    `json:"line"`
+	Text string `json:"text"`
+	// Suggestion is a likely correction; it may be empty.
+	Suggestion string `json:"suggestion,omitempty"`
+}
+
+// String returns the finding as file:line: text.
+func (f Finding) String() string {
+	s := fmt.Sprintf("%s.toml:%d: %s", f.Path, f.Line, f.Text)
+	if f.Suggestion != "" {
+		s += fmt.Sprintf(" (did you mean %q?)", f.Suggestion)
+	}
+	return s
+}
+
+// BadSettingsError lists everything wrong with a tree.
+type BadSettingsError struct {
+	Findings []Finding
+}
+
+// Error implements error.
+func (e *BadSettingsError) Error() string {
+	lines := make([]string, len(e.Findings))
+	for i, f := range e.Findings {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// HashKey returns the stored form of a key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// Parse decodes and checks all nodes; version becomes the tree's version.
+func Parse(version int64, nodes []Node) (*Tree, error) {
+	p := &parser{tree: &Tree{Version: version, System: DefaultSystem(), Teams: map[string]Team{}}, texts: map[string]string{}}
+	for _, n := range nodes {
+		if !n.Deleted {
+			p.node(n)
+		}
+	}
+	if len(p.findings) == 0 {
+		p.check()
+	}
+	if len(p.findings) == 0 {
+		return p.tree, nil
+	}
+	sort.SliceStable(p.findings, func(i, j int) bool {
+		a, b := p.findings[i], p.findings[j]
+		return a.Path < b.Path || a.Path == b.Path && a.Line < b.Line
+	})
+	return nil, &BadSettingsError{Findings: p.findings}
+}
+
+type parser struct {
+	tree     *Tree
+	texts    map[string]string
+	findings []Finding
+}
+
+func (p *parser) node(n Node) {
+	p.texts[n.Path] = n.Text
+	switch {
+	case n.Path == SystemPath:
+		p.system(n)
+	case strings.HasPrefix(n.Path, TeamsPrefix) && validName(strings.TrimPrefix(n.Path, TeamsPrefix)):
+		team := DefaultTeam()
+		if p.decode(n, &team) {
+			p.tree.Teams[strings.TrimPrefix(n.Path, TeamsPrefix)] = team
+		}
+	default:
+		p.findings = append(p.findings, Finding{
+			Path: n.Path, Text: "no such node: expected system or teams/NAME with a NAME of a-z, 0-9 and -",
+		})
+	}
+}
+
+// system decodes twice: once to learn the names of models and services, and
+// once more over their defaults.
+func (p *parser) system(n Node) {
+	var names System
+	if _, err := toml.Decode(n.Text, &names); err != nil {
+		p.parseError(n.Path, err)
+		return
+	}
+	s := &p.tree.System
+	raw := struct {
+		Models   map[string]toml.Primitive `toml:"models"`
+		Services map[string]toml.Primitive `toml:"services"`
+	}{}
+	meta, err := toml.Decode(n.Text, &raw)
+	if err != nil || !p.decode(n, s) {
+		return
+	}
+	for name, primitive := range raw.Models {
+		m := DefaultModel()
+		if err := meta.PrimitiveDecode(primitive, &m); err == nil {
+			s.Models[name] = m
+		}
+	}
+	for name, primitive := range raw.Services {
+		sv := DefaultService()
+		if err := meta.PrimitiveDecode(primitive, &sv); err == nil {
+			s.Services[name] = sv
+		}
+	}
+}
+
+// decode fills out from the node's text and reports unknown keys.
+func (p *parser) decode(n Node, out any) bool {
+	meta, err := toml.Decode(n.Text, out)
+	if err != nil {
+		p.parseError(n.Path, err)
+		return false
+	}
+	for _, key := range meta.Undecoded() {
+		last := key[len(key)-1]
+		p.findings = append(p.findings, Finding{
+			Path: n.Path, Line: lineOf(n.Text, key), Text: fmt.Sprintf("unknown key %q", key.String()),
+			Suggestion: nearest(last, keyNames(reflect.TypeOf(out).Elem(), map[reflect.Type]bool{})),
+		})
+	}
+	return len(meta.Undecoded()) == 0
+}
+
+func (p *parser) parseError(path string, err error) {
+	var parse toml.ParseError
+	if errors.As(err, &parse) {
+		p.findings = append(p.findings, Finding{Path: path, Line: parse.Position.Line, Text: parse.Message})
+		return
+	}
+	p.findings = append(p.findings, Finding{Path: path, Text: err.Error()})
+}
+
+// keyNames lists all TOML names that can stand anywhere under t.
+func keyNames(t reflect.Type, seen map[reflect.Type]bool) []string {
+	for t.Kind() == reflect.Map || t.Kind() == reflect.Slice {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct || seen[t] {
+		return nil
+	}
+	seen[t] = true
+	var names []string
+	for f := range t.Fields() {
+		names = append(names, f.Tag.Get("toml"))
+		names = append(names, keyNames(f.Type, seen)...)
+	}
+	return names
+}
+
+// lineOf finds the line of a key: the table header that names its parent, then
+// the first line after it that starts with the key.
+func lineOf(text string, key []string) int {
+	parent := strings.Join(key[:len(key)-1], ".")
+	last := key[len(key)-1]
+	inside := parent == ""
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			header := strings.Trim(strings.ReplaceAll(line, `"`, ""), "[] ")
+			if header == strings.Join(key, ".") {
+				return i + 1
+			}
+			inside = header == parent
+			continue
+		}
+		name, _, found := strings.Cut(line, "=")
+		if inside && found && strings.Trim(strings.TrimSpace(name), `"`) == last {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// nearest returns the candidate within two edits of word, or "".
+func nearest(word string, candidates []string) string {
+	best, bestDistance := "", 3
+	for _, c := range candidates {
+		if d := editDistance(strings.ToLower(word), strings.ToLower(c)); d < bestDistance {
+			best, bestDistance = c, d
+		}
+	}
+	return best
+}
+
+// editDistance is the Levenshtein distance of two short words.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := 1
+			if a[i-1] == b[j-1] {
+				cost = 0
+			}
+			diagonal, row[j] = row[j], min(diagonal+cost, row[j]+1, row[j-1]+1)
+		}
+	}
+	return row[len(b)]
+}
+
+// validName tells whether name can name a team, data centre or upstream.
+func validName(name string) bool {
+	if name == "" || len(name) > 63 {
+		return false
+	}
+	for _, r := range name {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/common/settings/settings.go
@@ -0,0 +1,162 @@
+// Package settings holds the tree of settings that operators write: one system
+// file and one subtree for each team, in TOML.
+//
+// # Usage
+//
+//	tree, err := settings.Parse(nodes)   // decode and check all nodes
+//	var bad *settings.BadSettingsError
+//	if errors.As(err, &bad) { ... }      // file, line, sentence, suggestion
+//
+// [Default] is the one place where defaults stand; the reference page is made
+// from these structs by `hemlockctl settings reference`.
+package settings
+
+import (
+	"hemlockmux.example/common/clock"
+)
+
+// SystemPath is the path of the node that holds everything but the teams.
+const SystemPath = "system"
+
+// TeamsPrefix starts the path of each team's node.
+const TeamsPrefix = "teams/"
+
+// Node is one stored subtree of the settings.
+type Node struct {
+	// Path is SystemPath or TeamsPrefix followed by a team's name.
+	Path string `json:"path"`
+	// Version is the version of the whole tree that last changed this node.
+	Version int64 `json:"version"`
+	// Text is the TOML; it is empty for a deleted node.
+	Text string `json:"text"`
+	// Deleted marks a node that was taken away at Version.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Tree is the whole of the settings in force.
+type Tree struct {
+	Version int64
+	System  System
+	Teams   map[string]Team
+}
+
+// System is the content of the system node.
+type System struct {
+	DataCentres map[string]DataCentre `toml:"dataCentres" doc:"The data centres, by name."`
+	Models      map[string]Model      `toml:"models" doc:"The models that engines serve, by name."`
+	Services    map[string]Service    `toml:"services" doc:"The plain services, by name."`
+	Upstreams   map[string]Upstream   `toml:"upstreams" doc:"Engines and instances of services, by name."`
+	Operators   map[string]Operator   `toml:"operators" doc:"Who may change settings, by name."`
+	Policy      Policy                `toml:"policy" doc:"How requests are admitted, retried and given up."`
+}
+
+// DataCentre is one data centre.
+type DataCentre struct {
+	Region   string       `toml:"region" doc:"Region that the data centre lies in."`
+	OneWayMs clock.Millis `toml:"oneWayMs" doc:"One-way latency from other regions, in ms; nearer ones are tried first."`
+}
+
+// Model describes a model and the size of its engines.
+type Model struct {
+	Slots          int          `toml:"slots" doc:"Requests that one decode engine holds at once."`
+	Pieces         int          `toml:"pieces" doc:"Pieces of memory of one decode engine."`
+	PieceTokens    int          `toml:"pieceTokens" doc:"Tokens whose KV cache fits one piece."`
+	MaxTokens      int          `toml:"maxTokens" doc:"Most output tokens of one request."`
+	PrefillTokenUs int64        `toml:"prefillTokenUs" doc:"Expected prefill time of one prompt token, in µs."`
+	PrefillBaseMs  clock.Millis `toml:"prefillBaseMs" doc:"Expected fixed time of one prefill, in ms."`
+	StepBaseMs     float64      `toml:"stepBaseMs" doc:"Expected time of one decode step of a batch of one, in ms."`
+	StepPerSlotMs  float64      `toml:"stepPerSlotMs" doc:"Added time of a decode step for each further request in the batch, in ms."`
+	TransferMBps   float64      `toml:"transferMBps" doc:"Rate of the link that carries a prefill result, in MB/s."`
+	KVTokenKB      float64      `toml:"kvTokenKB" doc:"Size of the KV cache of one token, in KB."`
+	Groups         int          `toml:"groups" doc:"Engine groups that a data centre's engines are split into, each kept by one daemon."`
+}
+
+// Service describes a plain service.
+type Service struct {
+	Repeatable     bool         `toml:"repeatable" doc:"Whether calls other than GET and HEAD are idempotent; if not, they need an Idempotency-Key."`
+	TimeoutMs      clock.Millis `toml:"timeoutMs" doc:"Longest wait for the service's answer, in ms."`
+	MaxAnswerBytes int64        `toml:"maxAnswerBytes" doc:"Longest answer that is relayed and recorded, in bytes."`
+}
+
+// Kinds of upstreams.
+const (
+	KindPrefill = "prefill"
+	KindDecode  = "decode"
+	KindService = "service"
+)
+
+// Upstream is one engine or one instance of a plain service.
+type Upstream struct {
+	Kind       string `toml:"kind" doc:"prefill, decode or service."`
+	Model      string `toml:"model" doc:"Model that an engine serves."`
+	Service    string `toml:"service" doc:"Service that this is an instance of."`
+	Address    string `toml:"address" doc:"host:port, the host an IP number."`
+	DataCentre string `toml:"dataCentre" doc:"Data centre that it stands in."`
+	Leaving    bool   `toml:"leaving" doc:"Whether it is to receive no new work."`
+}
+
+// Operator may change settings.
+type Operator struct {
+	KeyHash string `toml:"keyHash" doc:"sha256: and the hex digest of the operator's key; made by hemlockctl keys new."`
+}
+
+// Policy says how requests are admitted, retried and given up.
+type Policy struct {
+	FirstTokenMs      clock.Millis `toml:"firstTokenMs" doc:"Target for the first token, in ms."`
+	BetweenTokensMs   float64      `toml:"betweenTokensMs" doc:"Target for the time between tokens, in ms."`
+	GoodputWeight     float64      `toml:"goodputWeight" doc:"What an answer in time is worth; raises how much is admitted."`
+	WasteWeight       float64      `toml:"wasteWeight" doc:"What a wasted prefill costs; lowers how much is admitted."`
+	StallMs           clock.Millis `toml:"stallMs" doc:"Longest wait for the next chunk before a stream is resumed on a new connection, in ms."`
+	PrefillTimeoutMs  clock.Millis `toml:"prefillTimeoutMs" doc:"Longest wait for a prefill beyond its predicted time, in ms."`
+	RetryRatio        float64      `toml:"retryRatio" doc:"Retries allowed for each first attempt, as a fraction."`
+	MaxAttempts       int          `toml:"maxAttempts" doc:"Most attempts for one request in one phase."`
+	SuspectMs         clock.Millis `toml:"suspectMs" doc:"How long a request that upstreams died of stays refused, in ms."`
+	LeavingGraceMs    clock.Millis `toml:"leavingGraceMs" doc:"Time within which a leaving upstream gets no new work, in ms."`
+	MaxBodyBytes      int64        `toml:"maxBodyBytes" doc:"Longest body of a caller's request, in bytes."`
+	PlacementKeepMs   clock.Millis `toml:"placementKeepMs" doc:"How long the record of a placement is kept at least, in ms."`
+	LedgerIntervalMs  clock.Millis `toml:"ledgerIntervalMs" doc:"Least time between two writes of placement records by one daemon, in ms."`
+	VerdictIntervalMs clock.Millis `toml:"verdictIntervalMs" doc:"Time between two verdict objects of one daemon, in ms."`
+}
+
+// Team is the content of one team's node.
+type Team struct {
+	Priority          int            `toml:"priority" doc:"0 to 9; in an overload the lowest is refused first."`
+	RequestsPerSecond float64        `toml:"requestsPerSecond" doc:"Requests a second over a data centre; 0 means no limit."`
+	Burst             int            `toml:"burst" doc:"Requests that may come at once within the rate."`
+	MaxInFlight       int            `toml:"maxInFlight" doc:"Requests in flight at once in one data centre; 0 means no limit."`
+	Models            []string       `toml:"models" doc:"Models that the team may use."`
+	Services          []string       `toml:"services" doc:"Services that the team may use."`
+	Upstreams         []string       `toml:"upstreams" doc:"Upstreams that the team may use; empty means all of its models and services."`
+	Keys              map[string]Key `toml:"keys" doc:"The team's keys, by a name of the operator's choice."`
+}
+
+// Key is one caller's key.
+type Key struct {
+	Hash string `toml:"hash" doc:"sha256: and the hex digest of the key; the key itself is never stored."`
+}
+
+// DefaultSystem returns a system node with every default.
+func DefaultSystem() System {
+	return System{Policy: Policy{
+		FirstTokenMs: 1800, BetweenTokensMs: 31, GoodputWeight: 1, WasteWeight: 1,
+		StallMs: 2000, PrefillTimeoutMs: 2000, RetryRatio: 0.1, MaxAttempts: 3,
+		SuspectMs: 10 * clock.Minute, LeavingGraceMs: 5 * clock.Second, MaxBodyBytes: 1 << 20,
+		PlacementKeepMs: 7 * 24 * clock.Hour, LedgerIntervalMs: 20, VerdictIntervalMs: 10 * clock.Second,
+	}}
+}
+
+// DefaultModel returns a model with every default.
+func DefaultModel() Model {
+	return Model{
+		Slots: 20, Pieces: 8192, PieceTokens: 16, MaxTokens: 1024, PrefillTokenUs: 50, PrefillBaseMs: 10,
+		StepBaseMs: 12, StepPerSlotMs: 0.8, TransferMBps: 5000, KVTokenKB: 64, Groups: 1,
+	}
+}
+
+// DefaultService returns a service with every default.
+func DefaultService() Service {
+	return Service{TimeoutMs: 10 * clock.Second, MaxAnswerBytes: 64 << 10}
+}
+
+// DefaultTeam returns a team with every default.
+func DefaultTeam() Team { return Team{Priority: 5, Burst: 20} }
--- /dev/null
+++ b/hemlockctl/main.go
@@ -0,0 +1,13 @@
+// Command hemlockctl is the operators' client.
+package main
+
+import (
+	"context"
+	"os"
+
+	"hemlockmux.example/hemlockctl/internal/app"
+)
+
+func main() {
+	os.Exit(app.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/hemlockd/internal/app/app.go
@@ -0,0 +1,260 @@
+// Package app wires the daemon together, in one place, and runs it until it is
+// told to stop.
+//
+// # Usage
+//
+//	cfg, err := shared.LoadConfig("hemlockd.toml")
+//	err = app.Run(ctx, cfg, log)
+package app
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/invariant"
+	"hemlockmux.example/common/platform"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/hemlockd/internal/callers"
+	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/daemons"
+	"hemlockmux.example/hemlockd/internal/engines"
+	"hemlockmux.example/hemlockd/internal/handoff"
+	"hemlockmux.example/hemlockd/internal/keeper"
+	"hemlockmux.example/hemlockd/internal/limits"
+	"hemlockmux.example/hemlockd/internal/membership"
+	"hemlockmux.example/hemlockd/internal/operators"
+	"hemlockmux.example/hemlockd/internal/placements"
+	"hemlockmux.example/hemlockd/internal/services"
+	"hemlockmux.example/hemlockd/internal/shared"
+	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/verdicts"
+	"hemlockmux.example/hemlockd/internal/vmlist"
+)
+
+// Times of a graceful shutdown.
+const (
+	// notReadyFor is how long the daemon still takes callers after it has become
+	// not ready, so that the balancer can notice.
+	notReadyFor = clock.Second
+	// headerTimeout bounds how long a caller may take to send a request's head.
+	headerTimeout = 10 * clock.Second
+	idleTimeout   = 2 * clock.Minute
+)
+
+// Daemon is the whole daemon.
+type Daemon struct {
+	common        shared.Common
+	configuration *configuration.Configuration
+	store         *settings.Store
+	daemons       *daemons.Daemons
+	keeper        *keeper.Keeper
+	recorder      *verdicts.Recorder
+	operators     *operators.Operators
+	callersPort   *http.Server
+	operatorsPort *http.Server
+	failed        chan error
+	cleanup       []func() // run in reverse
+}
+
+// Run runs a daemon until ctx ends, then shuts it down gracefully; a second
+// context, hard, ends the wait for requests in flight.
+func Run(ctx, hard context.Context, cfg shared.Config, log *zap.Logger) error {
+	common := shared.Common{Log: log, Clock: clock.System(), Config: cfg, Invariants: invariant.New(log)}
+	common.Incarnation = common.Clock.Now()
+	d, closeDaemon, err := New(common)
+	if err != nil {
+		return err
+	}
+	log.Info("daemon is serving", zap.String("callers", cfg.Callers), zap.String("operators", cfg.Operators), zap.String("daemons", cfg.Daemons))
+	select {
+	case <-ctx.Done():
+	case err = <-d.failed:
+		log.Error("a port failed", zap.Error(err))
+	}
+	d.drain(hard)
+	closeDaemon()
+	log.Info("daemon has stopped")
+	return err
+}
+
+// New starts a daemon and returns the function that ends it.
+func New(common shared.Common) (*Daemon, func(), error) {
+	d := &Daemon{common: common, failed: make(chan error, 2)}
+	if err := d.wire(); err != nil {
+		d.close()
+		return nil, nil, err
+	}
+	return d, d.close, nil
+}
+
+func (d *Daemon) close() {
+	for _, f := range slices.Backward(d.cleanup) {
+		f()
+	}
+}
+
+func (d *Daemon) onClose(f func()) { d.cleanup = append(d.cleanup, f) }
+
+// wire makes all parts, each with what it depends on.
+func (d *Daemon) wire() error {
+	common, cfg := d.common, d.common.Config
+	table, closeTable := platform.NewTable(cfg.Table, cfg.PlatformToken, cfg.PlatformTimeoutMs)
+	d.onClose(closeTable)
+	objects, closeObjects := platform.NewObjects(cfg.Objects, cfg.Bucket, cfg.PlatformToken, cfg.PlatformTimeoutMs)
+	d.onClose(closeObjects)
+	vms, closeVMs := platform.NewVMs(cfg.VMs, cfg.PlatformToken, cfg.PlatformTimeoutMs)
+	d.onClose(closeVMs)
+	client, closeClient := engines.NewClient()
+	d.onClose(closeClient)
+	handOff, closeHandOff := handoff.NewClient(cfg.DaemonKey)
+	d.onClose(closeHandOff)
+
+	d.store = settings.NewStore(table)
+	d.configuration = configuration.New(common)
+	d.daemons = daemons.New(common, d.configuration)
+	d.configuration.OnChange = d.daemons.NewVersion
+	sus := suspects.New()
+	list, closeList := vmlist.New(common, vms, d.daemons.AddSeed)
+	d.onClose(closeList)
+	recorder, closeRecorder := verdicts.New(common, objects, copyPeers{d.daemons, common.Config}, d.verdictInterval)
+	d.onClose(closeRecorder)
+	d.recorder = recorder
+	ledger, closeLedger := placements.New(common, table, d.ledgerInterval)
+	d.onClose(closeLedger)
+	k, closeKeeper := keeper.New(common, d.configuration, client, d.daemons, list, sus)
+	d.onClose(closeKeeper)
+	d.keeper = k
+	svc, closeServices := services.New(common, d.configuration, ledger, list)
+	d.onClose(closeServices)
+	closeDaemons, err := d.daemons.Start(daemons.Handlers{
+		HandOff:      handoff.NewServer(d.configuration, k, svc),
+		CopyVerdicts: recorder.TakeCopies, FindVerdict: recorder.Find,
+		Free: k.Free, Suspects: suspectNews(common, sus), LearnSuspects: learnSuspects(common, sus),
+		DaemonDied: func(m membership.Member) { recorder.DaemonDied(daemons.RunName(m), m.Name) },
+	})
+	if err != nil {
+		return err
+	}
+	d.onClose(closeDaemons)
+	ctx, cancel := context.WithCancel(context.Background())
+	polling := make(chan struct{})
+	go d.runPolls(ctx, polling)
+	d.onClose(func() {
+		cancel()
+		<-polling
+	})
+	d.operators = operators.New(common, operators.Parts{
+		Configuration: d.configuration, Store: d.store, Objects: objects, Daemons: d.daemons,
+		Keeper: k, Services: svc, Verdicts: recorder,
+	})
+	front := callers.New(common, callers.Parts{
+		Configuration: d.configuration, Daemons: d.daemons, Keeper: k, Services: svc, HandOff: handOff,
+		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
+	})
+	if d.operatorsPort, err = d.listen("operators", cfg.Operators, d.operators.Handler()); err != nil {
+		return err
+	}
+	if d.callersPort, err = d.listen("callers", cfg.Callers, front.Handler()); err != nil {
+		return err
+	}
+	d.publish()
+	return nil
+}
+
+// publish puts what no part counts itself into expvar.
+func (d *Daemon) publish() {
+	info := expvar.NewMap("daemon")
+	info.Set("name", expvar.Func(func() any { return d.common.Config.Name }))
+	info.Set("dataCentre", expvar.Func(func() any { return d.common.Config.DataCentre }))
+	info.Set("settingsVersion", expvar.Func(func() any { return d.configuration.Version() }))
+	info.Set("openRequests", expvar.Func(func() any { return d.recorder.OpenCount() }))
+	info.Set("keeperRuns", expvar.Func(func() any { return d.keeper.Active() }))
+	info.Set("cpuMs", expvar.Func(func() any { return processorTime().Milliseconds() }))
+}
+
+func (d *Daemon) verdictInterval() clock.Millis { return d.policy().VerdictIntervalMs }
+
+func (d *Daemon) ledgerInterval() clock.Millis { return d.policy().LedgerIntervalMs }
+
+func (d *Daemon) policy() settings.Policy {
+	if tree := d.configuration.Tree(); tree != nil {
+		return tree.System.Policy
+	}
+	return settings.DefaultSystem().Policy
+}
+
+// listen opens a port and serves it.
+func (d *Daemon) listen(name, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s: %w", name, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+		ErrorLog: zap.NewStdLog(d.common.Log),
+	}
+	go d.runServer(name, server, listener)
+	d.onClose(func() { _ = server.Close() })
+	return server, nil
+}
+
+func (d *Daemon) runServer(name string, server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		d.failed <- fmt.Errorf("%s' port: %w", name, err)
+	}
+}
+
+// runPolls looks at the platform's settings while this daemon is one of the two
+// of its data centre that do, or has none yet.
+func (d *Daemon) runPolls(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	ticker := time.NewTicker(d.common.Config.PollMs.Duration())
+	defer ticker.Stop()
+	reachable := true
+	for {
+		if d.configuration.Version() == 0 || d.daemons.Poller() {
+			err := d.configuration.Poll(ctx, d.store)
+			if (err == nil) != reachable && ctx.Err() == nil {
+				reachable = err == nil
+				d.common.Log.Info("platform's table changed state", zap.Bool("reachable", reachable), zap.Error(err))
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// drain takes the daemon out of service without cutting off a request.
+func (d *Daemon) drain(hard context.Context) {
+	d.common.Log.Info("draining", zap.Int("open", d.recorder.OpenCount()))
+	d.operators.Drain()
+	d.daemons.Leave()
+	select {
+	case <-time.After(notReadyFor.Duration()):
+	case <-hard.Done():
+	}
+	ctx, cancel := context.WithTimeout(hard, d.common.Config.DrainMs.Duration())
+	defer cancel()
+	err := d.callersPort.Shutdown(ctx)
+	for err == nil && d.keeper.Active() > 0 && ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	open := d.recorder.OpenCount()
+	cut := err != nil || open > 0 || d.keeper.Active() > 0
+	if cut {
+		d.common.Log.Warn("drain ended with requests in flight", zap.Int("open", open), zap.Error(err))
+	}
+	d.common.Invariants.Check(invariant.DrainedAtExit, !cut || hard.Err() != nil || ctx.Err() != nil, "open", open)
+}
--- /dev/null
+++ b/hemlockd/internal/callers/callers.go
@@ -0,0 +1,178 @@
+// Package callers is the port that callers meet: OpenAI's completions and chat
+// completions for models, and /services/{service}/... for plain services. It
+// authenticates callers, holds teams to their limits, has each request run
+// where its upstreams are kept, and gives it exactly one verdict.
+//
+// # Usage
+//
+//	c := callers.New(common, deps)
+//	server := &http.Server{Handler: c.Handler()}
+package callers
+
+import (
+	"expvar"
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/completions"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/daemons"
+	"hemlockmux.example/hemlockd/internal/handoff"
+	"hemlockmux.example/hemlockd/internal/keeper"
+	"hemlockmux.example/hemlockd/internal/limits"
+	"hemlockmux.example/hemlockd/internal/services"
+	"hemlockmux.example/hemlockd/internal/shared"
+	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/verdicts"
+)
+
+var metrics = expvar.NewMap("callers")
+
+// headerRequestID is the header that names a request in every answer.
+const headerRequestID = "X-Request-Id"
+
+// Parts are what the callers' port works with.
+type Parts struct {
+	Configuration *configuration.Configuration
+	Daemons       *daemons.Daemons
+	Keeper        *keeper.Keeper
+	Services      *services.Services
+	HandOff       *handoff.Client
+	Limits        *limits.Limits
+	Suspects      *suspects.Suspects
+	Verdicts      *verdicts.Recorder
+}
+
+// Callers serves callers.
+type Callers struct {
+	common shared.Common
+	Parts
+}
+
+// New returns the callers' port.
+func New(common shared.Common, parts Parts) *Callers {
+	return &Callers{common: common, Parts: parts}
+}
+
+// Handler serves the port.
+func (c *Callers) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post(completions.Path, c.exchange((*exchange).model))
+	r.Post(completions.ChatPath, c.exchange((*exchange).model))
+	r.HandleFunc("/services/{service}/*", c.exchange((*exchange).service))
+	unknown := c.exchange(func(e *exchange) *problem.Problem {
+		return problem.New(problem.UnknownPath, "there is no %s %s; use POST %s, POST %s or /services/{service}/...",
+			e.r.Method, e.r.URL.Path, completions.Path, completions.ChatPath)
+	})
+	r.NotFound(unknown)
+	r.MethodNotAllowed(unknown)
+	return r
+}
+
+// exchange is one request and its answer.
+type exchange struct {
+	c       *Callers
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	tree    *settings.Tree
+	team    settings.Team
+	verdict verdict.Verdict
+	// begun says that the head of the answer has been sent.
+	begun bool
+}
+
+// exchange makes a handler of a method that either answers the request itself
+// and returns nil, or returns why it is refused.
+func (c *Callers) exchange(serve func(*exchange) *problem.Problem) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		now := c.common.Clock.Now()
+		e := &exchange{c: c, w: w, r: r, id: verdict.NewID(c.common.Config.Name, now), tree: c.Configuration.Tree()}
+		e.verdict = verdict.Verdict{
+			RequestID: e.id, Daemon: c.common.Config.Name, DataCentre: c.common.Config.DataCentre,
+			StartMs: now, SettingsVersion: c.Configuration.Version(),
+		}
+		w.Header().Set(headerRequestID, e.id)
+		c.Verdicts.Open(e.verdict)
+		if p := e.serve(serve); p != nil {
+			e.refuse(p)
+		}
+	}
+}
+
+func (e *exchange) serve(serve func(*exchange) *problem.Problem) *problem.Problem {
+	if e.tree == nil {
+		return problem.New(problem.NotReady, "this daemon has no settings yet").RetryIn(clock.Second)
+	}
+	if p := e.authenticate(); p != nil {
+		return p
+	}
+	return serve(e)
+}
+
+// authenticate finds the team by the caller's key.
+func (e *exchange) authenticate() *problem.Problem {
+	key, ok := strings.CutPrefix(e.r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return problem.New(problem.Unauthenticated, "send the team's key as Authorization: Bearer KEY")
+	}
+	name, ok := e.c.Configuration.TeamOf(key)
+	if !ok {
+		return problem.New(problem.Unauthenticated, "this key belongs to no team")
+	}
+	e.verdict.Team = name
+	e.team = e.tree.Teams[name]
+	return nil
+}
+
+// admit holds the team to its limits; release must be called at the end.
+func (e *exchange) admit() (release func(), p *problem.Problem) {
+	c := e.c
+	peers := len(c.Daemons.Live(c.common.Config.DataCentre))
+	retry, release, ok := c.Limits.Admit(e.verdict.Team, e.team, peers, c.common.Clock.Now())
+	if !ok {
+		return nil, problem.New(problem.TeamLimit, "team %q is at its limit in %s", e.verdict.Team, c.common.Config.DataCentre).RetryIn(retry)
+	}
+	return release, nil
+}
+
+// refuse records the verdict of a refusal and answers with it. Once an answer
+// has begun it can only be cut short, with the reason as its last event.
+func (e *exchange) refuse(p *problem.Problem) {
+	v := &e.verdict
+	v.Outcome, v.Ran, v.Reason, v.Detail, v.Status = verdict.Refused, p.Ran, p.Reason, p.Detail, p.Status
+	if p.Ran != problem.RanNo {
+		v.Outcome = verdict.Unknown
+	}
+	if p.Ran == problem.RanYes {
+		v.Outcome = verdict.Run
+	}
+	e.close()
+	p.RequestID = e.id
+	p.Receipt = verdict.Sign([]byte(e.c.common.Config.DaemonKey), *v)
+	if e.begun {
+		e.cutShort(p)
+		return
+	}
+	if err := p.Write(e.w); err != nil {
+		metrics.Add("callersGone", 1)
+	}
+}
+
+// close records the verdict, once.
+func (e *exchange) close() {
+	e.verdict.EndMs = e.c.common.Clock.Now()
+	e.c.Verdicts.Close(e.r.Context(), e.verdict)
+}
+
+// succeed records the verdict of a request that was run and answered.
+func (e *exchange) succeed(status int) {
+	e.verdict.Outcome, e.verdict.Ran, e.verdict.Status = verdict.Run, problem.RanYes, status
+	e.close()
+}
--- /dev/null
+++ b/hemlockd/internal/callers/models.go
@@ -0,0 +1,355 @@
+package callers
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sort"
+	"time"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/completions"
+	"hemlockmux.example/common/prefix"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/handoff"
+	"hemlockmux.example/hemlockd/internal/keeper"
+	"hemlockmux.example/hemlockd/internal/membership"
+	"hemlockmux.example/hemlockd/internal/services"
+	"hemlockmux.example/hemlockd/internal/streams"
+)
+
+const (
+	// writeTimeout is how long a caller may take nothing of its answer before
+	// it counts as gone.
+	writeTimeout = 20 * clock.Second
+	// defaultMaxTokens is the number of output tokens where a request names none.
+	defaultMaxTokens = 128
+	// maxHandOffs bounds the daemons that one request is handed to in turn.
+	maxHandOffs = 3
+)
+
+// model serves a completions request.
+func (e *exchange) model() *problem.Problem {
+	body, p := e.readBody()
+	if p != nil {
+		return p
+	}
+	call, req, p := e.modelCall(body)
+	if p != nil {
+		return p
+	}
+	if until, refused := e.c.Suspects.Refused(call.Digest, call.ArrivedMs); refused {
+		return keeper.SuspectProblem(until - call.ArrivedMs)
+	}
+	release, p := e.admit()
+	if p != nil {
+		return p
+	}
+	defer release()
+	var sink sink = &wholeSink{exchange: e, chat: call.Path == completions.ChatPath}
+	if req.Stream {
+		sink = &streamSink{exchange: e}
+	}
+	result := e.runModel(call, sink)
+	e.verdict.Attempts = result.Attempts
+	if result.Problem != nil {
+		result.Problem.Ran = result.Ran
+		return result.Problem
+	}
+	return sink.end()
+}
+
+// readBody reads the request's body up to the limit of the settings.
+func (e *exchange) readBody() ([]byte, *problem.Problem) {
+	limit := e.tree.System.Policy.MaxBodyBytes
+	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, problem.New(problem.BodyTooLarge, "the body is longer than %d bytes", limit)
+	}
+	if err != nil {
+		return nil, problem.New(problem.BadRequest, "the body could not be read whole: %v", err)
+	}
+	return body, nil
+}
+
+// modelCall checks a completions request and turns it into a call.
+func (e *exchange) modelCall(body []byte) (keeper.Call, completions.Request, *problem.Problem) {
+	var req completions.Request
+	bad := func(format string, args ...any) (keeper.Call, completions.Request, *problem.Problem) {
+		return keeper.Call{}, req, problem.New(problem.BadRequest, format, args...)
+	}
+	if err := json.Unmarshal(body, &req); err != nil {
+		return bad("the body is not a JSON object of the completions format: %v", err)
+	}
+	model, ok := e.tree.System.Models[req.Model]
+	if !ok {
+		return keeper.Call{}, req, problem.New(problem.UnknownModel, "there is no model %q; set model to one of %v", req.Model, e.team.Models)
+	}
+	e.verdict.Target = req.Model
+	if !slices.Contains(e.team.Models, req.Model) {
+		return keeper.Call{}, req, problem.New(problem.NotAllowed, "team %q may not use model %q", e.verdict.Team, req.Model)
+	}
+	text, err := req.Text()
+	if err != nil {
+		return bad("%v", err)
+	}
+	if req.N > 1 {
+		return bad("n is %d; only 1 is served", req.N)
+	}
+	if req.MaxTokens < 0 || req.MaxTokens > model.MaxTokens {
+		return bad("max_tokens is %d; use 1 to %d", req.MaxTokens, model.MaxTokens)
+	}
+	if req.MaxTokens == 0 {
+		req.MaxTokens = min(defaultMaxTokens, model.MaxTokens)
+		if body, err = completions.Forward(body, map[string]any{"max_tokens": req.MaxTokens}); err != nil {
+			return bad("%v", err)
+		}
+	}
+	call := keeper.Call{
+		RequestID: e.id, Team: e.verdict.Team, Model: req.Model, Path: e.r.URL.Path, Priority: e.team.Priority,
+		PromptTokens: prefix.Tokens(text), OutputTokens: req.MaxTokens, ArrivedMs: e.verdict.StartMs,
+		Digest: services.Digest(e.verdict.Team, e.r.URL.Path, body),
+		Hashes: prefix.Hashes(text, model.PieceTokens), Body: body,
+	}
+	return call, req, nil
+}
+
+// place is a daemon that may run a call.
+type place struct {
+	daemon     string
+	dataCentre string
+}
+
+// modelPlaces lists the daemons to try: the keeper of the group here, then
+// keepers in other data centres that have engines, the nearest first.
+func (e *exchange) modelPlaces(call keeper.Call) []place {
+	var places []place
+	for _, dc := range e.dataCentres(func(name string, u settings.Upstream) bool {
+		return u.Kind == settings.KindDecode && u.Model == call.Model && e.team.MayUse(name, u) && !u.Leaving
+	}) {
+		live := e.c.Daemons.Live(dc)
+		name := keeper.GroupName(e.tree, dc, call.Model, call.Hashes)
+		for range 2 {
+			daemon := membership.Keeper(name, live)
+			if daemon == "" {
+				break
+			}
+			places = append(places, place{daemon: daemon, dataCentre: dc})
+			live = slices.DeleteFunc(slices.Clone(live), func(n string) bool { return n == daemon })
+		}
+	}
+	return places
+}
+
+// dataCentres lists the data centres with an upstream that is wanted: the own
+// one first, then those of the same region, then by latency.
+func (e *exchange) dataCentres(wanted func(string, settings.Upstream) bool) []string {
+	set := map[string]bool{}
+	for name, u := range e.tree.System.Upstreams {
+		if wanted(name, u) {
+			set[u.DataCentre] = true
+		}
+	}
+	var names []string
+	for dc := range set {
+		names = append(names, dc)
+	}
+	own := e.c.common.Config.DataCentre
+	distance := func(dc string) clock.Millis {
+		switch {
+		case dc == own:
+			return -2
+		case e.tree.System.DataCentres[dc].Region == e.tree.System.DataCentres[own].Region:
+			return -1
+		}
+		return e.tree.System.DataCentres[dc].OneWayMs
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := distance(names[i]), distance(names[j])
+		return a < b || a == b && names[i] < names[j]
+	})
+	return names
+}
+
+// runModel has a call run by the first place that can take it.
+func (e *exchange) runModel(call keeper.Call, sink sink) keeper.Result {
+	result := keeper.Result{Ran: problem.RanNo, Problem: problem.New(problem.NoUpstream,
+		"no engine for model %q can be reached", call.Model).RetryIn(clock.Second)}
+	var attempts []verdict.Attempt
+	for i, place := range e.modelPlaces(call) {
+		if i >= maxHandOffs || i > 0 && sink.started() {
+			break
+		}
+		result = e.runModelAt(place, call, sink)
+		attempts = append(attempts, result.Attempts...)
+		if !movable(result) {
+			break
+		}
+	}
+	result.Attempts = attempts
+	return result
+}
+
+// movable tells whether another place may run the call: nothing of it ran and
+// the reason is the place's.
+func movable(result keeper.Result) bool {
+	if result.Problem == nil || result.Ran != problem.RanNo {
+		return false
+	}
+	switch result.Problem.Reason {
+	case problem.NoUpstream, problem.DaemonLost, problem.NotReady, problem.DataCentreOutOfReach:
+		return true
+	}
+	return false
+}
+
+func (e *exchange) runModelAt(place place, call keeper.Call, sink sink) keeper.Result {
+	if place.daemon == e.c.common.Config.Name {
+		return e.runModelHere(call, sink)
+	}
+	address, ok := e.c.Daemons.Address(place.daemon)
+	if !ok {
+		return lostResult(place, verdict.AttemptNotRun, "no daemon "+place.daemon+" is known")
+	}
+	ctx := e.r.Context()
+	result, err := e.c.HandOff.Model(ctx, address, call, sink.chunks)
+	if err == nil {
+		return result
+	}
+	var lost *handoff.LostError
+	if ctx.Err() == nil && errors.As(err, &lost) {
+		return lostResult(place, lost.Result, lost.Err.Error())
+	}
+	e.cancelAt(address)
+	return goneResult()
+}
+
+// cancelAt tells the daemon that runs the call that its caller is gone.
+func (e *exchange) cancelAt(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
+	defer cancel()
+	e.c.HandOff.Cancel(ctx, address, e.id)
+}
+
+func goneResult() keeper.Result {
+	p := problem.New(problem.CallerGone, "the caller went away before the answer was whole").WithRan(problem.RanUnknown)
+	return keeper.Result{Problem: p, Ran: problem.RanUnknown}
+}
+
+func lostResult(place place, result verdict.AttemptResult, cause string) keeper.Result {
+	ran := problem.RanUnknown
+	if result == verdict.AttemptNotRun {
+		ran = problem.RanNo
+	}
+	p := problem.New(problem.DaemonLost, "the daemon in %s that the request was handed to was lost", place.dataCentre)
+	return keeper.Result{
+		Problem: p.WithRan(ran).RetryIn(clock.Second), Ran: ran,
+		Attempts: []verdict.Attempt{{Upstream: place.daemon, Phase: "handOff", Result: result, Cause: cause}},
+	}
+}
+
+func (e *exchange) runModelHere(call keeper.Call, sink sink) keeper.Result {
+	run, p := e.c.Keeper.Begin(call)
+	if p != nil {
+		return keeper.Result{Problem: p, Ran: p.Ran}
+	}
+	defer run.Abandon()
+	ctx, cancel := context.WithCancel(e.r.Context())
+	defer cancel()
+	for chunks := range run.Chunks(ctx, 0) {
+		if err := sink.chunks(chunks); err != nil {
+			break
+		}
+	}
+	if result := run.Result(); result != nil {
+		return *result
+	}
+	// The caller is gone: end the run, and learn from it what was run.
+	run.Abandon()
+	for range run.Chunks(context.Background(), 0) {
+		continue
+	}
+	if result := run.Result(); result != nil && result.Problem != nil {
+		return *result
+	}
+	return goneResult()
+}
+
+// sink takes an answer's chunks in order.
+type sink interface {
+	chunks([]streams.Chunk) error
+	// started tells whether the caller has seen any part of the answer.
+	started() bool
+	// end completes the answer.
+	end() *problem.Problem
+}
+
+// streamSink passes chunks on to the caller as they come. The event that ends
+// the stream waits for the verdict.
+type streamSink struct {
+	*exchange
+	next   int
+	last   []streams.Chunk
+	buffer []byte
+}
+
+func (s *streamSink) started() bool { return s.begun }
+
+func (s *streamSink) chunks(chunks []streams.Chunk) error {
+	for _, c := range chunks {
+		s.checkOrder(c, s.next)
+		s.next++
+	}
+	if n := len(chunks); chunks[n-1].Last {
+		s.last, chunks = chunks[n-1:], chunks[:n-1]
+	}
+	if len(chunks) == 0 {
+		return nil
+	}
+	return s.write(chunks)
+}
+
+func (s *streamSink) write(chunks []streams.Chunk) error {
+	if !s.begun {
+		s.begun = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.WriteHeader(http.StatusOK)
+	}
+	s.buffer = streams.AppendEvents(s.buffer[:0], chunks)
+	return s.send(s.buffer)
+}
+
+// send writes and flushes, and gives up on a caller that takes nothing.
+func (e *exchange) send(data []byte) error {
+	controller := http.NewResponseController(e.w)
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout.Duration()))
+	if _, err := e.w.Write(data); err != nil {
+		return err
+	}
+	return controller.Flush()
+}
+
+func (s *streamSink) end() *problem.Problem {
+	s.succeed(http.StatusOK)
+	if err := s.write(s.last); err != nil {
+		metrics.Add("callersGone", 1)
+	}
+	return nil
+}
+
+// cutShort ends an answer that has begun with the reason as its last event.
+func (e *exchange) cutShort(p *problem.Problem) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return
+	}
+	_ = e.send(fmt.Appendf(nil, "event: error\ndata: %s\n\n", data))
+}
--- /dev/null
+++ b/hemlockd/internal/callers/services.go
@@ -0,0 +1,142 @@
+package callers
+
+import (
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/handoff"
+	"hemlockmux.example/hemlockd/internal/membership"
+	"hemlockmux.example/hemlockd/internal/services"
+)
+
+const (
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+	// handOffReserve is added to a service's timeout for the way to another
+	// daemon and back, and for the record.
+	handOffReserve = 8 * clock.Second
+)
+
+// service serves a call of a plain service.
+func (e *exchange) service() *problem.Problem {
+	body, p := e.readBody()
+	if p != nil {
+		return p
+	}
+	call, p := e.serviceCall(body)
+	if p != nil {
+		return p
+	}
+	release, p := e.admit()
+	if p != nil {
+		return p
+	}
+	defer release()
+	out := e.runService(call)
+	e.verdict.Attempts, e.verdict.Replayed = out.Attempts, out.Replayed
+	if out.Problem != nil {
+		return out.Problem
+	}
+	if out.Replayed {
+		e.w.Header().Set("Idempotency-Replayed", "true")
+	}
+	e.succeed(out.Answer.Status)
+	e.writeWhole(out.Answer.Status, out.Answer.ContentType, out.Answer.Body)
+	return nil
+}
+
+// serviceCall checks a call of a plain service.
+func (e *exchange) serviceCall(body []byte) (services.Call, *problem.Problem) {
+	name := chi.URLParam(e.r, "service")
+	service, ok := e.tree.System.Services[name]
+	if !ok {
+		return services.Call{}, problem.New(problem.UnknownService, "there is no service %q; the team may use %v", name, e.team.Services)
+	}
+	e.verdict.Target = name
+	if !slices.Contains(e.team.Services, name) {
+		return services.Call{}, problem.New(problem.NotAllowed, "team %q may not use service %q", e.verdict.Team, name)
+	}
+	path := strings.TrimPrefix(e.r.URL.EscapedPath(), "/services/"+name)
+	if e.r.URL.RawQuery != "" {
+		path += "?" + e.r.URL.RawQuery
+	}
+	call := services.Call{
+		RequestID: e.id, Team: e.verdict.Team, Service: name, Method: e.r.Method, Path: path,
+		Header: e.r.Header.Clone(), Body: body, Digest: services.Digest(e.r.Method, path, body),
+	}
+	call.Header.Del("Authorization")
+	if services.Idempotent(call.Method, service) {
+		return call, nil
+	}
+	call.Key = e.r.Header.Get("Idempotency-Key")
+	if call.Key == "" {
+		return call, problem.New(problem.KeyMissing, "calls of service %q may not be repeated: send an Idempotency-Key header that names this one", name)
+	}
+	if len(call.Key) > maxKeyBytes {
+		return call, problem.New(problem.BadRequest, "the Idempotency-Key is longer than %d bytes", maxKeyBytes)
+	}
+	return call, nil
+}
+
+// runService runs a call here if the service has an instance here, else hands
+// it to a daemon of the nearest data centre that has one.
+func (e *exchange) runService(call services.Call) services.Outcome {
+	dcs := e.dataCentres(func(name string, u settings.Upstream) bool {
+		return u.Kind == settings.KindService && u.Service == call.Service && e.team.MayUse(name, u)
+	})
+	own := e.c.common.Config.DataCentre
+	out := services.Outcome{Problem: problem.New(problem.NoUpstream, "no instance of service %q can be reached", call.Service).RetryIn(clock.Second)}
+	for _, dc := range dcs {
+		if dc == own {
+			if e.c.Services.Usable(e.tree, call) {
+				return e.c.Services.Run(e.r.Context(), call)
+			}
+			continue
+		}
+		if next := e.handServiceOver(dc, call, &out); !next {
+			return out
+		}
+	}
+	return out
+}
+
+// handServiceOver hands a call to a daemon of another data centre; next says
+// that it was not run there and another data centre may be tried.
+func (e *exchange) handServiceOver(dc string, call services.Call, out *services.Outcome) (next bool) {
+	daemon := membership.Keeper(call.RequestID, e.c.Daemons.Live(dc))
+	address, ok := e.c.Daemons.Address(daemon)
+	if !ok {
+		return true
+	}
+	timeout := e.tree.System.Services[call.Service].TimeoutMs + handOffReserve
+	result, err := e.c.HandOff.Service(e.r.Context(), address, call, timeout)
+	var lost *handoff.LostError
+	if errors.As(err, &lost) {
+		attempt := verdict.Attempt{Upstream: daemon, Phase: "handOff", Result: lost.Result, Cause: lost.Err.Error()}
+		ran := problem.RanUnknown
+		if lost.Result == verdict.AttemptNotRun {
+			ran = problem.RanNo
+		}
+		p := problem.New(problem.DaemonLost, "the daemon in %s that the call was handed to was lost; send it again under the same key", dc)
+		if call.Method == http.MethodGet {
+			p.Detail = "the daemon in " + dc + " that the call was handed to was lost"
+		}
+		*out = services.Outcome{Problem: p.WithRan(ran).RetryIn(clock.Second), Attempts: append(out.Attempts, attempt)}
+		return ran == problem.RanNo
+	}
+	if err != nil {
+		*out = services.Outcome{Problem: problem.New(problem.Internal, "%v", err)}
+		return true
+	}
+	result.Attempts = append(out.Attempts, result.Attempts...)
+	*out = result
+	return result.Problem != nil && result.Problem.Reason == problem.NoUpstream && result.Problem.Ran == problem.RanNo
+}
--- /dev/null
+++ b/hemlockd/internal/callers/whole.go
@@ -0,0 +1,98 @@
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"hemlockmux.example/common/completions"
+	"hemlockmux.example/common/invariant"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/hemlockd/internal/streams"
+)
+
+// checkOrder asserts that chunks come in order without gap or repeat.
+func (e *exchange) checkOrder(c streams.Chunk, next int) {
+	e.c.common.Invariants.Check(invariant.WholeAnswer, c.Offset == next, "requestId", e.id, "offset", c.Offset, "next", next)
+}
+
+// wholeSink gathers an answer for a caller that did not ask for a stream.
+type wholeSink struct {
+	*exchange
+	chat   bool
+	next   int
+	text   strings.Builder
+	answer completions.Answer
+	finish *string
+}
+
+func (s *wholeSink) started() bool { return s.next > 0 }
+
+func (s *wholeSink) chunks(chunks []streams.Chunk) error {
+	for _, c := range chunks {
+		s.checkOrder(c, s.next)
+		s.next++
+		if c.Last {
+			return nil
+		}
+		if err := s.add(c.Data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *wholeSink) add(data []byte) error {
+	var chunk completions.Answer
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return err
+	}
+	if s.answer.ID == "" {
+		s.answer = completions.Answer{ID: chunk.ID, Created: chunk.Created, Model: chunk.Model}
+	}
+	if chunk.Usage != nil {
+		s.answer.Usage = chunk.Usage
+	}
+	for _, choice := range chunk.Choices {
+		s.text.WriteString(choice.Text)
+		if choice.Delta != nil {
+			s.text.WriteString(choice.Delta.Content)
+		}
+		if choice.FinishReason != nil {
+			s.finish = choice.FinishReason
+		}
+	}
+	return nil
+}
+
+func (s *wholeSink) end() *problem.Problem {
+	choice := completions.Choice{FinishReason: s.finish, Text: s.text.String()}
+	s.answer.Object = "text_completion"
+	if s.chat {
+		choice = completions.Choice{
+			FinishReason: s.finish, Message: &completions.Message{Role: "assistant", Content: s.text.String()},
+		}
+		s.answer.Object = "chat.completion"
+	}
+	s.answer.Choices = []completions.Choice{choice}
+	body, err := json.Marshal(s.answer)
+	if err != nil {
+		return problem.New(problem.Internal, "the answer can't be encoded: %v", err).WithRan(problem.RanYes)
+	}
+	s.succeed(http.StatusOK)
+	s.writeWhole(http.StatusOK, "application/json", body)
+	return nil
+}
+
+// writeWhole sends a whole answer.
+func (e *exchange) writeWhole(status int, contentType string, body []byte) {
+	if contentType != "" {
+		e.w.Header().Set("Content-Type", contentType)
+	}
+	e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	e.w.WriteHeader(status)
+	if _, err := e.w.Write(body); err != nil {
+		metrics.Add("callersGone", 1)
+	}
+}
--- /dev/null
+++ b/hemlockd/internal/configuration/configuration.go
@@ -0,0 +1,183 @@
+// Package configuration holds the settings in force in this daemon and the
+// rules by which a newer version replaces them: only a higher version is ever
+// applied, whatever its source, and readers of one request see one version.
+//
+// # Usage
+//
+//	c := configuration.New(common)
+//	changed, err := c.Offer(headVersion, nodes)
+//	tree := c.Tree() // nil until there are settings
+package configuration
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/invariant"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/hemlockd/internal/shared"
+)
+
+var metrics = expvar.NewMap("settings")
+
+// Delta is all nodes that changed after version Have, up to Version.
+type Delta struct {
+	Have    int64           `json:"have"`
+	Version int64           `json:"version"`
+	Nodes   []settings.Node `json:"nodes"`
+}
+
+// Configuration is the settings in force.
+type Configuration struct {
+	common shared.Common
+
+	mu    sync.Mutex // held while a version is replaced
+	nodes map[string]settings.Node
+	tree  atomic.Pointer[settings.Tree]
+	keys  atomic.Pointer[map[string]string] // key hash -> team
+	// OnChange is called after each replacement, with the new version.
+	OnChange func(version int64)
+}
+
+// New returns a configuration without settings.
+func New(common shared.Common) *Configuration {
+	return &Configuration{common: common, nodes: map[string]settings.Node{}, OnChange: func(int64) {}}
+}
+
+// Tree returns the settings in force, or nil where there are none yet.
+func (c *Configuration) Tree() *settings.Tree { return c.tree.Load() }
+
+// Version returns the version in force; 0 where there is none.
+func (c *Configuration) Version() int64 {
+	if tree := c.tree.Load(); tree != nil {
+		return tree.Version
+	}
+	return 0
+}
+
+// TeamOf returns the team that a key belongs to.
+func (c *Configuration) TeamOf(key string) (string, bool) {
+	keys := c.keys.Load()
+	if keys == nil {
+		return "", false
+	}
+	team, ok := (*keys)[settings.HashKey(key)]
+	return team, ok
+}
+
+// OperatorOf returns the operator that a key belongs to.
+func (c *Configuration) OperatorOf(key string) (string, bool) {
+	hash := settings.HashKey(key)
+	if tree := c.tree.Load(); tree != nil {
+		for name, op := range tree.System.Operators {
+			if op.KeyHash == hash {
+				return name, true
+			}
+		}
+		if len(tree.System.Operators) > 0 {
+			return "", false
+		}
+	}
+	return "bootstrap", c.common.Config.BootstrapHash == hash
+}
+
+// Since returns what changed after a version.
+func (c *Configuration) Since(have int64) Delta {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := Delta{Have: have, Version: c.Version()}
+	for _, n := range c.nodes {
+		if n.Version > have {
+			d.Nodes = append(d.Nodes, n)
+		}
+	}
+	return d
+}
+
+// Offer applies a delta if it leads to a higher version and starts no later
+// than the version in force.
+func (c *Configuration) Offer(d Delta) (changed bool, err error) {
+	c.mu.Lock()
+	before := c.Version()
+	if d.Version <= before || d.Have > before {
+		c.mu.Unlock()
+		return false, nil
+	}
+	merged := make(map[string]settings.Node, len(c.nodes)+len(d.Nodes))
+	for path, n := range c.nodes {
+		merged[path] = n
+	}
+	for _, n := range d.Nodes {
+		if old, ok := merged[n.Path]; !ok || n.Version > old.Version {
+			merged[n.Path] = n
+		}
+	}
+	err = c.replaceLocked(d.Version, merged)
+	c.mu.Unlock()
+	if err != nil {
+		metrics.Add("rejected", 1)
+		return false, err
+	}
+	c.common.Log.Info("settings in force", zap.Int64("version", d.Version), zap.Int64("before", before))
+	c.OnChange(d.Version)
+	return true, nil
+}
+
+func (c *Configuration) replaceLocked(version int64, nodes map[string]settings.Node) error {
+	list := make([]settings.Node, 0, len(nodes))
+	for _, n := range nodes {
+		list = append(list, n)
+	}
+	tree, err := settings.Parse(version, list)
+	if err != nil {
+		return err
+	}
+	keys := map[string]string{}
+	for name, team := range tree.Teams {
+		for _, key := range team.Keys {
+			keys[key.Hash] = name
+		}
+	}
+	before := c.Version()
+	c.common.Invariants.Check(invariant.SettingsForward, version > before, "from", before, "to", version)
+	c.nodes = nodes
+	c.tree.Store(tree)
+	c.keys.Store(&keys)
+	metrics.Add("applied", 1)
+	return nil
+}
+
+// Poll looks at the platform's head and takes over what is new there.
+func (c *Configuration) Poll(ctx context.Context, store *settings.Store) error {
+	metrics.Add("polls", 1)
+	head, err := store.Head(ctx)
+	if err != nil {
+		metrics.Add("pollFailures", 1)
+		return err
+	}
+	if head.Version <= c.Version() {
+		return nil
+	}
+	delta, err := c.fetch(ctx, store)
+	if err != nil {
+		metrics.Add("pollFailures", 1)
+		return err
+	}
+	_, err = c.Offer(delta)
+	return err
+}
+
+// fetch reads everything on the first time and only the changes later.
+func (c *Configuration) fetch(ctx context.Context, store *settings.Store) (Delta, error) {
+	have := c.Version()
+	if have == 0 {
+		head, nodes, err := store.Snapshot(ctx)
+		return Delta{Version: head.Version, Nodes: nodes}, err
+	}
+	version, nodes, err := store.Since(ctx, have)
+	return Delta{Have: have, Version: version, Nodes: nodes}, err
+}
--- /dev/null
+++ b/hemlockd/internal/daemons/messages.go
@@ -0,0 +1,71 @@
+package daemons
+
+import (
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/membership"
+)
+
+// Methods of the protocol between daemons.
+const (
+	methodProbe    = "probe"
+	methodSettings = "settings"
+	methodCopy     = "copyVerdicts"
+	methodFind     = "findVerdict"
+)
+
+// ProbeMessage is a probe or its answer.
+type ProbeMessage struct {
+	Membership membership.Message `json:"membership"`
+	// Free holds the free decode slots of the engine groups that the sender
+	// keeps, by group.
+	Free map[string]int `json:"free,omitempty"`
+	// Suspects holds the crash suspects that the sender learned of lately.
+	Suspects []SuspectNews `json:"suspects,omitempty"`
+}
+
+// SuspectNews is what daemons tell each other of one crash suspect.
+type SuspectNews struct {
+	Digest  string       `json:"digest"`
+	Deaths  int          `json:"deaths"`
+	UntilMs clock.Millis `json:"untilMs"`
+}
+
+// SettingsRequest asks for the settings that changed after a version.
+type SettingsRequest struct {
+	Have int64 `json:"have"`
+}
+
+// SettingsAnswer holds them.
+type SettingsAnswer = configuration.Delta
+
+// CopyRequest hands copies of verdicts to another VM of the data centre.
+type CopyRequest struct {
+	// From is the run of the daemon that took the requests.
+	From string `json:"from"`
+	// Opened are requests that have been taken and have no verdict yet.
+	Opened []verdict.Verdict `json:"opened,omitempty"`
+	// Verdicts are the verdicts of requests that have ended.
+	Verdicts []verdict.Verdict `json:"verdicts,omitempty"`
+	// StoredUpToMs says that the object store has all verdicts that ended
+	// before, so that their copies may go.
+	StoredUpToMs clock.Millis `json:"storedUpToMs,omitempty"`
+}
+
+// CopyAnswer confirms copies.
+type CopyAnswer struct {
+	Held int `json:"held"`
+}
+
+// FindRequest asks for a verdict, or for its copy.
+type FindRequest struct {
+	RequestID string `json:"requestId"`
+}
+
+// FindAnswer holds the verdict where the daemon has it.
+type FindAnswer struct {
+	Found   bool            `json:"found"`
+	Copy    bool            `json:"copy"`
+	Verdict verdict.Verdict `json:"verdict"`
+}
--- /dev/null
+++ b/hemlockd/internal/daemons/probe.go
@@ -0,0 +1,145 @@
+package daemons
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/membership"
+)
+
+// probeTimeout is the longest wait for the answer to a probe. It is well above
+// the time between the most distant regions and back.
+const probeTimeout = 400 * clock.Millisecond
+
+// RunName tells one run of a daemon from the next.
+func RunName(m membership.Member) string {
+	return m.Name + "~" + strconv.FormatInt(int64(m.Started), 36)
+}
+
+// runProbes probes peers in every period and at once when settings changed.
+func (d *Daemons) runProbes() {
+	defer d.done.Done()
+	ticker := time.NewTicker(d.common.Config.ProbeMs.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.news:
+			for range fanoutRounds {
+				d.tell(fanout)
+			}
+		case <-ticker.C:
+			d.mu.Lock()
+			addresses := d.members.Tick(d.common.Clock.Now())
+			d.mu.Unlock()
+			d.probeAll(addresses)
+		}
+	}
+}
+
+// tell sends probes to a few random peers now.
+func (d *Daemons) tell(peers int) {
+	d.mu.Lock()
+	addresses := d.members.Fanout(peers)
+	d.mu.Unlock()
+	d.probeAll(addresses)
+}
+
+func (d *Daemons) probeAll(addresses []string) {
+	for _, address := range addresses {
+		d.done.Add(1)
+		go d.runProbe(address)
+	}
+}
+
+func (d *Daemons) runProbe(address string) {
+	defer d.done.Done()
+	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout.Duration())
+	defer cancel()
+	var answer ProbeMessage
+	metrics.Add("probes", 1)
+	err := d.pool.call(ctx, address, methodProbe, d.message(), &answer)
+	if err != nil {
+		if d.ctx.Err() != nil {
+			return
+		}
+		metrics.Add("probeFailures", 1)
+		d.mu.Lock()
+		d.members.Failed(address, d.common.Clock.Now())
+		d.mu.Unlock()
+		d.publishViews()
+		return
+	}
+	d.receive(answer)
+}
+
+// message is this daemon's share of the news.
+func (d *Daemons) message() ProbeMessage {
+	d.mu.Lock()
+	msg := ProbeMessage{Membership: d.members.Message()}
+	d.mu.Unlock()
+	msg.Free = d.handlers.Free()
+	msg.Suspects = d.handlers.Suspects()
+	return msg
+}
+
+// receive takes in a probe or an answer.
+func (d *Daemons) receive(msg ProbeMessage) {
+	now := d.common.Clock.Now()
+	d.mu.Lock()
+	d.members.Receive(msg.Membership, now)
+	for group, slots := range msg.Free {
+		d.free[group] = freeReport{slots: slots, atMs: now}
+	}
+	d.mu.Unlock()
+	d.handlers.LearnSuspects(msg.Suspects)
+	d.publishViews()
+	if msg.Membership.From.Version > d.configuration.Version() {
+		d.catchUp(msg.Membership.From.Address)
+	}
+}
+
+// catchUp fetches newer settings from a peer that has them.
+func (d *Daemons) catchUp(address string) {
+	ctx, cancel := context.WithTimeout(d.ctx, 5*probeTimeout.Duration())
+	defer cancel()
+	var delta SettingsAnswer
+	if err := d.pool.call(ctx, address, methodSettings, SettingsRequest{Have: d.configuration.Version()}, &delta); err != nil {
+		metrics.Add("catchUpFailures", 1)
+		return
+	}
+	metrics.Add("catchUps", 1)
+	if _, err := d.configuration.Offer(delta); err != nil {
+		d.common.Log.Error("settings of a peer refused", zap.String("peer", address), zap.Error(err))
+	}
+}
+
+// publishViews makes the current view readable without the lock, and reports
+// daemons that have been found dead since the last time.
+func (d *Daemons) publishViews() {
+	d.mu.Lock()
+	views := d.members.Views(d.common.Clock.Now())
+	before := d.views.Swap(&views)
+	d.mu.Unlock()
+	if before == nil {
+		return
+	}
+	states := map[string]membership.State{}
+	for _, v := range *before {
+		states[RunName(v.Member)] = v.State
+	}
+	for _, v := range views {
+		old, known := states[RunName(v.Member)]
+		if known && old != v.State && (v.State == membership.Dead || old == membership.Dead) {
+			d.common.Log.Info("daemon changed state", zap.String("daemon", v.Name), zap.String("state", string(v.State)))
+		}
+		if v.State == membership.Dead && known && old != membership.Dead {
+			d.handlers.DaemonDied(v.Member)
+		}
+	}
+}
--- /dev/null
+++ b/hemlockd/internal/daemons/rpc.go
@@ -0,0 +1,187 @@
+package daemons
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"hemlockmux.example/common/clock"
+)
+
+// dialTimeout is the longest wait for a connection to a peer.
+const dialTimeout = 300 * clock.Millisecond
+
+// serveRPC turns an authenticated HTTP request into a JSON-RPC connection.
+func (d *Daemons) serveRPC(w http.ResponseWriter, _ *http.Request) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = buffer.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: jsonrpc2\r\n\r\n")
+	if err := buffer.Flush(); err != nil {
+		_ = conn.Close()
+		return
+	}
+	stream := jsonrpc2.NewBufferedStream(&bufferedConn{Conn: countingConn{Conn: conn}, reader: buffer.Reader}, jsonrpc2.VarintObjectCodec{})
+	rpc := jsonrpc2.NewConn(d.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(d.handle)))
+	go d.runUntilClosed(rpc)
+}
+
+// runUntilClosed ends a connection that a peer opened when this daemon stops.
+func (d *Daemons) runUntilClosed(rpc *jsonrpc2.Conn) {
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-d.ctx.Done():
+		_ = rpc.Close()
+	}
+}
+
+func (d *Daemons) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	switch req.Method {
+	case methodProbe:
+		return answer(req, func(msg ProbeMessage) ProbeMessage {
+			go d.receive(msg)
+			return d.message()
+		})
+	case methodSettings:
+		return answer(req, func(r SettingsRequest) SettingsAnswer { return d.configuration.Since(r.Have) })
+	case methodCopy:
+		return answer(req, d.handlers.CopyVerdicts)
+	case methodFind:
+		return answer(req, d.handlers.FindVerdict)
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + req.Method}
+}
+
+// answer decodes the parameters of a call and answers it.
+func answer[In, Out any](req *jsonrpc2.Request, f func(In) Out) (any, error) {
+	var in In
+	if req.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "parameters are missing"}
+	}
+	if err := json.Unmarshal(*req.Params, &in); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return f(in), nil
+}
+
+// pool keeps one connection to each peer.
+type pool struct {
+	key string
+
+	mu     sync.Mutex
+	conns  map[string]*jsonrpc2.Conn
+	closed bool
+}
+
+func newPool(key string) *pool { return &pool{key: key, conns: map[string]*jsonrpc2.Conn{}} }
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, conn := range p.conns {
+		_ = conn.Close()
+	}
+}
+
+// call makes one call. A connection on which a call got no answer in time is
+// closed, since it may have gone silent for good; the next call opens another.
+func (p *pool) call(ctx context.Context, address, method string, in, out any) error {
+	conn, err := p.conn(ctx, address)
+	if err != nil {
+		return err
+	}
+	err = conn.Call(ctx, method, in, out)
+	var refused *jsonrpc2.Error
+	if err != nil && !errors.As(err, &refused) {
+		p.drop(address, conn)
+	}
+	return err
+}
+
+func (p *pool) drop(address string, conn *jsonrpc2.Conn) {
+	p.mu.Lock()
+	if p.conns[address] == conn {
+		delete(p.conns, address)
+	}
+	p.mu.Unlock()
+	_ = conn.Close()
+}
+
+func (p *pool) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	conn, ok := p.conns[address]
+	p.mu.Unlock()
+	if ok {
+		return conn, nil
+	}
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other, ok := p.conns[address]; ok || p.closed {
+		_ = conn.Close()
+		if p.closed {
+			return nil, net.ErrClosed
+		}
+		return other, nil
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+func (p *pool) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = raw.SetDeadline(deadline)
+	}
+	conn := countingConn{Conn: raw}
+	reader, err := p.upgrade(conn, address)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	_ = raw.SetDeadline(noDeadline)
+	stream := jsonrpc2.NewBufferedStream(&bufferedConn{Conn: conn, reader: reader}, jsonrpc2.VarintObjectCodec{})
+	handler := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side only calls"}
+	})
+	return jsonrpc2.NewConn(context.Background(), stream, handler), nil
+}
+
+func (p *pool) upgrade(conn net.Conn, address string) (*bufio.Reader, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/rpc", nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+p.key)
+	req.Header.Set("Connection", "Upgrade")
+	req.Header.Set("Upgrade", "jsonrpc2")
+	if err := req.Write(conn); err != nil {
+		return nil, err
+	}
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusSwitchingProtocols {
+		return nil, fmt.Errorf("peer %s refused: %s", address, resp.Status)
+	}
+	return reader, nil
+}
--- /dev/null
+++ b/hemlockd/internal/handoff/server.go
@@ -0,0 +1,189 @@
+package handoff
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"hemlockmux.example/common/completions"
+	"hemlockmux.example/common/prefix"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/keeper"
+	"hemlockmux.example/hemlockd/internal/services"
+	"hemlockmux.example/hemlockd/internal/streams"
+)
+
+// maxBody bounds a body that is handed over.
+const maxBody = 65 << 20
+
+// Server serves requests that other daemons hand over.
+type Server struct {
+	configuration *configuration.Configuration
+	keeper        *keeper.Keeper
+	services      *services.Services
+}
+
+// NewServer returns the handler for the daemons' port.
+func NewServer(cfg *configuration.Configuration, k *keeper.Keeper, s *services.Services) http.Handler {
+	server := &Server{configuration: cfg, keeper: k, services: s}
+	r := chi.NewRouter()
+	r.Post("/models", server.model)
+	r.Post("/services", server.service)
+	r.Post("/cancel", server.cancel)
+	return r
+}
+
+// head decodes a call's head and reads its body.
+func head(w http.ResponseWriter, r *http.Request, out any) ([]byte, bool) {
+	if err := json.Unmarshal([]byte(r.Header.Get(headerCall)), out); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil, false
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	return body, err == nil
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	var id string
+	if _, ok := head(w, r, &id); !ok {
+		return
+	}
+	if run, ok := s.keeper.Find(id); ok {
+		run.Abandon()
+	}
+}
+
+func (s *Server) model(w http.ResponseWriter, r *http.Request) {
+	var call keeper.Call
+	body, ok := head(w, r, &call)
+	if !ok {
+		return
+	}
+	from := 0
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-ID")); err == nil {
+		from = last + 1
+	}
+	run, p := s.begin(call, body)
+	writer := newEventWriter(w)
+	if p != nil {
+		_ = writer.result(&keeper.Result{Problem: p, Ran: p.Ran})
+		return
+	}
+	stop := make(chan struct{})
+	var alive sync.WaitGroup
+	alive.Go(func() { writer.keepAlive(stop) })
+	defer alive.Wait()
+	defer close(stop)
+	for chunks := range run.Chunks(r.Context(), from) {
+		if err := writer.chunks(chunks); err != nil {
+			return
+		}
+	}
+	if result := run.Result(); result != nil {
+		_ = writer.result(result)
+	}
+}
+
+// begin fills in what did not travel with the call and starts it.
+func (s *Server) begin(call keeper.Call, body []byte) (*keeper.Run, *problem.Problem) {
+	tree := s.configuration.Tree()
+	var req completions.Request
+	if err := json.Unmarshal(body, &req); err != nil {
+		return nil, problem.New(problem.BadRequest, "%v", err)
+	}
+	text, err := req.Text()
+	if err != nil {
+		return nil, problem.New(problem.BadRequest, "%v", err)
+	}
+	call.Body = body
+	if tree != nil {
+		call.Hashes = prefix.Hashes(text, pieceTokens(tree, call.Model))
+	}
+	return s.keeper.Begin(call)
+}
+
+func pieceTokens(tree *settings.Tree, model string) int {
+	return max(1, tree.System.Models[model].PieceTokens)
+}
+
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	var call serviceCall
+	body, ok := head(w, r, &call)
+	if !ok {
+		return
+	}
+	if s.configuration.Tree() == nil {
+		writeOutcome(w, services.Outcome{Problem: problem.New(problem.NotReady, "the daemon has no settings yet")})
+		return
+	}
+	writeOutcome(w, s.services.Run(r.Context(), services.Call{
+		RequestID: call.RequestID, Team: call.Team, Service: call.Service, Method: call.Method,
+		Path: call.Path, Key: call.Key, Digest: call.Digest, Header: call.Header, Body: body,
+	}))
+}
+
+func writeOutcome(w http.ResponseWriter, outcome services.Outcome) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(serviceResult(outcome))
+}
+
+// eventWriter writes a run's events, with signs of life in between.
+type eventWriter struct {
+	mu         sync.Mutex
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	buffer     []byte
+}
+
+func newEventWriter(w http.ResponseWriter) *eventWriter {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	e := &eventWriter{w: w, controller: http.NewResponseController(w)}
+	_ = e.send([]byte(": begun\n\n"))
+	return e
+}
+
+func (e *eventWriter) send(data []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, err := e.w.Write(data); err != nil {
+		return err
+	}
+	return e.controller.Flush()
+}
+
+func (e *eventWriter) keepAlive(stop <-chan struct{}) {
+	ticker := time.NewTicker(keepAlive.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			if e.send([]byte(": alive\n\n")) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (e *eventWriter) chunks(chunks []streams.Chunk) error {
+	e.buffer = streams.AppendEvents(e.buffer[:0], chunks)
+	return e.send(e.buffer)
+}
+
+func (e *eventWriter) result(result *keeper.Result) error {
+	data, err := json.Marshal(result)
+	if err != nil {
+		return fmt.Errorf("encode result: %w", err)
+	}
+	return e.send(fmt.Appendf(nil, "event: %s\ndata: %s\n\n", resultEvent, data))
+}
--- /dev/null
+++ b/hemlockd/internal/keeper/run.go
@@ -0,0 +1,453 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"iter"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/completions"
+	"hemlockmux.example/common/invariant"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/admission"
+	"hemlockmux.example/hemlockd/internal/engines"
+	"hemlockmux.example/hemlockd/internal/retries"
+	"hemlockmux.example/hemlockd/internal/streams"
+)
+
+// reattachWindow is how long a call goes on after its reader is gone, so that
+// the reader can come back on a new connection.
+const reattachWindow = 1500 * clock.Millisecond
+
+// abortTimeout bounds the abort of an attempt; what it misses the sweep finds.
+const abortTimeout = clock.Second
+
+// Run is one call under way. Its chunks are kept until it ends, so that a
+// reader can come back.
+type Run struct {
+	keeper *Keeper
+	call   Call
+	tree   *settings.Tree
+	group  *group
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	chunks   []streams.Chunk
+	result   *Result
+	changed  chan struct{} // closed and replaced when chunks or result change
+	readers  int
+	detached *time.Timer
+
+	// Only the run's own goroutine uses what follows.
+	attempts   []verdict.Attempt
+	dispatched bool // any engine may have run any part of it
+	grant      admission.Grant
+}
+
+// Begin starts a call, or returns the run of that request that is under way.
+func (k *Keeper) Begin(call Call) (*Run, *problem.Problem) {
+	tree := k.configuration.Tree()
+	if tree == nil {
+		return nil, problem.New(problem.NotReady, "this daemon has no settings yet").RetryIn(clock.Second)
+	}
+	if _, ok := tree.System.Models[call.Model]; !ok {
+		return nil, problem.New(problem.UnknownModel, "there is no model %q", call.Model)
+	}
+	call.Allowed = allowed(tree.Teams[call.Team])
+	name := GroupName(tree, k.common.Config.DataCentre, call.Model, call.Hashes)
+	g := k.group(name, call.Model, tree)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if run, ok := k.runs[call.RequestID]; ok {
+		return run, nil
+	}
+	ctx, cancel := context.WithCancel(k.ctx)
+	r := &Run{keeper: k, call: call, tree: tree, group: g, ctx: ctx, cancel: cancel, changed: make(chan struct{})}
+	k.runs[call.RequestID] = r
+	k.done.Add(1)
+	go r.run()
+	return r, nil
+}
+
+// allowed is the set of engines that a team is held to; nil means all.
+func allowed(team settings.Team) map[string]bool {
+	if len(team.Upstreams) == 0 {
+		return nil
+	}
+	set := map[string]bool{}
+	for _, name := range team.Upstreams {
+		set[name] = true
+	}
+	return set
+}
+
+// Active returns the number of runs under way.
+func (k *Keeper) Active() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	active := 0
+	for _, r := range k.runs {
+		if r.Result() == nil {
+			active++
+		}
+	}
+	return active
+}
+
+// Find returns a run that is under way.
+func (k *Keeper) Find(requestID string) (*Run, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r, ok := k.runs[requestID]
+	return r, ok
+}
+
+// Abandon ends a call whose caller is gone.
+func (r *Run) Abandon() { r.cancel() }
+
+// Result returns the end of the call, or nil while it is under way.
+func (r *Run) Result() *Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.result
+}
+
+// Chunks yields the call's chunks in order from an offset on, as many at a time
+// as there are. It ends when the call has ended or ctx does. While no reader is there the call
+// goes on for reattachWindow only.
+func (r *Run) Chunks(ctx context.Context, from int) iter.Seq[[]streams.Chunk] {
+	return func(yield func([]streams.Chunk) bool) {
+		r.attach()
+		defer r.detach()
+		for {
+			r.mu.Lock()
+			ready := r.chunks[min(from, len(r.chunks)):]
+			ended, changed := r.result != nil, r.changed
+			r.mu.Unlock()
+			if len(ready) > 0 {
+				if !yield(ready) {
+					return
+				}
+				from += len(ready)
+				continue
+			}
+			if ended {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func (r *Run) attach() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers++
+	if r.detached != nil {
+		r.detached.Stop()
+		r.detached = nil
+	}
+}
+
+func (r *Run) detach() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readers--
+	if r.readers == 0 && r.result == nil {
+		r.detached = time.AfterFunc(reattachWindow.Duration(), r.cancel)
+	}
+}
+
+func (r *Run) publish(chunks []streams.Chunk, result *Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.chunks = append(r.chunks, chunks...)
+	if result != nil {
+		r.result = result
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// run carries the call out.
+func (r *Run) run() {
+	k := r.keeper
+	defer k.done.Done()
+	defer r.cancel()
+	p := r.serve()
+	r.group.decide(func(a *admission.Group) []admission.Decision { return a.Done(r.call.RequestID, k.common.Clock.Now()) })
+	result := &Result{Problem: p, Ran: r.ran(p), Attempts: r.attempts}
+	if p != nil {
+		p.Ran = result.Ran
+		k.common.Invariants.Check(invariant.RefusedNotRun, p.Ran != problem.RanNo || !r.dispatched, "requestId", r.call.RequestID)
+	}
+	r.publish(nil, result)
+	time.AfterFunc(reattachWindow.Duration(), func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.runs, r.call.RequestID)
+	})
+}
+
+// ran says what the attempts together tell.
+func (r *Run) ran(p *problem.Problem) problem.Ran {
+	if p == nil {
+		return problem.RanYes
+	}
+	ran := problem.RanNo
+	for _, a := range r.attempts {
+		switch a.Result {
+		case verdict.AttemptRan:
+			return problem.RanYes
+		case verdict.AttemptUnknown:
+			ran = problem.RanUnknown
+		}
+	}
+	return ran
+}
+
+// serve admits the call and runs it; nil means that the whole answer was made.
+func (r *Run) serve() *problem.Problem {
+	k := r.keeper
+	if p := r.admit(); p != nil {
+		return p
+	}
+	k.budget.First()
+	policy := r.tree.System.Policy
+	for attempt := 0; ; attempt++ {
+		kv, p := r.prefill()
+		if p != nil {
+			return p
+		}
+		again, p := r.decode(kv)
+		if p == nil {
+			k.suspects.Survived(r.call.Digest)
+			return nil
+		}
+		if !again || attempt+1 >= policy.MaxAttempts || !k.budget.Take() {
+			return p
+		}
+		metrics.Add("repeatedPrefills", 1)
+		if p := r.backoff(attempt); p != nil {
+			return p
+		}
+	}
+}
+
+// admit waits until the group starts or refuses the call.
+func (r *Run) admit() *problem.Problem {
+	k, now := r.keeper, r.keeper.common.Clock.Now()
+	decided := make(chan admission.Decision, 1)
+	work := admission.Work{
+		ID: r.call.RequestID, Priority: r.call.Priority, PromptTokens: r.call.PromptTokens,
+		OutputTokens: r.call.OutputTokens, Hashes: r.call.Hashes, ArrivedMs: r.call.ArrivedMs,
+		Suspect: k.suspects.Suspected(r.call.Digest, now), Allowed: r.call.Allowed,
+	}
+	r.group.mu.Lock()
+	r.group.waiting[r.call.RequestID] = decided
+	r.group.mu.Unlock()
+	r.group.decide(func(a *admission.Group) []admission.Decision { return a.Offer(work, now) })
+	select {
+	case d := <-decided:
+		return r.decision(d)
+	case <-r.ctx.Done():
+		r.group.mu.Lock()
+		delete(r.group.waiting, r.call.RequestID)
+		r.group.mu.Unlock()
+		return r.gone()
+	}
+}
+
+func (r *Run) decision(d admission.Decision) *problem.Problem {
+	if d.Grant != nil {
+		r.grant = *d.Grant
+		return nil
+	}
+	metrics.Add("refused:"+string(d.Cause), 1)
+	switch d.Cause {
+	case admission.CauseTooLarge:
+		return problem.New(problem.BadRequest, "prompt and max_tokens together need more memory than one engine has; shorten the prompt or lower max_tokens")
+	case admission.CauseNoEngine:
+		return problem.New(problem.NoUpstream, "no engine for model %q is up in %s", r.call.Model, r.keeper.common.Config.DataCentre).RetryIn(d.RetryMs)
+	}
+	return problem.New(problem.Overloaded, "the first token would come later than %d ms", r.tree.System.Policy.FirstTokenMs).RetryIn(d.RetryMs)
+}
+
+func (r *Run) gone() *problem.Problem {
+	return problem.New(problem.CallerGone, "the caller went away before the answer was whole")
+}
+
+// attempt notes the outcome of one attempt and learns from a death.
+func (r *Run) attempt(upstream, phase string, started clock.Millis, err error) verdict.Attempt {
+	now := r.keeper.common.Clock.Now()
+	a := verdict.Attempt{Upstream: upstream, Phase: phase, Result: verdict.AttemptRan, StartMs: started, EndMs: now}
+	var call *engines.CallError
+	if errors.As(err, &call) {
+		a.Result, a.Cause = call.Result, call.Err.Error()
+	} else if err != nil {
+		a.Result, a.Cause = verdict.AttemptUnknown, err.Error()
+	}
+	r.dispatched = r.dispatched || a.Result != verdict.AttemptNotRun
+	if call != nil && call.Broken {
+		metrics.Add("brokenAttempts", 1)
+		r.keeper.suspects.Died(r.call.Digest, now, now+r.tree.System.Policy.SuspectMs)
+	}
+	r.attempts = append(r.attempts, a)
+	return a
+}
+
+// suspectRefused returns the refusal of a request that two upstreams died of.
+func (r *Run) suspectRefused() *problem.Problem {
+	now := r.keeper.common.Clock.Now()
+	until, refused := r.keeper.suspects.Refused(r.call.Digest, now)
+	if !refused {
+		return nil
+	}
+	return SuspectProblem(until - now)
+}
+
+// SuspectProblem is the refusal of a request that upstreams died of.
+func SuspectProblem(left clock.Millis) *problem.Problem {
+	return problem.New(problem.CrashSuspect, "two upstreams died while they ran this request; it is refused for a while").RetryIn(left)
+}
+
+func (r *Run) backoff(attempt int) *problem.Problem {
+	wait := retries.Backoff(attempt, rand.New(rand.NewPCG(uint64(r.keeper.common.Clock.Now()), uint64(attempt))))
+	select {
+	case <-time.After(wait.Duration()):
+		return nil
+	case <-r.ctx.Done():
+		return r.gone()
+	}
+}
+
+func (r *Run) engine(name string) engines.Engine {
+	return engines.Engine{Name: name, Address: r.tree.System.Upstreams[name].Address}
+}
+
+// enginesCall is the body of a call to an engine.
+func (r *Run) enginesCall(replace map[string]any) (engines.Call, error) {
+	replace["priority"] = r.call.Priority
+	body, err := completions.Forward(r.call.Body, replace)
+	return engines.Call{
+		Path: r.call.Path, RID: r.keeper.rid(r.call.RequestID), RequestID: r.call.RequestID, Body: body,
+	}, err
+}
+
+// prefill has the prompt prefilled, on another engine where one fails.
+func (r *Run) prefill() (completions.KVTransferParams, *problem.Problem) {
+	k, policy := r.keeper, r.tree.System.Policy
+	not := map[string]bool{}
+	name := r.grant.Prefill
+	if name == "" {
+		name = r.nextPrefill(not)
+	}
+	r.grant.Prefill = ""
+	var last error
+	for attempt := 0; name != ""; attempt++ {
+		result, err := r.prefillOn(name)
+		if err == nil {
+			r.group.decide(func(a *admission.Group) []admission.Decision {
+				return a.PrefillDone(r.call.RequestID, result.CachedTokens, k.common.Clock.Now())
+			})
+			return result.KV, nil
+		}
+		last = err
+		if r.ctx.Err() != nil {
+			return completions.KVTransferParams{}, r.gone()
+		}
+		if p := r.suspectRefused(); p != nil {
+			return completions.KVTransferParams{}, p
+		}
+		if attempt+1 >= policy.MaxAttempts || !k.budget.Take() {
+			break
+		}
+		not[name] = true
+		name = r.nextPrefill(not)
+	}
+	return completions.KVTransferParams{}, r.failed("prefill", last)
+}
+
+func (r *Run) nextPrefill(not map[string]bool) (name string) {
+	r.group.with(func(a *admission.Group) {
+		name = a.PrefillFailed(r.call.RequestID, not, r.keeper.common.Clock.Now())
+	})
+	return name
+}
+
+func (r *Run) failed(phase string, err error) *problem.Problem {
+	if err == nil {
+		return problem.New(problem.NoUpstream, "no engine is left for the %s", phase).RetryIn(clock.Second)
+	}
+	return problem.New(problem.UpstreamFailed, "the %s failed: %v", phase, err).RetryIn(clock.Second)
+}
+
+// prefillOn runs one prefill, bounded by its predicted time and a reserve.
+func (r *Run) prefillOn(name string) (engines.PrefillResult, error) {
+	k := r.keeper
+	call, err := r.enginesCall(map[string]any{
+		"max_tokens": 1, "stream": false, "kv_transfer_params": completions.KVTransferParams{DoRemoteDecode: true},
+	})
+	if err != nil {
+		return engines.PrefillResult{}, err
+	}
+	model := r.tree.System.Models[r.call.Model]
+	own := model.PrefillBaseMs + clock.Millis(int64(r.call.PromptTokens)*model.PrefillTokenUs/1000)
+	ctx, cancel := context.WithTimeout(r.ctx, (r.grant.PrefillMs + own + r.tree.System.Policy.PrefillTimeoutMs).Duration())
+	defer cancel()
+	k.claims.add(call.RID)
+	defer k.claims.remove(call.RID)
+	started := k.common.Clock.Now()
+	k.checkNotLeaving(name, r.tree)
+	result, err := k.client.Prefill(ctx, r.engine(name), call)
+	r.attempt(name, settings.KindPrefill, started, err)
+	if err != nil {
+		r.abort(name, call.RID, err)
+	}
+	return result, err
+}
+
+// abort frees what a failed attempt may hold.
+func (r *Run) abort(name, rid string, err error) {
+	var call *engines.CallError
+	if errors.As(err, &call) && call.Result == verdict.AttemptNotRun {
+		return
+	}
+	r.keeper.abort(r.engine(name), rid)
+}
+
+// abort ends an attempt at an engine, in the background; what is lost on the
+// way is found by the sweep, since the attempt is no longer claimed.
+func (k *Keeper) abort(e engines.Engine, rid string) {
+	k.claims.remove(rid)
+	k.done.Add(1)
+	go k.runAbort(e, rid)
+}
+
+func (k *Keeper) runAbort(e engines.Engine, rid string) {
+	defer k.done.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout.Duration())
+	defer cancel()
+	if err := k.client.Abort(ctx, e, rid); err != nil {
+		metrics.Add("abortFailures", 1)
+	}
+}
+
+// checkNotLeaving asserts that no new work goes to an upstream that the
+// settings have shown as leaving for longer than the grace period.
+func (k *Keeper) checkNotLeaving(name string, tree *settings.Tree) {
+	current := k.configuration.Tree()
+	u, ok := current.System.Upstreams[name]
+	stale := current.Version != tree.Version
+	k.common.Invariants.Check(invariant.NoWorkToLeaving, stale || ok && !u.Leaving, "upstream", name)
+}
--- /dev/null
+++ b/hemlockd/internal/retries/retries.go
@@ -0,0 +1,68 @@
+// Package retries bounds retries by a budget: each first attempt earns a
+// fraction of a retry, so that an outage can't multiply the load. It does no
+// I/O.
+//
+// # Usage
+//
+//	b := retries.NewBudget(0.1)
+//	b.First()
+//	if b.Take() { ... retry after retries.Backoff(attempt, rng) ... }
+package retries
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"hemlockmux.example/common/clock"
+)
+
+// Bounds of the budget and the backoff.
+const (
+	// reserve is the number of retries that a budget starts with and can save.
+	reserve = 10
+	// baseBackoff and maxBackoff bound the wait before a retry.
+	baseBackoff = 10 * clock.Millisecond
+	maxBackoff  = 500 * clock.Millisecond
+)
+
+// Budget is the retries that may still be made.
+type Budget struct {
+	mu     sync.Mutex
+	ratio  float64
+	tokens float64
+}
+
+// NewBudget returns a full budget that earns ratio retries for each first
+// attempt.
+func NewBudget(ratio float64) *Budget { return &Budget{ratio: ratio, tokens: reserve} }
+
+// SetRatio changes what a first attempt earns.
+func (b *Budget) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratio
+}
+
+// First takes in a first attempt.
+func (b *Budget) First() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(reserve, b.tokens+b.ratio)
+}
+
+// Take spends one retry; it returns false where the budget is used up.
+func (b *Budget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Backoff is the wait before a retry: exponential, with full jitter.
+func Backoff(attempt int, rng *rand.Rand) clock.Millis {
+	limit := min(maxBackoff, baseBackoff<<min(attempt, 10))
+	return clock.Millis(rng.Int64N(int64(limit) + 1))
+}
--- /dev/null
+++ b/hemlockd/internal/services/services.go
@@ -0,0 +1,389 @@
+// Package services is this daemon's side of the plain services: it chooses an
+// instance, calls it, and keeps non-idempotent calls to at most one run.
+//
+// # Usage
+//
+//	s, closeServices := services.New(common, configuration, ledger, leaving)
+//	outcome := s.Run(ctx, call)
+package services
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/placements"
+	"hemlockmux.example/hemlockd/internal/retries"
+	"hemlockmux.example/hemlockd/internal/shared"
+)
+
+var metrics = expvar.NewMap("services")
+
+const (
+	dialTimeout   = 500 * clock.Millisecond
+	healthTimeout = clock.Second
+	// failuresToDown is the number of health checks in a row that fail before
+	// an instance counts as down.
+	failuresToDown = 2
+)
+
+// Call is one call of a plain service.
+type Call struct {
+	RequestID string
+	Team      string
+	Service   string
+	Method    string
+	Path      string // below the service, with the query
+	Header    http.Header
+	Body      []byte
+	// Key is the idempotency key; it is empty for idempotent calls.
+	Key    string
+	Digest string
+}
+
+// Idempotent tells whether a call may be repeated.
+func Idempotent(method string, s settings.Service) bool {
+	return method == http.MethodGet || method == http.MethodHead || s.Repeatable
+}
+
+// Digest is the digest by which the same call is known again.
+func Digest(method, path string, body []byte) string {
+	h := xxhash.New()
+	_, _ = h.WriteString(method + " " + path + "\n")
+	_, _ = h.Write(body)
+	return strconv.FormatUint(h.Sum64(), 16) + "-" + strconv.Itoa(len(body))
+}
+
+// Outcome is the end of a call.
+type Outcome struct {
+	Answer   *placements.Answer
+	Problem  *problem.Problem
+	Replayed bool
+	Attempts []verdict.Attempt
+}
+
+// Leaving tells whether the platform's VM list shows an upstream as leaving.
+type Leaving interface {
+	Leaving(upstream string) bool
+}
+
+// Services calls the plain services of this data centre.
+type Services struct {
+	common        shared.Common
+	configuration *configuration.Configuration
+	ledger        *placements.Ledger
+	leaving       Leaving
+	budget        *retries.Budget
+	pooled        *http.Client // idempotent calls
+	fresh         *http.Client // a new connection for each call
+
+	mu     sync.Mutex
+	health map[string]*health
+}
+
+// health is what the health checks of one instance say.
+type health struct {
+	failures int
+	leaving  bool
+	inFlight int
+}
+
+// New starts the health checks and returns the function that ends them.
+//
+// Calls that may not be repeated get a connection of their own: on a reused
+// one, net/http itself repeats a request that carries an Idempotency-Key when
+// the connection ends before the answer.
+func New(common shared.Common, cfg *configuration.Configuration, ledger *placements.Ledger, leaving Leaving) (*Services, func()) {
+	dial := (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
+	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Services{
+		common: common, configuration: cfg, ledger: ledger, leaving: leaving,
+		budget: retries.NewBudget(settings.DefaultSystem().Policy.RetryRatio),
+		pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect},
+		fresh:  &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}, CheckRedirect: noRedirect},
+		health: map[string]*health{},
+	}
+	done := make(chan struct{})
+	go s.runHealth(ctx, done)
+	return s, func() {
+		cancel()
+		<-done
+		pooled.CloseIdleConnections()
+	}
+}
+
+// noRedirect passes a redirect on to the caller instead of following it, which
+// would run the call again.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Run carries out one call.
+func (s *Services) Run(ctx context.Context, call Call) Outcome {
+	tree := s.configuration.Tree()
+	service, ok := tree.System.Services[call.Service]
+	if !ok {
+		return Outcome{Problem: problem.New(problem.UnknownService, "there is no service %q", call.Service)}
+	}
+	if Idempotent(call.Method, service) {
+		return s.lookup(ctx, tree, service, call)
+	}
+	return s.place(ctx, tree, service, call)
+}
+
+// lookup runs an idempotent call, again on another instance where one fails.
+func (s *Services) lookup(ctx context.Context, tree *settings.Tree, service settings.Service, call Call) Outcome {
+	var out Outcome
+	var last error
+	not := map[string]bool{}
+	s.budget.SetRatio(tree.System.Policy.RetryRatio)
+	s.budget.First()
+	for attempt := range tree.System.Policy.MaxAttempts {
+		name, ok := s.choose(tree, call, not)
+		if !ok {
+			break
+		}
+		client := s.pooled
+		if attempt > 0 {
+			client = s.fresh // the pooled connection may have gone silent
+		}
+		timeout := service.TimeoutMs / clock.Millis(tree.System.Policy.MaxAttempts)
+		answer, err := s.callOnce(ctx, client, name, tree, service, call, timeout, &out)
+		if err == nil {
+			out.Answer = answer
+			return out
+		}
+		last = err
+		not[name] = true
+		if ctx.Err() != nil {
+			out.Problem = problem.New(problem.CallerGone, "the caller went away").WithRan(ranOf(out.Attempts))
+			return out
+		}
+		if attempt+1 >= tree.System.Policy.MaxAttempts || !s.budget.Take() {
+			break
+		}
+		wait := retries.Backoff(attempt, rand.New(rand.NewPCG(rand.Uint64(), 0)))
+		time.Sleep(wait.Duration())
+	}
+	if last == nil {
+		out.Problem = problem.New(problem.NoUpstream, "no instance of service %q is up in %s", call.Service, s.common.Config.DataCentre).RetryIn(clock.Second)
+		return out
+	}
+	out.Problem = problem.New(problem.UpstreamFailed, "service %q gave no answer: %v", call.Service, last).WithRan(ranOf(out.Attempts)).RetryIn(clock.Second)
+	return out
+}
+
+// ranOf says what the attempts together tell.
+func ranOf(attempts []verdict.Attempt) problem.Ran {
+	ran := problem.RanNo
+	for _, a := range attempts {
+		switch a.Result {
+		case verdict.AttemptRan:
+			return problem.RanYes
+		case verdict.AttemptUnknown:
+			ran = problem.RanUnknown
+		}
+	}
+	return ran
+}
+
+// instances returns the names of the instances in this data centre that the
+// team may use, in order.
+func (s *Services) instances(tree *settings.Tree, call Call) []string {
+	var names []string
+	team := tree.Teams[call.Team]
+	for name, u := range tree.System.Upstreams {
+		if u.Kind == settings.KindService && u.Service == call.Service &&
+			u.DataCentre == s.common.Config.DataCentre && team.MayUse(name, u) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Usable tells whether an instance of the service can take a call here.
+func (s *Services) Usable(tree *settings.Tree, call Call) bool {
+	_, ok := s.choose(tree, call, nil)
+	return ok
+}
+
+// choose returns the instance with the fewest calls in flight.
+func (s *Services) choose(tree *settings.Tree, call Call, not map[string]bool) (string, bool) {
+	best, bestLoad := "", 0
+	names := s.instances(tree, call)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		h := s.healthLocked(name)
+		if not[name] || h.failures >= failuresToDown || h.leaving || tree.System.Upstreams[name].Leaving || s.leaving.Leaving(name) {
+			continue
+		}
+		if best == "" || h.inFlight < bestLoad {
+			best, bestLoad = name, h.inFlight
+		}
+	}
+	return best, best != ""
+}
+
+func (s *Services) healthLocked(name string) *health {
+	h, ok := s.health[name]
+	if !ok {
+		h = &health{}
+		s.health[name] = h
+	}
+	return h
+}
+
+// callError is a failed call with what is known about whether it ran.
+type callError struct {
+	result verdict.AttemptResult
+	err    error
+}
+
+func (e *callError) Error() string { return e.err.Error() }
+
+func (e *callError) Unwrap() error { return e.err }
+
+// callOnce makes one attempt and notes it in out.
+func (s *Services) callOnce(ctx context.Context, client *http.Client, name string, tree *settings.Tree, service settings.Service, call Call, timeout clock.Millis, out *Outcome) (*placements.Answer, error) {
+	s.mu.Lock()
+	s.healthLocked(name).inFlight++
+	s.mu.Unlock()
+	started := s.common.Clock.Now()
+	answer, err := s.send(ctx, client, tree.System.Upstreams[name].Address, service, call, timeout)
+	a := verdict.Attempt{Upstream: name, Phase: "call", Result: verdict.AttemptRan, StartMs: started, EndMs: s.common.Clock.Now()}
+	var failed *callError
+	if errors.As(err, &failed) {
+		a.Result, a.Cause = failed.result, failed.Error()
+	}
+	out.Attempts = append(out.Attempts, a)
+	s.mu.Lock()
+	s.healthLocked(name).inFlight--
+	s.mu.Unlock()
+	return answer, err
+}
+
+// hopHeaders are the headers that concern one connection only, or the caller's
+// secret.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Authorization", "Content-Length",
+}
+
+func (s *Services) send(ctx context.Context, client *http.Client, address string, service settings.Service, call Call, timeout clock.Millis) (*placements.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, &callError{result: verdict.AttemptNotRun, err: err}
+	}
+	req.Header = call.Header.Clone()
+	for _, key := range hopHeaders {
+		req.Header.Del(key)
+	}
+	req.Header.Set("X-Request-Id", call.RequestID)
+	if call.Key != "" {
+		req.Header.Set("Idempotency-Key", call.Key)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return nil, &callError{result: verdict.AttemptNotRun, err: err}
+		}
+		return nil, &callError{result: verdict.AttemptUnknown, err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, service.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, &callError{result: verdict.AttemptUnknown, err: err}
+	}
+	if int64(len(body)) > service.MaxAnswerBytes {
+		return nil, &callError{result: verdict.AttemptRan, err: fmt.Errorf("the answer is longer than %d bytes", service.MaxAnswerBytes)}
+	}
+	return &placements.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// runHealth checks all instances of this data centre again and again.
+func (s *Services) runHealth(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	ticker := time.NewTicker((2 * s.common.Config.LoadMs).Duration())
+	defer ticker.Stop()
+	for {
+		if tree := s.configuration.Tree(); tree != nil {
+			s.checkAll(ctx, tree)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Services) checkAll(ctx context.Context, tree *settings.Tree) {
+	var checks sync.WaitGroup
+	for name, u := range tree.System.Upstreams {
+		if u.Kind == settings.KindService && u.DataCentre == s.common.Config.DataCentre {
+			checks.Go(func() { s.check(ctx, name, u.Address) })
+		}
+	}
+	checks.Wait()
+}
+
+func (s *Services) check(ctx context.Context, name, address string) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout.Duration())
+	defer cancel()
+	leaving := false
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", nil)
+	if err == nil {
+		var resp *http.Response
+		if resp, err = s.fresh.Do(req); err == nil {
+			leaving = resp.Header.Get("X-Upstream-State") == "leaving"
+			_ = resp.Body.Close()
+		}
+	}
+	s.mu.Lock()
+	h := s.healthLocked(name)
+	wasUp, wasLeaving := h.failures < failuresToDown, h.leaving
+	if err != nil {
+		h.failures++
+	} else {
+		h.failures, h.leaving = 0, leaving
+	}
+	up := h.failures < failuresToDown
+	leaving = h.leaving
+	s.mu.Unlock()
+	if up != wasUp || leaving != wasLeaving {
+		s.common.Log.Info("service instance changed state", zap.String("instance", name), zap.Bool("up", up), zap.Bool("leaving", leaving))
+	}
+}
+
+// Status returns the instances checked here.
+func (s *Services) Status(name string) (up, leaving bool, inFlight int, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.health[name]
+	if !ok {
+		return false, false, 0, false
+	}
+	return h.failures < failuresToDown, h.leaving, h.inFlight, true
+}
--- /dev/null
+++ b/hemlockd/internal/verdicts/copies.go
@@ -0,0 +1,110 @@
+package verdicts
+
+import (
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/daemons"
+)
+
+// copies holds other daemons' verdicts, by the run of the daemon.
+type copies struct {
+	byRun map[string]*runCopies
+}
+
+// runCopies is what is held for one run of a daemon.
+type runCopies struct {
+	open  map[string]verdict.Verdict
+	ended map[string]verdict.Verdict
+	dead  bool
+}
+
+func newCopies() copies { return copies{byRun: map[string]*runCopies{}} }
+
+func (c copies) of(run string) *runCopies {
+	held, ok := c.byRun[run]
+	if !ok {
+		held = &runCopies{open: map[string]verdict.Verdict{}, ended: map[string]verdict.Verdict{}}
+		c.byRun[run] = held
+	}
+	return held
+}
+
+// add takes a message in and returns how many verdicts are held for its sender.
+func (c copies) add(req daemons.CopyRequest) int {
+	held := c.of(req.From)
+	for _, v := range req.Opened {
+		held.open[v.RequestID] = v
+	}
+	for _, v := range req.Verdicts {
+		delete(held.open, v.RequestID)
+		held.ended[v.RequestID] = v
+	}
+	for id, v := range held.ended {
+		if v.EndMs < req.StoredUpToMs {
+			delete(held.ended, id)
+		}
+	}
+	return len(held.ended)
+}
+
+func (c copies) find(id string) (verdict.Verdict, bool) {
+	for _, held := range c.byRun {
+		if v, ok := held.ended[id]; ok {
+			return v, true
+		}
+		if v, ok := held.open[id]; ok && held.dead {
+			return v, true
+		}
+	}
+	return verdict.Verdict{}, false
+}
+
+// died turns what is held for a dead daemon into verdicts to be stored: a
+// request without a verdict may or may not have run.
+func (c copies) died(run string, now clock.Millis) []verdict.Verdict {
+	held, ok := c.byRun[run]
+	if !ok || held.dead {
+		return nil
+	}
+	held.dead = true
+	var verdicts []verdict.Verdict
+	for _, v := range held.ended {
+		verdicts = append(verdicts, v)
+	}
+	for id, v := range held.open {
+		v.Outcome, v.Ran, v.Reason = verdict.Unknown, problem.RanUnknown, problem.DaemonLost
+		v.Detail = "the daemon that took the request died before it ended"
+		v.EndMs = now
+		held.open[id] = v
+		verdicts = append(verdicts, v)
+	}
+	return verdicts
+}
+
+// TakeCopies keeps another daemon's verdicts.
+func (r *Recorder) TakeCopies(req daemons.CopyRequest) daemons.CopyAnswer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.copies.add(req)
+	return daemons.CopyAnswer{Held: held}
+}
+
+// DaemonDied stores the copies held for a daemon that died.
+func (r *Recorder) DaemonDied(run, daemon string) {
+	now := r.common.Clock.Now()
+	r.mu.Lock()
+	verdicts := r.copies.died(run, now)
+	r.mu.Unlock()
+	if len(verdicts) == 0 {
+		return
+	}
+	metrics.Add("rescued", int64(len(verdicts)))
+	s, err := newSegment(verdicts, daemon, "copy-"+r.common.Config.Name, now)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	r.segments = append(r.segments, s)
+	r.mu.Unlock()
+}
--- /dev/null
+++ b/hemlockd/internal/verdicts/segments.go
@@ -0,0 +1,179 @@
+package verdicts
+
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/platform"
+	"hemlockmux.example/common/verdict"
+)
+
+// lookupObjects bounds the objects that one lookup reads.
+const lookupObjects = 200
+
+// segment is a batch of verdicts as it is stored: JSON lines, compressed, so
+// that hours of a platform outage fit in memory.
+type segment struct {
+	key        string
+	body       []byte
+	firstEndMs clock.Millis
+	count      int
+}
+
+// objectKey names a batch so that those of one daemon are listed by the time of
+// their last verdict.
+func objectKey(daemon string, lastEndMs clock.Millis, suffix string) string {
+	return fmt.Sprintf("%s%013d-%s.json.gz", objectPrefix(daemon), lastEndMs, suffix)
+}
+
+func objectPrefix(daemon string) string { return "verdicts/" + daemon + "/" }
+
+func newSegment(verdicts []verdict.Verdict, daemon, suffix string, now clock.Millis) (segment, error) {
+	var buffer bytes.Buffer
+	zip := gzip.NewWriter(&buffer)
+	encoder := json.NewEncoder(zip)
+	s := segment{key: objectKey(daemon, now, suffix), firstEndMs: now, count: len(verdicts)}
+	for _, v := range verdicts {
+		s.firstEndMs = min(s.firstEndMs, v.EndMs)
+		if err := encoder.Encode(v); err != nil {
+			return s, fmt.Errorf("encode verdict: %w", err)
+		}
+	}
+	if err := zip.Close(); err != nil {
+		return s, fmt.Errorf("compress verdicts: %w", err)
+	}
+	s.body = buffer.Bytes()
+	return s, nil
+}
+
+func (s segment) find(id string) (verdict.Verdict, bool) { return findInBody(s.body, id) }
+
+// findInBody looks for a verdict in a stored batch.
+func findInBody(body []byte, id string) (verdict.Verdict, bool) {
+	zip, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return verdict.Verdict{}, false
+	}
+	lines := bufio.NewReader(zip)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if bytes.Contains(line, []byte(id)) {
+			var v verdict.Verdict
+			if json.Unmarshal(line, &v) == nil && v.RequestID == id {
+				return v, true
+			}
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				metrics.Add("unreadableObjects", 1)
+			}
+			return verdict.Verdict{}, false
+		}
+	}
+}
+
+// runUploads stores a batch in every interval.
+func (r *Recorder) runUploads() {
+	defer r.done.Done()
+	for {
+		timer := time.NewTimer(r.interval().Duration())
+		select {
+		case <-r.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		r.seal()
+		r.upload(r.ctx)
+		r.forget()
+	}
+}
+
+// seal turns what is not stored into a batch.
+func (r *Recorder) seal() {
+	now := r.common.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.unstored) == 0 {
+		return
+	}
+	s, err := newSegment(r.unstored, r.common.Config.Name, r.common.Self(), now)
+	if err != nil {
+		r.common.Log.Error("verdicts can't be encoded", zap.Error(err))
+		return
+	}
+	r.segments = append(r.segments, s)
+	r.unstored = nil
+}
+
+// upload stores batches, oldest first, until one fails.
+func (r *Recorder) upload(ctx context.Context) {
+	for {
+		r.mu.Lock()
+		if len(r.segments) == 0 {
+			r.mu.Unlock()
+			return
+		}
+		s := r.segments[0]
+		r.mu.Unlock()
+		if err := r.store.Put(ctx, s.key, s.body); err != nil {
+			metrics.Add("uploadFailures", 1)
+			return
+		}
+		metrics.Add("uploads", 1)
+		r.mu.Lock()
+		r.segments = r.segments[1:]
+		r.mu.Unlock()
+	}
+}
+
+// forget drops verdicts that are in a batch and ended a while ago.
+func (r *Recorder) forget() {
+	limit := r.common.Clock.Now() - keepStored
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, v := range r.unstored {
+		limit = min(limit, v.EndMs)
+	}
+	for id, v := range r.recent {
+		if v.EndMs < limit {
+			delete(r.recent, id)
+		}
+	}
+}
+
+// FindStored looks a verdict up in the object store: among the batches of the
+// daemon that took the request, from the time of its start on.
+func FindStored(ctx context.Context, store *platform.Objects, id string) (verdict.Verdict, bool, error) {
+	daemon, at, err := verdict.ParseID(id)
+	if err != nil {
+		return verdict.Verdict{}, false, err
+	}
+	keys, err := store.List(ctx, objectPrefix(daemon), objectKey(daemon, at-1, ""))
+	if err != nil {
+		return verdict.Verdict{}, false, err
+	}
+	for _, key := range keys[:min(len(keys), lookupObjects)] {
+		body, ok, err := store.Get(ctx, key)
+		if err != nil {
+			return verdict.Verdict{}, false, err
+		}
+		if !ok {
+			continue
+		}
+		if v, found := findInBody(body, id); found {
+			return v, true, nil
+		}
+	}
+	return verdict.Verdict{}, false, nil
+}
--- /dev/null
+++ b/hemlockd/internal/vmlist/vmlist.go
@@ -0,0 +1,97 @@
+// Package vmlist follows the platform's VM list. The list lags and can be out of
+// reach, so it is a hint: it names daemons to look for and upstreams that are
+// leaving, and is never proof of death.
+//
+// # Usage
+//
+//	l, closeList := vmlist.New(common, client, func(address string) { daemons.AddSeed(address) })
+//	if l.Leaving("decode-1") { ... }
+package vmlist
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/platform"
+	"hemlockmux.example/hemlockd/internal/shared"
+)
+
+var metrics = expvar.NewMap("vmList")
+
+// List is the last list read.
+type List struct {
+	common  shared.Common
+	client  *platform.VMs
+	addSeed func(address string)
+
+	mu      sync.Mutex
+	leaving map[string]bool
+}
+
+// New starts following the list and returns the function that ends it. addSeed
+// is called with the address of each VM that may be a daemon.
+func New(common shared.Common, client *platform.VMs, addSeed func(string)) (*List, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &List{common: common, client: client, addSeed: addSeed, leaving: map[string]bool{}}
+	done := make(chan struct{})
+	go l.run(ctx, done)
+	return l, func() {
+		cancel()
+		<-done
+	}
+}
+
+// Leaving tells whether the list shows a VM as leaving. While the list is out
+// of reach, what it said last holds.
+func (l *List) Leaving(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaving[name]
+}
+
+func (l *List) run(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	ticker := time.NewTicker(l.common.Config.VMListMs.Duration())
+	defer ticker.Stop()
+	for {
+		l.read(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (l *List) read(ctx context.Context) {
+	metrics.Add("reads", 1)
+	groups, err := l.client.List(ctx)
+	if err != nil {
+		metrics.Add("failures", 1)
+		return
+	}
+	leaving := map[string]bool{}
+	for _, g := range groups {
+		if g.Labels[platform.LabelState] == platform.StateLeaving {
+			leaving[g.Labels[platform.LabelName]] = true
+		}
+		if g.Labels[platform.LabelRole] == platform.RoleDaemon {
+			for _, address := range g.Targets {
+				l.addSeed(address)
+			}
+		}
+	}
+	l.mu.Lock()
+	before := l.leaving
+	l.leaving = leaving
+	l.mu.Unlock()
+	for name := range leaving {
+		if !before[name] {
+			l.common.Log.Info("VM list shows a VM as leaving", zap.String("vm", name))
+		}
+	}
+}
--- /dev/null
+++ b/standin/internal/app/app.go
@@ -0,0 +1,255 @@
+// Package app wires the stand-ins together: the platform, the model engines and
+// the plain services of one deployment in one process, each on its own port,
+// and an administration port that makes them fail.
+//
+// # Usage
+//
+//	cfg, system, err := app.LoadConfig("standin.toml")
+//	err = app.Run(ctx, cfg, system, log)
+//
+// On the administration port, POST /faults puts a fault in force, DELETE
+// /faults ends all, POST /vms/{name}/{state} changes the VM list, and GET
+// /state shows the memory held and the platform's calls.
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/standin/internal/engine"
+	"hemlockmux.example/standin/internal/eventlog"
+	"hemlockmux.example/standin/internal/fault"
+	"hemlockmux.example/standin/internal/objects"
+	"hemlockmux.example/standin/internal/service"
+	"hemlockmux.example/standin/internal/table"
+	"hemlockmux.example/standin/internal/vms"
+)
+
+// restartDelay is how long a crashed upstream takes to come back.
+const restartDelay = 500 * time.Millisecond
+
+// State is the answer to GET /state.
+type State struct {
+	PiecesHeld  map[string]int `json:"piecesHeld"`
+	TableReads  int64          `json:"tableReads"`
+	TableWrites int64          `json:"tableWrites"`
+	ObjectPuts  int64          `json:"objectPuts"`
+}
+
+// App is all stand-ins of one deployment.
+type App struct {
+	log     *zap.Logger
+	events  *eventlog.Log
+	table   *table.Table
+	objects *objects.Store
+	vms     *vms.List
+	engines map[string]*engine.Engine
+	faults  map[string]*fault.Injector
+	servers []*server
+	cleanup []func()
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, cfg Config, system settings.System, log *zap.Logger) error {
+	a, closeApp, err := New(cfg, system, log)
+	if err != nil {
+		return err
+	}
+	defer closeApp()
+	log.Info("stand-ins are serving", zap.Int("upstreams", len(system.Upstreams)), zap.String("admin", cfg.Admin))
+	_ = a
+	<-ctx.Done()
+	return nil
+}
+
+// New starts all stand-ins and returns the function that stops them.
+func New(cfg Config, system settings.System, log *zap.Logger) (*App, func(), error) {
+	events, closeEvents, err := eventlog.Open(cfg.Events)
+	if err != nil {
+		return nil, nil, err
+	}
+	a := &App{
+		log: log, events: events, table: table.New(), objects: objects.New(),
+		vms:     vms.New(vmGroups(cfg, system), time.Duration(cfg.VMLagMs)*time.Millisecond),
+		engines: map[string]*engine.Engine{}, faults: map[string]*fault.Injector{},
+		cleanup: []func(){closeEvents},
+	}
+	err = errors.Join(
+		a.serve("table", cfg.Table, a.table.Handler()),
+		a.serve("objects", cfg.Objects, a.objects.Handler()),
+		a.serve("vms", cfg.VMs, a.vms.Handler()),
+		a.startUpstreams(cfg, system),
+		a.serve("admin", cfg.Admin, a.admin()),
+	)
+	if err != nil {
+		a.close()
+		return nil, nil, err
+	}
+	return a, a.close, nil
+}
+
+func (a *App) close() {
+	for _, s := range a.servers {
+		s.close()
+	}
+	for _, f := range a.cleanup {
+		f()
+	}
+}
+
+func (a *App) startUpstreams(cfg Config, system settings.System) error {
+	cluster := engine.NewCluster()
+	seed := cfg.Seed
+	for name, u := range system.Upstreams {
+		seed++
+		injector := a.injector(name)
+		if u.Kind == settings.KindService {
+			s := service.New(name, a.events, injector, time.Duration(cfg.ServiceDelayMs)*time.Millisecond)
+			server, err := a.newServer(name, u.Address, s.Handler())
+			if err != nil {
+				return err
+			}
+			s.Crash = func() { go server.restart() }
+			continue
+		}
+		e, closeEngine := engine.New(engine.Config{Name: name, Kind: u.Kind, Model: system.Models[u.Model], Seed: seed}, cluster, a.events, injector)
+		a.cleanup = append(a.cleanup, closeEngine)
+		a.engines[name] = e
+		server, err := a.newServer(name, u.Address, e.Handler())
+		if err != nil {
+			return err
+		}
+		e.Crash = func() {
+			e.Reset()
+			go server.restart()
+		}
+	}
+	return nil
+}
+
+func (a *App) injector(name string) *fault.Injector {
+	if _, ok := a.faults[name]; !ok {
+		a.faults[name] = fault.NewInjector()
+	}
+	return a.faults[name]
+}
+
+func (a *App) serve(name, address string, handler http.Handler) error {
+	_, err := a.newServer(name, address, handler)
+	return err
+}
+
+func (a *App) newServer(name, address string, handler http.Handler) (*server, error) {
+	s := &server{name: name, address: address, handler: handler, faults: a.injector(name), log: a.log}
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	a.servers = append(a.servers, s)
+	return s, nil
+}
+
+func (a *App) admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /faults", a.setFault)
+	mux.HandleFunc("DELETE /faults", func(http.ResponseWriter, *http.Request) {
+		for _, injector := range a.faults {
+			injector.Clear()
+		}
+	})
+	mux.HandleFunc("POST /vms/{name}/{state}", func(_ http.ResponseWriter, r *http.Request) {
+		a.vms.SetState(r.PathValue("name"), r.PathValue("state"))
+	})
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		state := State{
+			PiecesHeld: map[string]int{}, TableReads: a.table.Reads.Load(),
+			TableWrites: a.table.Writes.Load(), ObjectPuts: a.objects.Puts.Load(),
+		}
+		for name, e := range a.engines {
+			state.PiecesHeld[name] = e.Held()
+		}
+		_ = json.NewEncoder(w).Encode(state)
+	})
+	return mux
+}
+
+func (a *App) setFault(w http.ResponseWriter, r *http.Request) {
+	var f fault.Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if f.Target == "all" {
+		for name := range a.engines {
+			a.faults[name].Set(f)
+		}
+		return
+	}
+	injector, ok := a.faults[f.Target]
+	if !ok {
+		http.Error(w, fmt.Sprintf("no stand-in is named %q", f.Target), http.StatusNotFound)
+		return
+	}
+	injector.Set(f)
+}
+
+// server is one listening port that can crash and come back.
+type server struct {
+	name, address string
+	handler       http.Handler
+	faults        *fault.Injector
+	log           *zap.Logger
+
+	mu     sync.Mutex
+	http   *http.Server
+	closed bool
+}
+
+func (s *server) start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", s.name, err)
+	}
+	s.http = &http.Server{
+		Handler: s.faults.Middleware(s.handler), ConnContext: s.faults.ConnContext, ErrorLog: zap.NewStdLog(s.log),
+	}
+	go s.run(s.http, listener)
+	return nil
+}
+
+func (s *server) run(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		s.log.Error("server ended", zap.String("name", s.name), zap.Error(err))
+	}
+}
+
+// restart closes all connections at once and listens again after a while.
+func (s *server) restart() {
+	s.mu.Lock()
+	_ = s.http.Close()
+	s.mu.Unlock()
+	time.Sleep(restartDelay)
+	if err := s.start(); err != nil {
+		s.log.Error("restart failed", zap.String("name", s.name), zap.Error(err))
+	}
+}
+
+func (s *server) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = s.http.Close()
+}
--- /dev/null
+++ b/standin/internal/service/service.go
@@ -0,0 +1,88 @@
+// Package service is a stand-in of a plain service: lookups that are
+// idempotent and calls that are not. It never deduplicates, so a call that is
+// run twice shows in the event log.
+//
+// # Usage
+//
+//	s := service.New("order-desk-1", log, injector, 20*time.Millisecond)
+//	server.Handler = s.Handler()
+package service
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"hemlockmux.example/standin/internal/eventlog"
+	"hemlockmux.example/standin/internal/fault"
+)
+
+// Service is one instance.
+type Service struct {
+	name   string
+	log    *eventlog.Log
+	faults *fault.Injector
+	delay  time.Duration
+	calls  atomic.Int64
+	// Crash is called when a request crashes the instance.
+	Crash func()
+}
+
+// New returns an instance that works for delay on each call.
+func New(name string, log *eventlog.Log, faults *fault.Injector, delay time.Duration) *Service {
+	return &Service{name: name, log: log, faults: faults, delay: delay, Crash: func() {}}
+}
+
+// Handler serves all calls.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		if _, leaving := s.faults.Take(fault.Leave, ""); leaving {
+			w.Header().Set("X-Upstream-State", "leaving")
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /stock/{item}", s.stock)
+	mux.HandleFunc("POST /{call}", s.call)
+	return mux
+}
+
+func (s *Service) stock(w http.ResponseWriter, r *http.Request) {
+	s.log.Write(eventlog.Event{Event: eventlog.Run, Upstream: s.name, RequestID: r.Header.Get("X-Request-Id"), Phase: "lookup"})
+	time.Sleep(s.delay)
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(r.PathValue("item")))
+	writeJSON(w, http.StatusOK, map[string]any{"item": r.PathValue("item"), "inStock": h.Sum32() % 50})
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.log.Write(eventlog.Event{
+		Event: eventlog.Run, Upstream: s.name, RequestID: r.Header.Get("X-Request-Id"),
+		Key: r.Header.Get("Idempotency-Key"), Phase: "call",
+	})
+	if _, ok := s.faults.Take(fault.CrashOn, string(body)); ok {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(s.delay)
+	if _, ok := s.faults.Take(fault.Stall, string(body)); ok {
+		<-r.Context().Done()
+		return
+	}
+	writeJSON(w, http.StatusCreated, map[string]any{
+		"call": r.PathValue("call"), "by": s.name, "number": s.calls.Add(1), "accepted": json.RawMessage(body),
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
