Placements run at most once: proved by process and property tests, red first

Cause: the first process test froze a daemon while the service ran a placement. On waking, its timer and the service's answer were both there, the timer won, and the record stayed 'started' for good although the answer had come: a repeat was told 'unknown' for ever.

Change: the call goes on for a minute after the service's timeout; the caller is told 'unknown' at the timeout, the late answer is recorded and a repeat gets it.

Ruled out: a lease on the record (a paused holder wakes believing it holds it); reusing connections (net/http repeats a request that carries Idempotency-Key by itself on a reused connection: each non-idempotent call gets a new one).

--- /dev/null
+++ b/common/platform/memory/memory.go
@@ -0,0 +1,147 @@
+// Package memory is the platform's transactional table over a map in memory:
+// the core of the stand-in, and the fake of the tests.
+//
+// # Usage
+//
+//	t := memory.New()
+//	resp, err := t.Txn(ctx, platform.TxnRequest{...})
+package memory
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"hemlockmux.example/common/platform"
+)
+
+// ErrTooManyOperations reports a transaction over the table's limit.
+var ErrTooManyOperations = errors.New("etcdserver: too many operations in txn request")
+
+// Table holds the rows.
+type Table struct {
+	mu       sync.Mutex
+	rows     map[string]platform.KeyValue
+	revision int64
+	// Reads and Writes count the calls, for the capacity page.
+	Reads, Writes atomic.Int64
+	// Blind makes the table ignore the conditions of transactions; tests turn
+	// it on to show that they notice.
+	Blind atomic.Bool
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{rows: map[string]platform.KeyValue{}} }
+
+// RangeOf reads the rows of a range, in key order.
+func (t *Table) RangeOf(_ context.Context, req platform.RangeRequest) ([]platform.KeyValue, error) {
+	t.Reads.Add(1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.read(req).Kvs, nil
+}
+
+// Get reads one row; ok is false where it does not exist.
+func (t *Table) Get(ctx context.Context, key string) (kv platform.KeyValue, ok bool, err error) {
+	kvs, err := t.RangeOf(ctx, platform.RangeRequest{Key: []byte(key)})
+	if err != nil || len(kvs) == 0 {
+		return platform.KeyValue{}, false, err
+	}
+	return kvs[0], true, nil
+}
+
+// Txn carries out one transaction.
+func (t *Table) Txn(_ context.Context, req platform.TxnRequest) (platform.TxnResponse, error) {
+	if operations(req) > platform.MaxTxnOperations {
+		return platform.TxnResponse{}, ErrTooManyOperations
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if writes(req) {
+		t.Writes.Add(1)
+		t.revision++ // all writes of a transaction share one revision
+	} else {
+		t.Reads.Add(1)
+	}
+	return t.txn(req), nil
+}
+
+// operations counts the operations of one branch, as the table's limit does.
+func operations(req platform.TxnRequest) int { return max(len(req.Success), len(req.Failure)) }
+
+// writes tells whether a transaction can write.
+func writes(req platform.TxnRequest) bool {
+	for _, op := range append(append([]platform.RequestOp(nil), req.Success...), req.Failure...) {
+		if op.RequestPut != nil || op.RequestDeleteRange != nil || op.RequestTxn != nil && writes(*op.RequestTxn) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) txn(req platform.TxnRequest) platform.TxnResponse {
+	resp := platform.TxnResponse{Succeeded: true}
+	for _, c := range req.Compare {
+		row := t.rows[string(c.Key)]
+		if c.Target == "CREATE" {
+			resp.Succeeded = resp.Succeeded && row.CreateRevision == c.CreateRevision
+		} else {
+			resp.Succeeded = resp.Succeeded && row.ModRevision == c.ModRevision
+		}
+	}
+	resp.Succeeded = resp.Succeeded || t.Blind.Load()
+	branch := req.Success
+	if !resp.Succeeded {
+		branch = req.Failure
+	}
+	for _, op := range branch {
+		resp.Responses = append(resp.Responses, t.operation(op))
+	}
+	resp.Header.Revision = t.revision
+	return resp
+}
+
+func (t *Table) operation(op platform.RequestOp) platform.ResponseOp {
+	switch {
+	case op.RequestRange != nil:
+		rows := t.read(*op.RequestRange)
+		return platform.ResponseOp{ResponseRange: &rows}
+	case op.RequestTxn != nil:
+		resp := t.txn(*op.RequestTxn)
+		return platform.ResponseOp{ResponseTxn: &resp}
+	case op.RequestDeleteRange != nil:
+		for _, kv := range t.read(platform.RangeRequest(*op.RequestDeleteRange)).Kvs {
+			delete(t.rows, string(kv.Key))
+		}
+		return platform.ResponseOp{}
+	}
+	put := op.RequestPut
+	row := t.rows[string(put.Key)]
+	if row.CreateRevision == 0 {
+		row.CreateRevision = t.revision
+	}
+	row.Key, row.Value, row.ModRevision = put.Key, put.Value, t.revision
+	t.rows[string(put.Key)] = row
+	return platform.ResponseOp{ResponsePut: &struct{}{}}
+}
+
+func (t *Table) read(req platform.RangeRequest) platform.RangeResponse {
+	if len(req.RangeEnd) == 0 {
+		row, ok := t.rows[string(req.Key)]
+		if !ok {
+			return platform.RangeResponse{}
+		}
+		return platform.RangeResponse{Kvs: []platform.KeyValue{row}, Count: 1}
+	}
+	var resp platform.RangeResponse
+	for key, row := range t.rows {
+		if key >= string(req.Key) && key < string(req.RangeEnd) {
+			resp.Kvs = append(resp.Kvs, row)
+		}
+	}
+	sort.Slice(resp.Kvs, func(i, j int) bool { return string(resp.Kvs[i].Key) < string(resp.Kvs[j].Key) })
+	resp.Count = int64(len(resp.Kvs))
+	return resp
+}
--- a/common/platform/table.go
+++ b/common/platform/table.go
@@ -122,11 +122,6 @@
 	return resp.Kvs[0], true, nil
 }
 
-// Range reads all rows whose key starts with prefix, in key order.
-func (t *Table) Range(ctx context.Context, prefix string) ([]KeyValue, error) {
-	return t.RangeOf(ctx, PrefixRange(prefix))
-}
-
 // RangeOf reads the rows of a range, in key order.
 func (t *Table) RangeOf(ctx context.Context, req RangeRequest) ([]KeyValue, error) {
 	var resp RangeResponse
--- a/common/settings/store.go
+++ b/common/settings/store.go
@@ -110,13 +110,20 @@
 // Unwrap returns the cause.
 func (e *UnsettledError) Unwrap() error { return e.Err }
 
+// Table is what the store needs of the platform's table.
+type Table interface {
+	Txn(ctx context.Context, txn platform.TxnRequest) (platform.TxnResponse, error)
+	Get(ctx context.Context, key string) (kv platform.KeyValue, ok bool, err error)
+	RangeOf(ctx context.Context, req platform.RangeRequest) ([]platform.KeyValue, error)
+}
+
 // Store reads and changes the settings in the platform's table.
 type Store struct {
-	table *platform.Table
+	table Table
 }
 
 // NewStore returns a store over table.
-func NewStore(table *platform.Table) *Store { return &Store{table: table} }
+func NewStore(table Table) *Store { return &Store{table: table} }
 
 // Head reads the newest version; 0 means that there are no settings yet.
 func (s *Store) Head(ctx context.Context) (Head, error) {
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -115,7 +115,7 @@
 	d.onClose(closeVMs)
 	client, closeClient := engines.NewClient()
 	d.onClose(closeClient)
-	handOff, closeHandOff := handoff.NewClient(cfg.DaemonKey)
+	handOff, closeHandOff := handoff.NewClient(cfg)
 	d.onClose(closeHandOff)
 
 	d.store = settings.NewStore(table)
@@ -178,6 +178,7 @@
 	info.Set("settingsVersion", expvar.Func(func() any { return d.configuration.Version() }))
 	info.Set("openRequests", expvar.Func(func() any { return d.recorder.OpenCount() }))
 	info.Set("keeperRuns", expvar.Func(func() any { return d.keeper.Active() }))
+	info.Set("startedMs", expvar.Func(func() any { return d.common.Incarnation }))
 	info.Set("cpuMs", expvar.Func(func() any { return processorTime().Milliseconds() }))
 }
 
--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -88,14 +88,14 @@
 // New returns a view that knows only this daemon; Start makes it work.
 func New(common shared.Common, cfg *configuration.Configuration) *Daemons {
 	self := membership.Member{
-		Name: common.Config.Name, DataCentre: common.Config.DataCentre, Address: common.Config.Daemons,
+		Name: common.Config.Name, DataCentre: common.Config.DataCentre, Address: common.Config.Reached(),
 		Started: common.Incarnation,
 	}
 	seed := uint64(common.Incarnation)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemons{
 		common: common, configuration: cfg,
-		pool:    newPool(common.Config.DaemonKey),
+		pool:    newPool(common.Config),
 		members: membership.New(self, rand.New(rand.NewPCG(seed, seed>>32))),
 		free:    map[string]freeReport{}, news: make(chan struct{}, 1),
 		ctx: ctx, cancel: cancel,
--- a/hemlockd/internal/daemons/rpc.go
+++ b/hemlockd/internal/daemons/rpc.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/shared"
 )
 
 // dialTimeout is the longest wait for a connection to a peer.
@@ -75,14 +76,17 @@
 
 // pool keeps one connection to each peer.
 type pool struct {
-	key string
+	key    string
+	dialer *net.Dialer
 
 	mu     sync.Mutex
 	conns  map[string]*jsonrpc2.Conn
 	closed bool
 }
 
-func newPool(key string) *pool { return &pool{key: key, conns: map[string]*jsonrpc2.Conn{}} }
+func newPool(cfg shared.Config) *pool {
+	return &pool{key: cfg.DaemonKey, dialer: cfg.Dialer(dialTimeout), conns: map[string]*jsonrpc2.Conn{}}
+}
 
 func (p *pool) close() {
 	p.mu.Lock()
@@ -142,8 +146,7 @@
 }
 
 func (p *pool) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/hemlockd/internal/handoff/handoff.go
+++ b/hemlockd/internal/handoff/handoff.go
@@ -34,6 +34,7 @@
 	"hemlockmux.example/hemlockd/internal/keeper"
 	"hemlockmux.example/hemlockd/internal/placements"
 	"hemlockmux.example/hemlockd/internal/services"
+	"hemlockmux.example/hemlockd/internal/shared"
 	"hemlockmux.example/hemlockd/internal/streams"
 )
 
@@ -103,11 +104,9 @@
 
 // NewClient returns a client and the function that closes its connections. Each
 // request gets a connection of its own, so that net/http never sends one twice.
-func NewClient(key string) (*Client, func()) {
-	transport := &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext, DisableKeepAlives: true,
-	}
-	return &Client{key: key, client: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+func NewClient(cfg shared.Config) (*Client, func()) {
+	transport := &http.Transport{DialContext: cfg.Dialer(dialTimeout).DialContext, DisableKeepAlives: true}
+	return &Client{key: cfg.DaemonKey, client: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
 func (c *Client) request(ctx context.Context, address, path string, head any, body []byte) (*http.Request, error) {
--- a/hemlockd/internal/placements/batcher.go
+++ b/hemlockd/internal/placements/batcher.go
@@ -18,7 +18,7 @@
 // batcher writes records in groups: all that came while one transaction was
 // under way go into the next, so the table sees few writes.
 type batcher struct {
-	table    *platform.Table
+	table    Table
 	interval func() clock.Millis
 
 	mu      sync.Mutex
@@ -43,7 +43,7 @@
 	err      error
 }
 
-func newBatcher(table *platform.Table, interval func() clock.Millis) *batcher {
+func newBatcher(table Table, interval func() clock.Millis) *batcher {
 	return &batcher{table: table, interval: interval, wake: make(chan struct{}, 1)}
 }
 
--- a/hemlockd/internal/placements/ledger.go
+++ b/hemlockd/internal/placements/ledger.go
@@ -107,18 +107,26 @@
 	return keyPrefix + team + "/" + service + "/" + hex.EncodeToString([]byte(idempotencyKey))
 }
 
+// Table is what the ledger needs of the platform's table.
+type Table interface {
+	Txn(ctx context.Context, txn platform.TxnRequest) (platform.TxnResponse, error)
+	Get(ctx context.Context, key string) (kv platform.KeyValue, ok bool, err error)
+}
+
 // Ledger reads and writes the records.
 type Ledger struct {
 	common shared.Common
-	table  *platform.Table
+	table  Table
 	batch  *batcher
 	ctx    context.Context
+	// firstPause is the wait after the first write that failed.
+	firstPause clock.Millis
 }
 
 // New returns a ledger and the function that ends it.
-func New(common shared.Common, table *platform.Table, interval func() clock.Millis) (*Ledger, func()) {
+func New(common shared.Common, table Table, interval func() clock.Millis) (*Ledger, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Ledger{common: common, table: table, ctx: ctx, batch: newBatcher(table, interval)}
+	l := &Ledger{common: common, table: table, ctx: ctx, batch: newBatcher(table, interval), firstPause: settlePause}
 	go l.batch.run(ctx)
 	return l, cancel
 }
@@ -131,7 +139,7 @@
 	var lastErr error
 	uncertain := false
 	for try := range claimTries {
-		if try > 0 && !pause(ctx, settlePause<<try) {
+		if try > 0 && !pause(ctx, l.firstPause<<try) {
 			break
 		}
 		result, err := l.batch.do(ctx, key, condition, record)
@@ -196,7 +204,7 @@
 
 // runSettle replaces the own record until the table confirms it.
 func (l *Ledger) runSettle(key string, revision int64, record Record) {
-	wait := settlePause
+	wait := l.firstPause
 	for range settleTries {
 		result, err := l.batch.do(l.ctx, key, platform.Unchanged(key, revision), record)
 		if err == nil && (result.written || result.row.Nonce == record.Nonce && result.row.State == record.State) {
@@ -223,7 +231,7 @@
 // that is still on its way by putting a released record in its place.
 func (l *Ledger) runRelease(key string, record Record) {
 	record.State = Released
-	wait := settlePause
+	wait := l.firstPause
 	condition := platform.Absent(key)
 	for range settleTries {
 		result, err := l.batch.do(l.ctx, key, condition, record)
--- /dev/null
+++ b/hemlockd/internal/placements/ledger_test.go
@@ -0,0 +1,140 @@
+package placements
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/invariant"
+	"hemlockmux.example/common/platform"
+	"hemlockmux.example/common/platform/memory"
+	"hemlockmux.example/hemlockd/internal/shared"
+)
+
+// faultyTable fails as a platform does: down, an answer lost after the write
+// took effect, and a write that takes effect only after its caller gave up.
+type faultyTable struct {
+	*memory.Table
+	mu      sync.Mutex
+	script  []string
+	delayed []platform.TxnRequest
+}
+
+func (t *faultyTable) Txn(ctx context.Context, req platform.TxnRequest) (platform.TxnResponse, error) {
+	t.mu.Lock()
+	fault := "none"
+	if len(t.script) > 0 {
+		fault, t.script = t.script[0], t.script[1:]
+	}
+	t.mu.Unlock()
+	lost := &platform.UnavailableError{Op: "txn", MayHaveTakenEffect: true, Err: errors.New(fault)}
+	switch fault {
+	case "down":
+		return platform.TxnResponse{}, &platform.UnavailableError{Op: "txn", Err: errors.New(fault)}
+	case "lost":
+		_, _ = t.Table.Txn(ctx, req)
+		return platform.TxnResponse{}, lost
+	case "delayed":
+		t.mu.Lock()
+		t.delayed = append(t.delayed, req)
+		t.mu.Unlock()
+		return platform.TxnResponse{}, lost
+	}
+	return t.Table.Txn(ctx, req)
+}
+
+// arrive lets one delayed write take effect.
+func (t *faultyTable) arrive() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.delayed) > 0 {
+		_, _ = t.Table.Txn(context.Background(), t.delayed[0])
+		t.delayed = t.delayed[1:]
+	}
+}
+
+func newTestLedger(t interface{ Cleanup(func()) }, table Table, name string) *Ledger {
+	log := zap.NewNop()
+	common := shared.Common{Log: log, Clock: clock.System(), Invariants: invariant.New(log), Config: shared.Config{Name: name}}
+	ledger, closeLedger := New(common, table, func() clock.Millis { return 0 })
+	ledger.firstPause = 0
+	t.Cleanup(closeLedger)
+	return ledger
+}
+
+// Property: however the table fails and whichever daemons try, each key is
+// dispatched at most once, and a claim that was refused never dispatches.
+// HEMLOCK_BREAK=blindTable makes the table ignore conditions.
+func TestClaimIsWonAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := &faultyTable{Table: memory.New()}
+		table.Blind.Store(os.Getenv("HEMLOCK_BREAK") == "blindTable")
+		ledgers := []*Ledger{newTestLedger(t, table, "a"), newTestLedger(t, table, "b"), newTestLedger(t, table, "c")}
+		running := map[string]int{} // dispatched and not known to be not run
+		finished := map[string]string{}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": func(t *rapid.T) {
+				key := Key("team", "desk", rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key"))
+				faults := rapid.SampledFrom([]string{"none", "none", "down", "lost", "delayed"})
+				table.mu.Lock()
+				table.script = rapid.SliceOfN(faults, 0, 4).Draw(t, "faults")
+				table.mu.Unlock()
+				ledger := rapid.SampledFrom(ledgers).Draw(t, "daemon")
+				claim, err := ledger.Claim(context.Background(), key, Record{Digest: "d", RequestID: "r"})
+				if err == nil && !claim.Won && claim.Record.State == Finished && finished[key] != string(claim.Record.Answer.Body) {
+					t.Fatalf("replayed %q, the answer was %q", claim.Record.Answer.Body, finished[key])
+				}
+				if err != nil || !claim.Won {
+					return
+				}
+				running[key]++
+				if running[key] > 1 {
+					t.Fatalf("key %s was dispatched %d times", key, running[key])
+				}
+				switch rapid.SampledFrom([]string{"finish", "release", "die"}).Draw(t, "end") {
+				case "finish":
+					finished[key] = fmt.Sprint("answer of ", claim.Record.Nonce)
+					ledger.Finish(claim, Answer{Status: 201, Body: []byte(finished[key])})
+				case "release":
+					running[key]--
+					ledger.Release(claim)
+				}
+			},
+			"arrive": func(*rapid.T) { table.arrive() },
+		})
+	})
+}
+
+// Concurrent claims share few transactions, and each gets its own outcome.
+func TestClaimsAreBatched(t *testing.T) {
+	table := &faultyTable{Table: memory.New()}
+	ledger := newTestLedger(t, table, "a")
+	const claims, keys = 300, 100
+	var won sync.Map
+	var all sync.WaitGroup
+	for i := range claims {
+		all.Go(func() {
+			key := Key("team", "desk", fmt.Sprint(i%keys))
+			claim, err := ledger.Claim(context.Background(), key, Record{Digest: "d"})
+			if err != nil {
+				t.Error(err)
+			}
+			if claim.Won {
+				if _, twice := won.LoadOrStore(key, true); twice {
+					t.Errorf("%s was won twice", key)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if writes := table.Writes.Load(); writes > claims/4 {
+		t.Errorf("%d writes for %d claims", writes, claims)
+	}
+}
--- a/hemlockd/internal/services/place.go
+++ b/hemlockd/internal/services/place.go
@@ -18,6 +18,9 @@
 	// a call that another request is running.
 	firstLook = 50 * clock.Millisecond
 	maxLook   = 800 * clock.Millisecond
+	// lateAnswer is how long after a service's timeout its answer is still
+	// waited for, to be recorded.
+	lateAnswer = clock.Minute
 )
 
 // place runs a non-idempotent call at most once: whoever wins the record
@@ -56,33 +59,69 @@
 	return Outcome{Problem: p.RetryIn(clock.Second)}
 }
 
-// dispatch runs the call under a claim that was won. It goes on when the caller
-// goes away, so that the answer is there for a repeat.
+// dispatch is one call under a claim that was won.
+type dispatch struct {
+	services *Services
+	tree     *settings.Tree
+	service  settings.Service
+	call     Call
+	claim    placements.Claim
+	out      Outcome
+	done     chan struct{} // closed when out is complete
+}
+
+// dispatch runs the call and waits for its outcome up to the service's timeout.
+// The call goes on when the caller goes away or the timeout passes, so that a
+// late answer is recorded and there for a repeat.
 func (s *Services) dispatch(tree *settings.Tree, service settings.Service, call Call, claim placements.Claim) Outcome {
-	var out Outcome
-	not := map[string]bool{}
-	for range tree.System.Policy.MaxAttempts {
-		name, ok := s.choose(s.configuration.Tree(), call, not)
+	d := &dispatch{services: s, tree: tree, service: service, call: call, claim: claim, done: make(chan struct{})}
+	started := s.common.Clock.Now()
+	go d.run()
+	timer := time.NewTimer(service.TimeoutMs.Duration())
+	defer timer.Stop()
+	select {
+	case <-d.done:
+		return d.out
+	case <-timer.C:
+	}
+	select {
+	case <-d.done: // both came while this process was paused
+		return d.out
+	default:
+	}
+	late := verdict.Attempt{
+		Phase: "call", Upstream: call.Service, Result: verdict.AttemptUnknown, Cause: "no answer in time",
+		StartMs: started, EndMs: s.common.Clock.Now(),
+	}
+	return Outcome{Problem: s.undecided(call, nil), Attempts: []verdict.Attempt{late}}
+}
+
+// run sends the call to one instance, and to another only where it is known
+// that the first never got it.
+func (d *dispatch) run() {
+	defer close(d.done)
+	s, not := d.services, map[string]bool{}
+	for range d.tree.System.Policy.MaxAttempts {
+		name, ok := s.choose(s.configuration.Tree(), d.call, not)
 		if !ok {
 			break
 		}
-		s.common.Invariants.Check(invariant.AtMostOnce, ranOf(out.Attempts) == problem.RanNo, "requestId", call.RequestID)
-		answer, err := s.callOnce(context.Background(), s.fresh, name, tree, service, call, service.TimeoutMs, &out)
+		s.common.Invariants.Check(invariant.AtMostOnce, ranOf(d.out.Attempts) == problem.RanNo, "requestId", d.call.RequestID)
+		answer, err := s.callOnce(context.Background(), s.fresh, name, d.tree, d.service, d.call, d.service.TimeoutMs+lateAnswer, &d.out)
 		if err == nil {
-			s.ledger.Finish(claim, *answer)
-			out.Answer = answer
-			return out
+			s.ledger.Finish(d.claim, *answer)
+			d.out.Answer = answer
+			return
 		}
 		var failed *callError
 		if !errors.As(err, &failed) || failed.result != verdict.AttemptNotRun {
-			out.Problem = s.undecided(call, failed)
-			return out
+			d.out.Problem = s.undecided(d.call, failed)
+			return
 		}
 		not[name] = true // it never got the call: another instance may
 	}
-	s.ledger.Release(claim)
-	out.Problem = problem.New(problem.NoUpstream, "no instance of service %q could be reached in %s", call.Service, s.common.Config.DataCentre).RetryIn(clock.Second)
-	return out
+	s.ledger.Release(d.claim)
+	d.out.Problem = problem.New(problem.NoUpstream, "no instance of service %q could be reached in %s", d.call.Service, s.common.Config.DataCentre).RetryIn(clock.Second)
 }
 
 // undecided is the answer where the call was dispatched and its answer is
--- a/hemlockd/internal/shared/shared.go
+++ b/hemlockd/internal/shared/shared.go
@@ -8,8 +8,10 @@
 package shared
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"strconv"
@@ -45,6 +47,7 @@
 	Callers    string `toml:"callers" doc:"IP:port for callers."`
 	Operators  string `toml:"operators" doc:"IP:port for operators, health and metrics."`
 	Daemons    string `toml:"daemons" doc:"IP:port for other daemons."`
+	Advertise  string `toml:"advertise" doc:"IP:port by which other daemons reach this one, where it differs from daemons."`
 	Table      string `toml:"table" doc:"URL of the platform's table."`
 	Objects    string `toml:"objects" doc:"URL of the platform's object store."`
 	Bucket     string `toml:"bucket" doc:"Bucket for verdicts."`
@@ -64,6 +67,19 @@
 	DrainMs           clock.Millis `toml:"drainMs" doc:"Longest time that a shutdown waits for requests in flight, in ms."`
 }
 
+// Reached is the address by which other daemons reach this one.
+func (c Config) Reached() string { return cmp.Or(c.Advertise, c.Daemons) }
+
+// Dialer returns a dialer to other daemons, which speaks from this daemon's own
+// address, so that they and the network can tell who it is.
+func (c Config) Dialer(timeout clock.Millis) *net.Dialer {
+	dialer := &net.Dialer{Timeout: timeout.Duration()}
+	if own, err := netip.ParseAddrPort(c.Daemons); err == nil && !own.Addr().IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: own.Addr().AsSlice()}
+	}
+	return dialer
+}
+
 // DefaultConfig returns a configuration with every default.
 func DefaultConfig() Config {
 	return Config{
--- a/standin/internal/app/app.go
+++ b/standin/internal/app/app.go
@@ -24,6 +24,7 @@
 
 	"go.uber.org/zap"
 
+	"hemlockmux.example/common/platform/memory"
 	"hemlockmux.example/common/settings"
 	"hemlockmux.example/standin/internal/engine"
 	"hemlockmux.example/standin/internal/eventlog"
@@ -49,7 +50,7 @@
 type App struct {
 	log     *zap.Logger
 	events  *eventlog.Log
-	table   *table.Table
+	table   *memory.Table
 	objects *objects.Store
 	vms     *vms.List
 	engines map[string]*engine.Engine
@@ -78,13 +79,13 @@
 		return nil, nil, err
 	}
 	a := &App{
-		log: log, events: events, table: table.New(), objects: objects.New(),
+		log: log, events: events, table: memory.New(), objects: objects.New(),
 		vms:     vms.New(vmGroups(cfg, system), time.Duration(cfg.VMLagMs)*time.Millisecond),
 		engines: map[string]*engine.Engine{}, faults: map[string]*fault.Injector{},
 		cleanup: []func(){closeEvents},
 	}
 	err = errors.Join(
-		a.serve("table", cfg.Table, a.table.Handler()),
+		a.serve("table", cfg.Table, table.Handler(a.table)),
 		a.serve("objects", cfg.Objects, a.objects.Handler()),
 		a.serve("vms", cfg.VMs, a.vms.Handler()),
 		a.startUpstreams(cfg, system),
@@ -168,6 +169,7 @@
 	mux.HandleFunc("POST /vms/{name}/{state}", func(_ http.ResponseWriter, r *http.Request) {
 		a.vms.SetState(r.PathValue("name"), r.PathValue("state"))
 	})
+	mux.HandleFunc("POST /blind", func(http.ResponseWriter, *http.Request) { a.table.Blind.Store(true) })
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
 		state := State{
 			PiecesHeld: map[string]int{}, TableReads: a.table.Reads.Load(),
