--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 MINUTES ?= 1
 N ?= 2 7 28
 
-.PHONY: demo up down test lint
+.PHONY: demo up down test red lint
 
 demo:
 	scripts/demo.sh
@@ -19,6 +19,9 @@
 test:
 	go test -race $(PACKAGES)
 
+red:
+	scripts/red.sh
+
 lint:
 	@unformatted=$$(gofmt -l $(MODULES)); [ -z "$$unformatted" ] || { echo "not formatted: $$unformatted"; exit 1; }
 	go vet $(PACKAGES)
--- a/common/platform/objects.go
+++ b/common/platform/objects.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"encoding/xml"
@@ -35,7 +34,7 @@
 
 // Put stores one object; storing it again under the same key is harmless.
 func (o *Objects) Put(ctx context.Context, key string, body []byte) error {
-	status, answer, err := o.conn.do(ctx, "put object", http.MethodPut, "/"+o.bucket+"/"+key, bytes.NewReader(body))
+	status, answer, err := o.conn.read(ctx, "put object", http.MethodPut, "/"+o.bucket+"/"+key, body)
 	if err != nil {
 		return err
 	}
@@ -47,7 +46,7 @@
 
 // Get reads one object; ok is false where it does not exist.
 func (o *Objects) Get(ctx context.Context, key string) (body []byte, ok bool, err error) {
-	status, answer, err := o.conn.do(ctx, "get object", http.MethodGet, "/"+o.bucket+"/"+key, nil)
+	status, answer, err := o.conn.read(ctx, "get object", http.MethodGet, "/"+o.bucket+"/"+key, nil)
 	if err != nil {
 		return nil, false, err
 	}
@@ -64,7 +63,7 @@
 // key order, at most 1,000 of them.
 func (o *Objects) List(ctx context.Context, prefix, startAfter string) ([]string, error) {
 	query := url.Values{"list-type": {"2"}, "prefix": {prefix}, "start-after": {startAfter}}
-	status, answer, err := o.conn.do(ctx, "list objects", http.MethodGet, "/"+o.bucket+"?"+query.Encode(), nil)
+	status, answer, err := o.conn.read(ctx, "list objects", http.MethodGet, "/"+o.bucket+"?"+query.Encode(), nil)
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +113,7 @@
 
 // List reads the whole list. It lags, so it is a hint and no proof of death.
 func (v *VMs) List(ctx context.Context) ([]TargetGroup, error) {
-	status, answer, err := v.conn.do(ctx, "list VMs", http.MethodGet, "/vms", nil)
+	status, answer, err := v.conn.read(ctx, "list VMs", http.MethodGet, "/vms", nil)
 	if err != nil {
 		return nil, err
 	}
--- a/common/platform/platform.go
+++ b/common/platform/platform.go
@@ -18,6 +18,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -68,9 +69,20 @@
 	return c, transport.CloseIdleConnections
 }
 
+// read sends a request that may be repeated, and once more where the connection
+// failed: it may have been closed, or have gone silent, since its last use.
+func (c *connection) read(ctx context.Context, op, method, path string, body []byte) (int, []byte, error) {
+	status, answer, err := c.do(ctx, op, method, path, body)
+	if err == nil || status != 0 || ctx.Err() != nil {
+		return status, answer, err
+	}
+	c.client.CloseIdleConnections()
+	return c.do(ctx, op, method, path, body)
+}
+
 // do sends one request and returns the status and the whole body.
-func (c *connection) do(ctx context.Context, op, method, path string, body io.Reader) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+func (c *connection) do(ctx context.Context, op, method, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, &UnavailableError{Op: op, Err: err}
 	}
--- a/common/platform/table.go
+++ b/common/platform/table.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -106,14 +105,14 @@
 // Txn carries out one transaction.
 func (t *Table) Txn(ctx context.Context, txn TxnRequest) (TxnResponse, error) {
 	var resp TxnResponse
-	err := t.post(ctx, "txn", "/v3/kv/txn", txn, &resp)
+	err := t.post(ctx, t.conn.do, "txn", "/v3/kv/txn", txn, &resp)
 	return resp, err
 }
 
 // Get reads one row; ok is false where it does not exist.
 func (t *Table) Get(ctx context.Context, key string) (kv KeyValue, ok bool, err error) {
 	var resp RangeResponse
-	if err := t.post(ctx, "get", "/v3/kv/range", RangeRequest{Key: []byte(key)}, &resp); err != nil {
+	if err := t.post(ctx, t.conn.read, "get", "/v3/kv/range", RangeRequest{Key: []byte(key)}, &resp); err != nil {
 		return KeyValue{}, false, err
 	}
 	if len(resp.Kvs) == 0 {
@@ -125,16 +124,19 @@
 // RangeOf reads the rows of a range, in key order.
 func (t *Table) RangeOf(ctx context.Context, req RangeRequest) ([]KeyValue, error) {
 	var resp RangeResponse
-	err := t.post(ctx, "range", "/v3/kv/range", req, &resp)
+	err := t.post(ctx, t.conn.read, "range", "/v3/kv/range", req, &resp)
 	return resp.Kvs, err
 }
 
-func (t *Table) post(ctx context.Context, op, path string, in, out any) error {
+// exchange is connection.do or connection.read.
+type exchange func(ctx context.Context, op, method, path string, body []byte) (int, []byte, error)
+
+func (t *Table) post(ctx context.Context, send exchange, op, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", op, err)
 	}
-	status, answer, err := t.conn.do(ctx, op, http.MethodPost, path, bytes.NewReader(body))
+	status, answer, err := send(ctx, op, http.MethodPost, path, body)
 	if err != nil {
 		return err
 	}
--- a/hemlockd/e2e/deployment_test.go
+++ b/hemlockd/e2e/deployment_test.go
@@ -97,6 +97,7 @@
 	name string
 	cmd  *exec.Cmd
 	log  string
+	done chan struct{} // closed when the process has ended
 }
 
 // daemon is one daemon of a deployment.
@@ -268,8 +269,8 @@
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	cmd := p.cmd
-	done := make(chan struct{})
+	cmd, done := p.cmd, make(chan struct{})
+	p.done = done
 	go func() {
 		_ = cmd.Wait()
 		_ = log.Close()
@@ -283,6 +284,16 @@
 	})
 }
 
+// exited tells whether the process has ended.
+func (p *process) exited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // reportLog shows a failed test's log, and fails on a violated invariant, a
 // data race or a panic.
 func (p *process) reportLog() {
--- /dev/null
+++ b/hemlockd/e2e/suspects_test.go
@@ -0,0 +1,78 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"hemlockmux.example/common/problem"
+)
+
+// One request crashes each engine that runs it and its caller sends it again
+// and again, in every data centre, among innocent ones. It is refused after two
+// deaths, and innocent requests are served.
+// HEMLOCK_BREAK=noSuspects forgets suspects at once.
+func TestCrashSuspectIsStopped(t *testing.T) {
+	policy := "retryRatio = 1.0\nmaxAttempts = 4"
+	if broken("noSuspects") {
+		policy += "\nsuspectMs = 0"
+	}
+	dcs := []string{"brandon-a", "regina-a"}
+	d := deploy(t, options{dataCentres: dcs, policy: policy, prefill: 3, decode: 4})
+	for _, dc := range dcs {
+		for i := range 4 {
+			d.fault(fmt.Sprintf("%s-decode-%d", dc, i+1), "crashOn", map[string]any{"match": "the culprit"})
+		}
+	}
+	crashes := func() int {
+		n := 0
+		for _, e := range d.events() {
+			if e.Event == "crash" {
+				n++
+			}
+		}
+		return n
+	}
+	Convey("among innocent requests", t, func() {
+		stop := make(chan struct{})
+		var load sync.WaitGroup
+		var mu sync.Mutex
+		served, refused := 0, []string{}
+		for w := range 6 {
+			load.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					a := d.daemons[(w+i)%4].complete(fmt.Sprintf("innocent %d %d", w, i), 20)
+					mu.Lock()
+					if a.status == http.StatusOK {
+						served++
+					} else {
+						refused = append(refused, fmt.Sprint(a.status, a.body))
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		var last answer
+		for i := range 12 {
+			last = d.daemons[i%4].complete("this is the culprit", 20)
+			So(last.status, ShouldNotEqual, http.StatusOK)
+			time.Sleep(150 * time.Millisecond)
+		}
+		So(last.problem.Reason, ShouldEqual, problem.CrashSuspect)
+		close(stop)
+		load.Wait()
+		t.Logf("%d engines crashed, %d innocent requests served, %d not: %v", crashes(), served, len(refused), refused)
+		So(crashes(), ShouldEqual, 2)
+		So(len(refused), ShouldEqual, 0)
+	})
+}
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -121,8 +121,8 @@
 	d.store = settings.NewStore(table)
 	d.configuration = configuration.New(common)
 	d.daemons = daemons.New(common, d.configuration)
-	d.configuration.OnChange = d.daemons.NewVersion
 	sus := suspects.New()
+	sus.OnNews = d.daemons.TellAll
 	list, closeList := vmlist.New(common, vms, d.daemons.AddSeed)
 	d.onClose(closeList)
 	recorder, closeRecorder := verdicts.New(common, objects, copyPeers{d.daemons, common.Config}, d.verdictInterval)
@@ -133,13 +133,20 @@
 	k, closeKeeper := keeper.New(common, d.configuration, client, d.daemons, list, sus)
 	d.onClose(closeKeeper)
 	d.keeper = k
+	d.configuration.OnChange = func(version int64) {
+		d.daemons.NewVersion(version)
+		k.Reconcile()
+	}
 	svc, closeServices := services.New(common, d.configuration, ledger, list)
 	d.onClose(closeServices)
 	closeDaemons, err := d.daemons.Start(daemons.Handlers{
 		HandOff:      handoff.NewServer(d.configuration, k, svc),
 		CopyVerdicts: recorder.TakeCopies, FindVerdict: recorder.Find,
 		Free: k.Free, Suspects: suspectNews(common, sus), LearnSuspects: learnSuspects(common, sus),
-		DaemonDied: func(m membership.Member) { recorder.DaemonDied(daemons.RunName(m), m.Name) },
+		DaemonDied: func(m membership.Member) {
+			k.FrontDied(daemons.RunName(m))
+			recorder.DaemonDied(daemons.RunName(m), m.Name)
+		},
 	})
 	if err != nil {
 		return err
--- a/hemlockd/internal/daemons/probe.go
+++ b/hemlockd/internal/daemons/probe.go
@@ -50,6 +50,16 @@
 	d.probeAll(addresses)
 }
 
+// TellAll sends probes now to a few random peers of the own data centre and to
+// one in each other; it is for rare news that can't wait.
+func (d *Daemons) TellAll() {
+	d.tell(fanout)
+	d.mu.Lock()
+	addresses := d.members.OnePerCentre()
+	d.mu.Unlock()
+	d.probeAll(addresses)
+}
+
 func (d *Daemons) probeAll(addresses []string) {
 	for _, address := range addresses {
 		d.done.Add(1)
--- a/hemlockd/internal/engines/engines.go
+++ b/hemlockd/internal/engines/engines.go
@@ -5,7 +5,7 @@
 //
 //	c, closeClient := engines.NewClient()
 //	result, err := c.Prefill(ctx, engine, call)
-//	for event, err := range c.Stream(ctx, engine, call, 0) { ... }
+//	for event, err := range c.Stream(ctx, engine, call, engines.Fresh) { ... }
 //
 // A failed call returns a *CallError, which says what is known about whether
 // the engine ran it.
@@ -79,6 +79,8 @@
 	Expired bool
 	// Refused says that the engine answered that it takes no more work.
 	Refused bool
+	// Unreachable says that no connection could be made.
+	Unreachable bool
 	// Broken says that the connection ended in the middle of the call.
 	Broken bool
 	Err    error
@@ -142,7 +144,7 @@
 	var op *net.OpError
 	switch {
 	case errors.As(err, &op) && op.Op == "dial":
-		call.Result = verdict.AttemptNotRun
+		call.Result, call.Unreachable = verdict.AttemptNotRun, true
 	case !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded):
 		call.Broken = true
 	}
@@ -187,12 +189,16 @@
 	return result, nil
 }
 
-// Stream runs a decode call, or resumes it where from is above 0, and yields
-// its events as they come. It ends after the last event or the first error.
+// Fresh is the offset of a call that is not a resumption.
+const Fresh = -1
+
+// Stream runs a decode call where from is Fresh, or comes back for its stream
+// at the offset from, and yields its events as they come. It ends after the
+// last event or the first error.
 func (c *Client) Stream(ctx context.Context, e Engine, call Call, from int) iter.Seq2[streams.Chunk, error] {
 	return func(yield func(streams.Chunk, error) bool) {
 		header := http.Header{"Accept": {"text/event-stream"}}
-		if from > 0 {
+		if from != Fresh {
 			header.Set("Last-Event-ID", strconv.Itoa(from-1))
 		}
 		resp, err := c.post(ctx, e, call, header)
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -18,7 +18,7 @@
 var errStalled = errors.New("no progress in time")
 
 // decode runs the answer on the reserved decode engine, on another where it
-// refuses. again says that a new prefill can help: nothing of the answer has
+// refuses or can't be reached. again says that a new prefill can help: nothing of the answer has
 // been passed on yet.
 func (r *Run) decode(kv completions.KVTransferParams) (again bool, p *problem.Problem) {
 	not := map[string]bool{}
@@ -40,7 +40,7 @@
 			return false, p
 		}
 		var call *engines.CallError
-		if !errors.As(err, &call) || !call.Refused {
+		if !errors.As(err, &call) || !call.Refused && !call.Unreachable {
 			break
 		}
 		not[name] = true
@@ -71,14 +71,14 @@
 	k.claims.add(call.RID)
 	defer k.claims.remove(call.RID)
 	started := k.common.Clock.Now()
-	k.checkNotLeaving(name, r.tree)
+	k.checkNotLeaving(name)
 	assembler := streams.NewAssembler(0)
-	err = r.streamOnce(name, call, assembler)
+	err = r.streamOnce(name, call, engines.Fresh, assembler)
 	for resumes := 0; resumable(err) && resumes < r.tree.System.Policy.MaxAttempts && r.ctx.Err() == nil; resumes++ {
 		metrics.Add("resumes", 1)
 		before := assembler.Next()
 		assembler = streams.NewAssembler(before)
-		resumed := r.streamOnce(name, call, assembler)
+		resumed := r.streamOnce(name, call, before, assembler)
 		if lost(resumed) {
 			break // the engine knows nothing of it: the first error counts
 		}
@@ -114,17 +114,17 @@
 }
 
 // streamOnce reads one connection's worth of the stream.
-func (r *Run) streamOnce(name string, call engines.Call, assembler *streams.Assembler) error {
+func (r *Run) streamOnce(name string, call engines.Call, from int, assembler *streams.Assembler) error {
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
 	stall := r.tree.System.Policy.StallMs.Duration()
-	if assembler.Next() == 0 {
+	if from == engines.Fresh {
 		// The first chunk waits for the transfer as well.
 		stall += time.Duration(r.transferMs()) * time.Millisecond
 	}
 	watchdog := time.AfterFunc(stall, func() { cancel(errStalled) })
 	defer watchdog.Stop()
-	for chunk, err := range r.keeper.client.Stream(ctx, r.engine(name), call, assembler.Next()) {
+	for chunk, err := range r.keeper.client.Stream(ctx, r.engine(name), call, from) {
 		if err != nil {
 			if errors.Is(context.Cause(ctx), errStalled) {
 				return errStalled
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -63,6 +63,8 @@
 	OutputTokens int          `json:"outputTokens"`
 	Digest       string       `json:"digest"`
 	ArrivedMs    clock.Millis `json:"arrivedMs"`
+	// Front is the run of the daemon that took the request from its caller.
+	Front string `json:"front"`
 	// What follows is filled in again by the daemon that a call is handed to.
 	Allowed map[string]bool `json:"-"`
 	Hashes  []uint64        `json:"-"`
@@ -91,6 +93,9 @@
 	groups   map[string]*group
 	runs     map[string]*Run // by request id
 	watchers map[string]*watcher
+	// leavingSince is when the first of the three signals said that an engine
+	// leaves.
+	leavingSince map[string]clock.Millis
 
 	claims  claims
 	nextRID atomic.Int64
@@ -113,7 +118,8 @@
 		common: common, configuration: cfg, client: client, peers: peers, leaving: leaving, suspects: sus,
 		budget: retries.NewBudget(settings.DefaultSystem().Policy.RetryRatio),
 		groups: map[string]*group{}, runs: map[string]*Run{}, watchers: map[string]*watcher{},
-		claims: newClaims(), ctx: ctx, cancel: cancel,
+		leavingSince: map[string]clock.Millis{},
+		claims:       newClaims(), ctx: ctx, cancel: cancel,
 	}
 	k.done.Add(2)
 	go k.runPump()
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -100,6 +100,19 @@
 	return active
 }
 
+// FrontDied ends the calls that a daemon which is dead took from its callers:
+// a frozen daemon's connections stay open, so nothing else would tell.
+func (k *Keeper) FrontDied(front string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range k.runs {
+		if r.call.Front == front && r.Result() == nil {
+			metrics.Add("frontsDied", 1)
+			r.cancel()
+		}
+	}
+}
+
 // Find returns a run that is under way.
 func (k *Keeper) Find(requestID string) (*Run, bool) {
 	k.mu.Lock()
@@ -288,7 +301,7 @@
 }
 
 // attempt notes the outcome of one attempt and learns from a death.
-func (r *Run) attempt(upstream, phase string, started clock.Millis, err error) verdict.Attempt {
+func (r *Run) attempt(upstream, phase string, started clock.Millis, err error) {
 	now := r.keeper.common.Clock.Now()
 	a := verdict.Attempt{Upstream: upstream, Phase: phase, Result: verdict.AttemptRan, StartMs: started, EndMs: now}
 	var call *engines.CallError
@@ -302,8 +315,11 @@
 		metrics.Add("brokenAttempts", 1)
 		r.keeper.suspects.Died(r.call.Digest, now, now+r.tree.System.Policy.SuspectMs)
 	}
+	if call != nil && call.Unreachable {
+		// It counts as down until it gives its next load report.
+		r.group.with(func(g *admission.Group) { g.SetUp(upstream, false) })
+	}
 	r.attempts = append(r.attempts, a)
-	return a
 }
 
 // suspectRefused returns the refusal of a request that two upstreams died of.
@@ -408,7 +424,7 @@
 	k.claims.add(call.RID)
 	defer k.claims.remove(call.RID)
 	started := k.common.Clock.Now()
-	k.checkNotLeaving(name, r.tree)
+	k.checkNotLeaving(name)
 	result, err := k.client.Prefill(ctx, r.engine(name), call)
 	r.attempt(name, settings.KindPrefill, started, err)
 	if err != nil {
@@ -443,11 +459,13 @@
 	}
 }
 
-// checkNotLeaving asserts that no new work goes to an upstream that the
-// settings have shown as leaving for longer than the grace period.
-func (k *Keeper) checkNotLeaving(name string, tree *settings.Tree) {
-	current := k.configuration.Tree()
-	u, ok := current.System.Upstreams[name]
-	stale := current.Version != tree.Version
-	k.common.Invariants.Check(invariant.NoWorkToLeaving, stale || ok && !u.Leaving, "upstream", name)
+// checkNotLeaving asserts that no new work goes to an upstream after the grace
+// period from the first signal that it leaves.
+func (k *Keeper) checkNotLeaving(name string) {
+	k.mu.Lock()
+	since, leaving := k.leavingSince[name]
+	k.mu.Unlock()
+	grace := k.configuration.Tree().System.Policy.LeavingGraceMs
+	late := leaving && k.common.Clock.Now()-since > grace
+	k.common.Invariants.Check(invariant.NoWorkToLeaving, !late, "upstream", name)
 }
--- a/hemlockd/internal/keeper/watcher.go
+++ b/hemlockd/internal/keeper/watcher.go
@@ -167,6 +167,7 @@
 					list[i].Up = old.Up
 				}
 				list[i].Leaving = list[i].Leaving || k.leaving.Leaving(list[i].Name) || k.reportedLeaving(list[i].Name)
+				k.noteLeaving(list[i].Name, list[i].Leaving)
 			}
 			a.SetEngines(list)
 			if model, ok := tree.System.Models[modelOf(name)]; ok {
@@ -176,6 +177,17 @@
 	}
 }
 
+// noteLeaving remembers when an engine was first known to leave.
+func (k *Keeper) noteLeaving(name string, leaving bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !leaving {
+		delete(k.leavingSince, name)
+	} else if _, known := k.leavingSince[name]; !known {
+		k.leavingSince[name] = k.common.Clock.Now()
+	}
+}
+
 // reportedLeaving tells whether the engine itself said that it is leaving.
 func (k *Keeper) reportedLeaving(name string) bool {
 	k.mu.Lock()
--- a/hemlockd/internal/membership/membership.go
+++ b/hemlockd/internal/membership/membership.go
@@ -185,6 +185,27 @@
 	return addresses[:min(k, len(addresses))]
 }
 
+// OnePerCentre returns the address of one live daemon, chosen at random, in each
+// other data centre.
+func (m *Membership) OnePerCentre() []string {
+	byCentre := map[string][]string{}
+	var centres []string
+	for _, e := range m.sorted() {
+		if e.DataCentre == m.self.DataCentre || e.State == Dead {
+			continue
+		}
+		if len(byCentre[e.DataCentre]) == 0 {
+			centres = append(centres, e.DataCentre)
+		}
+		byCentre[e.DataCentre] = append(byCentre[e.DataCentre], e.Address)
+	}
+	addresses := make([]string, 0, len(centres))
+	for _, dc := range centres {
+		addresses = append(addresses, byCentre[dc][m.rng.IntN(len(byCentre[dc]))])
+	}
+	return addresses
+}
+
 func (m *Membership) forget(now clock.Millis) {
 	for name, e := range m.entries {
 		if e.State == Dead && now-e.deadAt > forgetAfter {
--- a/hemlockd/internal/suspects/suspects.go
+++ b/hemlockd/internal/suspects/suspects.go
@@ -39,13 +39,20 @@
 type Suspects struct {
 	mu      sync.Mutex
 	entries map[string]*Entry
+	// OnNews is called after each change that other daemons should hear of.
+	OnNews func()
 }
 
 // New returns an empty set.
-func New() *Suspects { return &Suspects{entries: map[string]*Entry{}} }
+func New() *Suspects { return &Suspects{entries: map[string]*Entry{}, OnNews: func() {}} }
 
 // Died takes in that an upstream died while it ran the request.
 func (s *Suspects) Died(digest string, now, until clock.Millis) {
+	s.died(digest, now, until)
+	s.OnNews()
+}
+
+func (s *Suspects) died(digest string, now, until clock.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.liveLocked(digest, now)
@@ -102,21 +109,32 @@
 
 // Learn takes in another daemon's news. Deaths are merged by the greater
 // count, so that the same news heard twice counts once.
+//
+// A second death is worth passing on at once: it makes the request refused.
 func (s *Suspects) Learn(news Entry, now clock.Millis) {
+	if s.learn(news, now) {
+		s.OnNews()
+	}
+}
+
+// learn returns whether the news makes the request refused from now on.
+func (s *Suspects) learn(news Entry, now clock.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if news.UntilMs <= now {
-		return
+		return false
 	}
 	e := s.liveLocked(news.Digest, now)
 	if e == nil {
-		s.entries[news.Digest] = &Entry{Digest: news.Digest, Deaths: news.Deaths, UntilMs: news.UntilMs, learned: now}
+		e = &Entry{Digest: news.Digest}
+		s.entries[news.Digest] = e
 		s.boundLocked()
-		return
 	}
+	before := e.Deaths
 	if news.Deaths > e.Deaths || news.UntilMs > e.UntilMs {
 		e.Deaths, e.UntilMs, e.learned = max(e.Deaths, news.Deaths), max(e.UntilMs, news.UntilMs), now
 	}
+	return before < deathsToRefusal && e.Deaths >= deathsToRefusal
 }
 
 // liveLocked returns the entry if it has not ended, and forgets it if it has.
