Admission measured in virtual time, each idea added one at a time

Cause: the choice of who is admitted and where was made on paper.

Change: 'standin measure' drives the same decision package as the daemon against prefill and decode engines in virtual time: log-normal prompts, half of them with shared beginnings, late reports, late cache events with gaps, results that live 800 ms, crashes. The package moved to common so that both use it.

--- a/hemlockd/e2e/deployment_test.go
+++ b/hemlockd/e2e/deployment_test.go
@@ -132,7 +132,8 @@
 	for range 40 {
 		base := 22000 + int(nextBlock.Add(1)-1)%40*250
 		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base)); err == nil {
-			_ = l.Close()
+			// Held until the end, so that no other run of the tests takes the block.
+			t.Cleanup(func() { _ = l.Close() })
 			return &portRange{next: base}
 		}
 	}
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -5,11 +5,11 @@
 	"errors"
 	"time"
 
+	"hemlockmux.example/common/admission"
 	"hemlockmux.example/common/completions"
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/settings"
 	"hemlockmux.example/common/verdict"
-	"hemlockmux.example/hemlockd/internal/admission"
 	"hemlockmux.example/hemlockd/internal/engines"
 	"hemlockmux.example/hemlockd/internal/streams"
 )
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -23,11 +23,11 @@
 	"sync/atomic"
 	"time"
 
+	"hemlockmux.example/common/admission"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/settings"
 	"hemlockmux.example/common/verdict"
-	"hemlockmux.example/hemlockd/internal/admission"
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/engines"
 	"hemlockmux.example/hemlockd/internal/membership"
--- a/hemlockd/internal/keeper/watcher.go
+++ b/hemlockd/internal/keeper/watcher.go
@@ -7,10 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"hemlockmux.example/common/admission"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/completions"
 	"hemlockmux.example/common/settings"
-	"hemlockmux.example/hemlockd/internal/admission"
 	"hemlockmux.example/hemlockd/internal/engines"
 )
 
--- a/standin/internal/app/command.go
+++ b/standin/internal/app/command.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
+
+	"hemlockmux.example/standin/internal/measure"
 )
 
 // Command is the command line of the stand-ins.
@@ -29,6 +32,34 @@
 					return Run(ctx, cfg, system, log)
 				},
 			},
+			{
+				Name:  "measure",
+				Usage: "compare ways of admitting and routing in virtual time",
+				Flags: []cli.Flag{
+					&cli.IntFlag{Name: "seeds", Value: 5, Usage: "runs of each way and load"},
+					&cli.StringFlag{Name: "workload", Value: "letter", Usage: "letter, poleworks or lampoterassi"},
+					&cli.FloatFlag{Name: "crash-every", Usage: "mean seconds between two crashes of any engine"},
+					&cli.BoolFlag{Name: "product", Usage: "only the way that the daemon decides"},
+				},
+				Action: runMeasure,
+			},
 		},
 	}
 }
+
+// runMeasure prints a table of ways, loads and faults.
+func runMeasure(_ context.Context, c *cli.Command) error {
+	cfg, ok := measure.Workloads()[c.String("workload")]
+	if !ok {
+		return fmt.Errorf("there is no workload %q; use letter, poleworks or lampoterassi", c.String("workload"))
+	}
+	if every := c.Float("crash-every"); every > 0 {
+		cfg.CrashEverySeconds = every
+	}
+	ways := measure.Ways()
+	if c.Bool("product") {
+		ways = ways[len(ways)-1:]
+	}
+	measure.Print(c.Root().Writer, cfg, measure.Compare(cfg, ways, c.Int("seeds")))
+	return nil
+}
--- /dev/null
+++ b/standin/internal/measure/events.go
@@ -0,0 +1,59 @@
+package measure
+
+import (
+	"container/heap"
+
+	"hemlockmux.example/common/clock"
+)
+
+// event is something that happens at a point in virtual time.
+type event struct {
+	at  float64 // ms
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// timeline runs events in the order of virtual time, so that a run takes
+// seconds and a seed fixes its result.
+type timeline struct {
+	now    float64 // ms
+	seq    int
+	events eventHeap
+}
+
+// after lets do happen in a number of milliseconds.
+func (t *timeline) after(ms float64, do func()) {
+	t.seq++
+	heap.Push(&t.events, event{at: t.now + ms, seq: t.seq, do: do})
+}
+
+// run runs everything up to a point in time.
+func (t *timeline) run(until float64) {
+	for len(t.events) > 0 && t.events[0].at <= until {
+		e := heap.Pop(&t.events).(event)
+		t.now = e.at
+		e.do()
+	}
+}
+
+func (t *timeline) millis() clock.Millis { return clock.Millis(t.now) }
--- /dev/null
+++ b/standin/internal/measure/report.go
@@ -0,0 +1,158 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"sort"
+	"sync"
+	"text/tabwriter"
+
+	"hemlockmux.example/common/admission"
+)
+
+// Way is one way of deciding.
+type Way struct {
+	Name    string
+	Options admission.Options
+}
+
+// Ways lists the ways, each with one idea more than the one before it.
+func Ways() []Way {
+	ways := []Way{{Name: "random"}}
+	options := admission.Options{Choice: admission.Reported}
+	add := func(name string, change func()) {
+		change()
+		ways = append(ways, Way{Name: name, Options: options})
+	}
+	add("least loaded by report", func() {})
+	add("+ decode reserved first", func() { options.ReserveDecode = true })
+	add("+ own grants counted", func() { options.Choice = admission.OwnGrants })
+	add("+ routed by prefix", func() { options.PrefixRouting = true })
+	add("+ admitted by prediction", func() { options.Predict = true })
+	add("+ priorities", func() { options.Priorities = true })
+	return ways
+}
+
+// Loads are the loads measured, as fractions of capacity.
+var Loads = []float64{0.6, 0.9, 1.1, 1.4}
+
+// Row is one way at one load over all seeds.
+type Row struct {
+	Way    string
+	Load   float64
+	Faults bool
+	Runs   []Result
+}
+
+// Compare measures all ways at all loads, without and with faults.
+func Compare(cfg Config, ways []Way, seeds int) []Row {
+	var rows []Row
+	for _, faults := range []bool{false, true} {
+		for _, load := range Loads {
+			for _, way := range ways {
+				rows = append(rows, Row{Way: way.Name, Load: load, Faults: faults, Runs: make([]Result, seeds)})
+			}
+		}
+	}
+	options := map[string]admission.Options{}
+	for _, way := range ways {
+		options[way.Name] = way.Options
+	}
+	limit := make(chan struct{}, 4)
+	var all sync.WaitGroup
+	for _, row := range rows {
+		for seed := range seeds {
+			limit <- struct{}{}
+			all.Go(func() {
+				row.Runs[seed] = Run(cfg, options[row.Way], row.Load, row.Faults, uint64(seed+1))
+				<-limit
+			})
+		}
+	}
+	all.Wait()
+	return rows
+}
+
+// spread is the mean and the standard deviation over the runs.
+func (r Row) spread(value func(Result) float64) (mean, deviation float64) {
+	for _, run := range r.Runs {
+		mean += value(run) / float64(len(r.Runs))
+	}
+	for _, run := range r.Runs {
+		deviation += math.Pow(value(run)-mean, 2) / float64(len(r.Runs))
+	}
+	return mean, math.Sqrt(deviation)
+}
+
+// percentile returns the p-th percentile of the values of all runs.
+func (r Row) percentile(p float64, values func(Result) []float64) float64 {
+	var all []float64
+	for _, run := range r.Runs {
+		all = append(all, values(run)...)
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	sort.Float64s(all)
+	return all[min(len(all)-1, int(p*float64(len(all))))]
+}
+
+// MeanGoodput is the mean goodput over the seeds.
+func (r Row) MeanGoodput() float64 {
+	mean, _ := r.spread(Result.Goodput)
+	return mean
+}
+
+// MeanWaste is the mean share of wasted prefill over the seeds.
+func (r Row) MeanWaste() float64 {
+	mean, _ := r.spread(Result.Waste)
+	return mean
+}
+
+// MetTargets is the share of admitted requests that met both targets.
+func (r Row) MetTargets() float64 {
+	mean, _ := r.spread(func(run Result) float64 { return float64(run.Good) / math.Max(1, float64(run.Admitted)) })
+	return mean
+}
+
+// Print writes rows as a Markdown table.
+func Print(out io.Writer, cfg Config, rows []Row) {
+	fmt.Fprintf(out, "Capacity: %.1f requests a second; %d prefill and %d decode engines; %d seeds, %.0f s each.\n\n",
+		cfg.Capacity(), cfg.Prefills, cfg.Decodes, len(rows[0].Runs), cfg.SecondsOfLoad)
+	w := tabwriter.NewWriter(out, 0, 4, 1, ' ', 0)
+	fmt.Fprintln(w, "| faults\t| load\t| way\t| goodput/s\t| of admitted in target\t| wasted prefill\t| refused\t| failed\t| first token p50, p95 ms\t| between p95 ms\t| good by priority 0, 1, 2\t|")
+	fmt.Fprintln(w, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	for _, r := range rows {
+		good, goodDev := r.spread(Result.Goodput)
+		waste, wasteDev := r.spread(Result.Waste)
+		refused, _ := r.spread(func(run Result) float64 { return float64(run.Refused) / float64(run.Offered) })
+		failed, _ := r.spread(func(run Result) float64 { return float64(run.Failed) / float64(run.Offered) })
+		first := func(run Result) []float64 { return run.FirstMs }
+		fmt.Fprintf(w, "| %s\t| %.0f %%\t| %s\t| %.2f ± %.2f\t| %.1f %%\t| %.2f ± %.2f %%\t| %.1f %%\t| %.1f %%\t| %.0f, %.0f\t| %.1f\t| %s\t|\n",
+			yesNo(r.Faults), 100*r.Load, r.Way, good, goodDev, 100*r.MetTargets(), 100*waste, 100*wasteDev, 100*refused, 100*failed,
+			r.percentile(0.5, first), r.percentile(0.95, first),
+			r.percentile(0.95, func(run Result) []float64 { return run.BetweenMs }), r.byPriority())
+	}
+	_ = w.Flush()
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// byPriority is the share of the offered requests of each priority that met
+// both targets.
+func (r Row) byPriority() string {
+	text := ""
+	for p := range 3 {
+		share, _ := r.spread(func(run Result) float64 {
+			return float64(run.GoodByPriority[p]) / math.Max(1, float64(run.OfferedByPriority[p]))
+		})
+		text += fmt.Sprintf("%.0f ", 100*share)
+	}
+	return text + "%"
+}
