A prompt too long for the target is served when the pool is nearly idle

Cause: a request that could not start in the very moment was refused when its own prefill and transfer alone exceeded the planned part of the target, with a time to come back at which the same would happen again. With Poleworks' weights (63 % of 1,800 ms) that was every prompt over about 17,000 tokens.

Change: every request may wait 15 % of the target; beyond that the wait must fit what its own prefill and transfer leave of the planned part.

Ruled out: a target for each team (settings grow, and the next long prompt is refused all the same).

--- a/common/admission/admission.go
+++ b/common/admission/admission.go
@@ -102,6 +102,11 @@
 // given another request; it covers the way there.
 const maxPrefillBacklog = 30 * clock.Millisecond
 
+// leastPatience is the part of the first-token target that every request may
+// wait: a prompt so long that it misses the target on an idle pool is served
+// when the pool is nearly idle, since coming back could not help it.
+const leastPatience = 0.15
+
 // Group is the engines of one model in one data centre. It is not safe for
 // concurrent use.
 type Group struct {
@@ -259,13 +264,14 @@
 	}
 	f := g.forecast(now)
 	budget := float64(g.policy.FirstTokenMs) * g.margin()
+	patience := float64(g.policy.FirstTokenMs) * leastPatience
 	var decisions []Decision
 	waiting := g.queue[:0]
 	for _, r := range g.queue {
 		own := g.prefillMs(r.PromptTokens - g.bestCached(r))
 		wait := f.wait()
-		first := wait + own + g.transferMs(r.PromptTokens) + g.stepMs(g.BatchCap())
-		if float64(now-r.ArrivedMs)+first > budget {
+		served := own + g.transferMs(r.PromptTokens) + g.stepMs(g.BatchCap())
+		if float64(now-r.ArrivedMs)+wait > max(budget-served, patience) {
 			decisions = append(decisions, Decision{ID: r.ID, Cause: CauseOverload, RetryMs: g.retryMs(f, now)})
 			continue
 		}
