Prefill engines whose results are late are avoided; the weights say how long

Cause: when a transfer link stands still, prefills went on to the engine behind it until each result had expired; and the two weights turned next to nothing.

Change: the first token of a request is predicted from its transfer behind the others on the link; half as long again and 100 ms later the engine counts as late. For 2 s times wasteWeight over goodputWeight (at most 8 s) its prefills cost more in the eyes of the choice.

--- a/common/admission/admission.go
+++ b/common/admission/admission.go
@@ -107,6 +107,17 @@
 // when the pool is nearly idle, since coming back could not help it.
 const leastPatience = 0.15
 
+// shunFor is how long a prefill engine whose result was lost is avoided where
+// waste and goodput weigh the same; maxShunWeight bounds what the weights make
+// of it.
+const (
+	shunFor       = 2 * clock.Second
+	maxShunWeight = 4
+	// lateReserve is added to the predicted time of a transfer before it counts
+	// as late.
+	lateReserve = 100 * clock.Millisecond
+)
+
 // Group is the engines of one model in one data centre. It is not safe for
 // concurrent use.
 type Group struct {
@@ -122,12 +133,15 @@
 // request is a queued or admitted request.
 type request struct {
 	Work
-	pieces     int
-	prefill    *engine
-	decode     *engine
-	prefillMs  float64
-	cachedHint int
-	endsMs     clock.Millis // predicted end of decoding
+	pieces  int
+	prefill *engine
+	// prefilledBy is the engine whose prefill ended last.
+	prefilledBy *engine
+	decode      *engine
+	prefillMs   float64
+	cachedHint  int
+	arrivesMs   float64      // predicted end of the transfer
+	endsMs      clock.Millis // predicted end of decoding
 }
 
 // NewGroup returns a group without engines.
@@ -353,6 +367,7 @@
 		return nil
 	}
 	r.prefill.learn(r, cachedTokens)
+	r.arrivesMs = r.prefill.carry(now, g.transferMs(r.PromptTokens))
 	g.releasePrefill(r, now)
 	return g.Pump(now)
 }
--- a/common/admission/engine.go
+++ b/common/admission/engine.go
@@ -31,6 +31,12 @@
 	headSince   clock.Millis
 	report      completions.Load
 	index       *prefixIndex
+	// linkUntil is when the results on the engine's link are predicted to have
+	// arrived.
+	linkUntil float64
+	// shunnedUntil is when results of this prefill engine are trusted to arrive
+	// again after one was lost.
+	shunnedUntil clock.Millis
 }
 
 type outstanding struct {
@@ -52,6 +58,13 @@
 	return total
 }
 
+// carry puts a result on the engine's link and returns when it is predicted to
+// arrive.
+func (e *engine) carry(now clock.Millis, transferMs float64) float64 {
+	e.linkUntil = max(e.linkUntil, float64(now)) + transferMs
+	return e.linkUntil
+}
+
 // learn takes in what a prefill found in the cache, and that its prompt is in
 // the cache now.
 func (e *engine) learn(r *request, cachedTokens int) {
@@ -188,10 +201,34 @@
 		if g.options.Choice == Reported {
 			return float64(e.report.Running)
 		}
-		return e.backlog(now) + work
+		return e.backlog(now) + work + float64(max(0, e.shunnedUntil-now))
 	})
 }
 
+// LateAfter is how long the first token of a request may take after its prefill
+// has ended before the link is thought to stand still: what is predicted of its
+// transfer behind the others on the link, and a reserve.
+func (g *Group) LateAfter(id string, now clock.Millis) clock.Millis {
+	r, ok := g.active[id]
+	if !ok {
+		return lateReserve
+	}
+	way := max(0, r.arrivesMs-float64(now))
+	return clock.Millis(1.5*way+2*g.stepMs(g.BatchCap())) + lateReserve
+}
+
+// ResultLate takes in that the result of a request's prefill is late or lost on
+// its way. The engine's link may be at fault: for a while its prefills cost more
+// in the eyes of choosePrefill, the longer the more waste weighs.
+func (g *Group) ResultLate(id string, now clock.Millis) {
+	r, ok := g.active[id]
+	if !ok || r.prefilledBy == nil {
+		return
+	}
+	weight := min(maxShunWeight, g.policy.WasteWeight/g.policy.GoodputWeight)
+	r.prefilledBy.shunnedUntil = now + clock.Millis(weight*float64(shunFor))
+}
+
 // least returns the candidate of the smallest cost, any of them where several
 // cost the same; with Choice Random any at all.
 func (g *Group) least(candidates []*engine, cost func(*engine) float64) *engine {
@@ -279,7 +316,7 @@
 	if e == nil {
 		return
 	}
-	r.prefill = nil
+	r.prefill, r.prefilledBy = nil, e
 	if e.suspect == r.ID {
 		e.suspect = ""
 	}
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hemlockmux.example/common/admission"
+	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/completions"
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/settings"
@@ -47,6 +48,10 @@
 		name = r.nextDecode(not)
 	}
 	r.grant.Decode = ""
+	var call *engines.CallError
+	if errors.As(last, &call) && call.Expired {
+		r.resultLate()
+	}
 	r.mu.Lock()
 	delivered := len(r.chunks)
 	r.mu.Unlock()
@@ -119,6 +124,8 @@
 	defer cancel(nil)
 	stall := r.tree.System.Policy.StallMs.Duration()
 	if from == engines.Fresh {
+		late := time.AfterFunc(r.lateAfter().Duration(), r.resultLate)
+		defer late.Stop()
 		// The first chunk waits for the transfer as well.
 		stall += time.Duration(r.transferMs()) * time.Millisecond
 	}
@@ -147,6 +154,22 @@
 	return nil
 }
 
+// resultLate tells admission that the prefill's result is late or lost.
+func (r *Run) resultLate() {
+	r.mu.Lock()
+	begun := len(r.chunks) > 0
+	r.mu.Unlock()
+	if !begun {
+		metrics.Add("resultsLate", 1)
+		r.group.with(func(a *admission.Group) { a.ResultLate(r.call.RequestID, r.keeper.common.Clock.Now()) })
+	}
+}
+
+func (r *Run) lateAfter() (after clock.Millis) {
+	r.group.with(func(a *admission.Group) { after = a.LateAfter(r.call.RequestID, r.keeper.common.Clock.Now()) })
+	return after
+}
+
 func (r *Run) transferMs() float64 {
 	m := r.tree.System.Models[r.call.Model]
 	return float64(r.call.PromptTokens) * m.KVTokenKB / m.TransferMBps
--- a/standin/internal/measure/engines.go
+++ b/standin/internal/measure/engines.go
@@ -31,8 +31,10 @@
 	cached map[uint64]int
 	order  []uint64
 	linkAt float64 // when the link to the decode engines is free
-	seq    int64
-	feed   func(completions.CacheEvents)
+	// stalledUntil is when a link that stands still works again.
+	stalledUntil float64
+	seq          int64
+	feed         func(completions.CacheEvents)
 }
 
 type prefillJob struct {
@@ -101,7 +103,7 @@
 // transfer sends a result over the engine's one link; the time until it is
 // over is returned.
 func (e *prefillEngine) transfer(tokens int) float64 {
-	start := max(e.line.now, e.linkAt)
+	start := max(e.line.now, e.linkAt, e.stalledUntil)
 	e.linkAt = start + jitter(e.rng, float64(tokens)*e.model.KVTokenKB/e.model.TransferMBps)
 	return e.linkAt - e.line.now
 }
--- a/standin/internal/measure/measure.go
+++ b/standin/internal/measure/measure.go
@@ -34,6 +34,9 @@
 	// CrashEverySeconds is the mean time between two crashes of any engine; a
 	// crashed engine is away for CrashForSeconds.
 	CrashEverySeconds, CrashForSeconds float64
+	// StallEverySeconds is the mean time between two stalls of any prefill
+	// engine's link, for StallForSeconds each.
+	StallEverySeconds, StallForSeconds float64
 }
 
 // Workloads returns the configurations that can be measured, by name.
@@ -41,7 +44,7 @@
 	letter := Config{
 		Model: settings.DefaultModel(), Policy: settings.DefaultSystem().Policy, Prefills: 4, Decodes: 6,
 		MeanPrompt: 3300, MeanOutput: 283, SharedShare: 0.5, Documents: 40, SecondsOfLoad: 90, WarmUp: 20,
-		CrashEverySeconds: 60, CrashForSeconds: 5,
+		CrashEverySeconds: 60, CrashForSeconds: 5, StallEverySeconds: 30, StallForSeconds: 4,
 	}
 	// Long spec sheets and short recommendations: prefill is the scarce part.
 	poleworks := letter
@@ -134,6 +137,7 @@
 	r.pump()
 	if faults {
 		r.crashes()
+		r.stalls()
 	}
 	end := (cfg.WarmUp + cfg.SecondsOfLoad) * 1000
 	r.line.run(end + 60_000)
@@ -297,7 +301,23 @@
 	}
 	e := r.decodes[c.decode]
 	epoch := e.epoch
-	r.line.after(from.transfer(c.PromptTokens), func() {
+	way := from.transfer(c.PromptTokens)
+	if late := float64(r.group.LateAfter(c.ID, r.line.millis())); way > late {
+		r.line.after(late, func() { r.group.ResultLate(c.ID, r.line.millis()) })
+	}
+	if way > resultLifeMs && from.stalledUntil > r.line.now {
+		// The result dies while the link stands still.
+		r.line.after(resultLifeMs, func() {
+			if epoch == e.epoch {
+				e.release(pieces)
+			}
+			r.group.ResultLate(c.ID, r.line.millis())
+			r.waste(c, work)
+			r.again(c)
+		})
+		return
+	}
+	r.line.after(way, func() {
 		if epoch != e.epoch {
 			r.waste(c, work)
 			r.again(c)
@@ -411,3 +431,14 @@
 	}
 	r.line.after(r.rng.ExpFloat64()*r.cfg.CrashEverySeconds*1000, crash)
 }
+
+// stalls lets links stand still for a while.
+func (r *run) stalls() {
+	var stall func()
+	stall = func() {
+		e := r.prefills[fmt.Sprintf("prefill-%d", r.rng.IntN(r.cfg.Prefills))]
+		e.stalledUntil = r.line.now + r.cfg.StallForSeconds*1000
+		r.line.after(r.rng.ExpFloat64()*r.cfg.StallEverySeconds*1000, stall)
+	}
+	r.line.after(r.rng.ExpFloat64()*r.cfg.StallEverySeconds*1000, stall)
+}
