--- a/common/admission/admission.go
+++ b/common/admission/admission.go
@@ -431,14 +431,3 @@
 
 // Active returns the number of requests admitted.
 func (g *Group) Active() int { return len(g.active) }
-
-// FreeSlots returns the decode slots that are free within the target.
-func (g *Group) FreeSlots() int {
-	free, limit := 0, g.BatchCap()
-	for _, e := range g.engines {
-		if e.usable() && e.Kind == settings.KindDecode {
-			free += max(0, limit-e.batch-e.foreign)
-		}
-	}
-	return max(0, free-len(g.queue))
-}
--- a/common/completions/completions.go
+++ b/common/completions/completions.go
@@ -149,9 +149,9 @@
 	FreePieces int    `json:"freePieces"`
 	AtMs       int64  `json:"atMs"`
 	State      string `json:"state"` // "serving" or "leaving"
-	// Held lists the requests that hold memory right now; unlike the counts it
-	// does not lag.
-	Held []Running `json:"held"`
+	// Held lists the requests that hold memory right now, where it was asked for
+	// with ?held=1; unlike the counts it does not lag.
+	Held []Running `json:"held,omitempty"`
 }
 
 // CacheEvents is a batch of changes to an engine's prefix cache.
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -142,7 +142,7 @@
 	closeDaemons, err := d.daemons.Start(daemons.Handlers{
 		HandOff:      handoff.NewServer(d.configuration, k, svc),
 		CopyVerdicts: recorder.TakeCopies, FindVerdict: recorder.Find,
-		Free: k.Free, Suspects: suspectNews(common, sus), LearnSuspects: learnSuspects(common, sus),
+		Suspects: suspectNews(common, sus), LearnSuspects: learnSuspects(common, sus),
 		DaemonDied: func(m membership.Member) {
 			k.FrontDied(daemons.RunName(m))
 			recorder.DaemonDied(daemons.RunName(m), m.Name)
--- a/hemlockd/internal/daemons/conn.go
+++ b/hemlockd/internal/daemons/conn.go
@@ -16,20 +16,17 @@
 }
 
 // Read implements io.Reader.
-func (c *bufferedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+func (c *bufferedConn) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
+	metrics.Add("bytesIn", int64(n))
+	return n, err
+}
 
-// countingConn counts the bytes of control messages in expvar.
+// countingConn counts the bytes of control messages sent, in expvar.
 type countingConn struct {
 	net.Conn
 }
 
-// Read implements io.Reader.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	metrics.Add("bytesIn", int64(n))
-	return n, err
-}
-
 // Write implements io.Writer.
 func (c countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -29,7 +29,6 @@
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
 
-	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/membership"
@@ -52,8 +51,7 @@
 	CopyVerdicts func(CopyRequest) CopyAnswer
 	// FindVerdict looks a verdict up in memory.
 	FindVerdict func(FindRequest) FindAnswer
-	// Free and Suspects are this daemon's share of the news.
-	Free     func() map[string]int
+	// Suspects is this daemon's share of the news.
 	Suspects func() []SuspectNews
 	// LearnSuspects takes in others' news.
 	LearnSuspects func([]SuspectNews)
@@ -71,7 +69,6 @@
 
 	mu      sync.Mutex
 	members *membership.Membership
-	free    map[string]freeReport // by engine group
 
 	views  atomic.Pointer[[]membership.View]
 	news   chan struct{} // a new version is in force here
@@ -80,11 +77,6 @@
 	done   sync.WaitGroup
 }
 
-type freeReport struct {
-	slots int
-	atMs  clock.Millis
-}
-
 // New returns a view that knows only this daemon; Start makes it work.
 func New(common shared.Common, cfg *configuration.Configuration) *Daemons {
 	self := membership.Member{
@@ -97,8 +89,8 @@
 		common: common, configuration: cfg,
 		pool:    newPool(common.Config),
 		members: membership.New(self, rand.New(rand.NewPCG(seed, seed>>32))),
-		free:    map[string]freeReport{}, news: make(chan struct{}, 1),
-		ctx: ctx, cancel: cancel,
+		news:    make(chan struct{}, 1),
+		ctx:     ctx, cancel: cancel,
 	}
 	for _, peer := range common.Config.Peers {
 		d.members.AddSeed(peer)
@@ -219,14 +211,6 @@
 	return "", false
 }
 
-// FreeSlots returns the last report of a group's free decode slots.
-func (d *Daemons) FreeSlots(group string) (slots int, ok bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	report, ok := d.free[group]
-	return report.slots, ok
-}
-
 // CopyVerdicts gives another daemon copies to keep.
 func (d *Daemons) CopyVerdicts(ctx context.Context, name string, req CopyRequest) error {
 	var answer CopyAnswer
--- a/hemlockd/internal/daemons/messages.go
+++ b/hemlockd/internal/daemons/messages.go
@@ -18,9 +18,6 @@
 // ProbeMessage is a probe or its answer.
 type ProbeMessage struct {
 	Membership membership.Message `json:"membership"`
-	// Free holds the free decode slots of the engine groups that the sender
-	// keeps, by group.
-	Free map[string]int `json:"free,omitempty"`
 	// Suspects holds the crash suspects that the sender learned of lately.
 	Suspects []SuspectNews `json:"suspects,omitempty"`
 }
--- a/hemlockd/internal/daemons/probe.go
+++ b/hemlockd/internal/daemons/probe.go
@@ -73,7 +73,7 @@
 	defer cancel()
 	var answer ProbeMessage
 	metrics.Add("probes", 1)
-	err := d.pool.call(ctx, address, methodProbe, d.message(), &answer)
+	err := d.pool.call(ctx, address, methodProbe, d.message(address), &answer)
 	if err != nil {
 		if d.ctx.Err() != nil {
 			return
@@ -88,12 +88,11 @@
 	d.receive(answer)
 }
 
-// message is this daemon's share of the news.
-func (d *Daemons) message() ProbeMessage {
+// message is this daemon's share of the news, for the daemon at an address.
+func (d *Daemons) message(to string) ProbeMessage {
 	d.mu.Lock()
-	msg := ProbeMessage{Membership: d.members.Message()}
+	msg := ProbeMessage{Membership: d.members.Message(to)}
 	d.mu.Unlock()
-	msg.Free = d.handlers.Free()
 	msg.Suspects = d.handlers.Suspects()
 	return msg
 }
@@ -103,9 +102,6 @@
 	now := d.common.Clock.Now()
 	d.mu.Lock()
 	d.members.Receive(msg.Membership, now)
-	for group, slots := range msg.Free {
-		d.free[group] = freeReport{slots: slots, atMs: now}
-	}
 	d.mu.Unlock()
 	d.handlers.LearnSuspects(msg.Suspects)
 	d.publishViews()
--- a/hemlockd/internal/daemons/rpc.go
+++ b/hemlockd/internal/daemons/rpc.go
@@ -50,7 +50,7 @@
 	case methodProbe:
 		return answer(req, func(msg ProbeMessage) ProbeMessage {
 			go d.receive(msg)
-			return d.message()
+			return d.message(msg.Membership.From.Address)
 		})
 	case methodSettings:
 		return answer(req, func(r SettingsRequest) SettingsAnswer { return d.configuration.Since(r.Have) })
--- a/hemlockd/internal/engines/engines.go
+++ b/hemlockd/internal/engines/engines.go
@@ -16,6 +16,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"iter"
@@ -43,6 +44,12 @@
 	maxEventBytes = 1 << 20
 )
 
+// controlHeadBytes is about what the heads of a control call and of its answer
+// add to the bodies.
+const controlHeadBytes = 210
+
+var metrics = expvar.NewMap("engines")
+
 // statusExpired is the status by which an engine says that a prefill's result
 // is gone.
 const statusExpired = http.StatusConflict
@@ -250,10 +257,15 @@
 	return c.controlCall(ctx, e, http.MethodPost, "/abort_request", body, nil)
 }
 
-// Load reads an engine's load report.
-func (c *Client) Load(ctx context.Context, e Engine) (completions.Load, error) {
+// Load reads an engine's load report, with the requests that it holds memory
+// for where held is set.
+func (c *Client) Load(ctx context.Context, e Engine, held bool) (completions.Load, error) {
 	var load completions.Load
-	err := c.controlCall(ctx, e, http.MethodGet, "/load", nil, &load)
+	path := "/load"
+	if held {
+		path += "?held=1"
+	}
+	err := c.controlCall(ctx, e, http.MethodGet, path, nil, &load)
 	return load, err
 }
 
@@ -275,6 +287,7 @@
 	if err != nil {
 		return transportError(e, err)
 	}
+	metrics.Add("controlBytes", int64(len(path)+len(body)+len(answer))+controlHeadBytes)
 	if resp.StatusCode != http.StatusOK {
 		return statusError(e, resp.StatusCode, string(answer))
 	}
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -97,6 +97,7 @@
 	// leaves.
 	leavingSince map[string]clock.Millis
 
+	queued  chan struct{} // a request may wait
 	claims  claims
 	nextRID atomic.Int64
 	ctx     context.Context
@@ -207,29 +208,46 @@
 	f(g.admission)
 }
 
-// runPump starts and refuses waiting requests as time goes by.
+// runPump starts and refuses waiting requests as time goes by. It sleeps while
+// nobody waits.
 func (k *Keeper) runPump() {
 	defer k.done.Done()
-	ticker := time.NewTicker(pumpInterval.Duration())
-	defer ticker.Stop()
 	for {
 		select {
 		case <-k.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-k.queued:
 		}
-		now := k.common.Clock.Now()
-		for _, g := range k.allGroups() {
-			g.decide(func(a *admission.Group) []admission.Decision {
-				if a.Queued() == 0 {
-					return nil
-				}
-				return a.Pump(now)
-			})
+		for k.pump() > 0 {
+			time.Sleep(pumpInterval.Duration())
 		}
 	}
 }
 
+// pump looks at all groups once and returns the number of requests that wait.
+func (k *Keeper) pump() (waiting int) {
+	now := k.common.Clock.Now()
+	for _, g := range k.allGroups() {
+		g.decide(func(a *admission.Group) []admission.Decision {
+			if a.Queued() == 0 {
+				return nil
+			}
+			decisions := a.Pump(now)
+			waiting += a.Queued()
+			return decisions
+		})
+	}
+	return waiting
+}
+
+// wakePump tells runPump that a request may wait.
+func (k *Keeper) wakePump() {
+	select {
+	case k.queued <- struct{}{}:
+	default:
+	}
+}
+
 func (k *Keeper) allGroups() []*group {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -240,23 +258,6 @@
 	return all
 }
 
-// Free returns the free decode slots of the groups that this daemon keeps.
-func (k *Keeper) Free() map[string]int {
-	k.mu.Lock()
-	names := make(map[string]*group, len(k.groups))
-	for name, g := range k.groups {
-		names[name] = g
-	}
-	k.mu.Unlock()
-	free := map[string]int{}
-	for name, g := range names {
-		if k.KeeperOf(name) == k.common.Config.Name {
-			g.with(func(a *admission.Group) { free[name] = a.FreeSlots() })
-		}
-	}
-	return free
-}
-
 // Status returns the engines of the groups that this daemon has used.
 func (k *Keeper) Status() []admission.EngineStatus {
 	var all []admission.EngineStatus
@@ -267,18 +268,19 @@
 }
 
 // rid makes an id by which an engine knows one attempt. It names the run of
-// the daemon that claims it, so that others can tell when nobody does.
-func (k *Keeper) rid(requestID string) string {
-	return requestID + "~" + k.common.Self() + "~" + strconv.FormatInt(k.nextRID.Add(1), 36)
+// the daemon that claims it, so that others can tell when nobody does; it is
+// short, since engines list it in every report.
+func (k *Keeper) rid() string {
+	return k.common.Self() + "~" + strconv.FormatInt(k.nextRID.Add(1), 36)
 }
 
 // claimant returns the run of the daemon that claims an attempt.
 func claimant(rid string) (string, bool) {
 	parts := strings.Split(rid, "~")
-	if len(parts) != 6 {
+	if len(parts) != 3 {
 		return "", false
 	}
-	return parts[3] + "~" + parts[4], true
+	return parts[0] + "~" + parts[1], true
 }
 
 // modelOf returns the model in a group's name.
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -270,6 +270,7 @@
 	r.group.waiting[r.call.RequestID] = decided
 	r.group.mu.Unlock()
 	r.group.decide(func(a *admission.Group) []admission.Decision { return a.Offer(work, now) })
+	k.wakePump()
 	select {
 	case d := <-decided:
 		return r.decision(d)
@@ -356,7 +357,7 @@
 	replace["priority"] = r.call.Priority
 	body, err := completions.Forward(r.call.Body, replace)
 	return engines.Call{
-		Path: r.call.Path, RID: r.keeper.rid(r.call.RequestID), RequestID: r.call.RequestID, Body: body,
+		Path: r.call.Path, RID: r.keeper.rid(), RequestID: r.call.RequestID, Body: body,
 	}, err
 }
 
--- a/hemlockd/internal/keeper/watcher.go
+++ b/hemlockd/internal/keeper/watcher.go
@@ -22,6 +22,9 @@
 	// nobody claims before it is aborted; it covers the way of a call that has
 	// just been sent.
 	orphanAge = 1500 * clock.Millisecond
+	// heldEvery is the number of load reports for each list of what an engine
+	// holds, which is longer.
+	heldEvery = 2
 	// eventsPause is the wait before cache events are listened to again.
 	eventsPause = clock.Second
 )
@@ -62,6 +65,10 @@
 	cancel   context.CancelFunc
 	failures int  // load reports in a row that failed
 	leaving  bool // as the engine says itself
+
+	// Only the reports' goroutine uses what follows.
+	reports                int
+	foreign, foreignPieces int
 }
 
 // runWatchers starts and ends watchers as the settings and the view change.
@@ -213,18 +220,22 @@
 
 func (w *watcher) report(ctx context.Context) {
 	metrics.Add("loadReports", 1)
-	load, err := w.keeper.client.Load(ctx, w.engine)
+	held := w.reports%heldEvery == 0
+	w.reports++
+	load, err := w.keeper.client.Load(ctx, w.engine, held)
 	if ctx.Err() != nil {
 		return
 	}
 	up := w.note(load, err)
 	now := w.keeper.common.Clock.Now()
-	foreign, foreignPieces := w.sweep(ctx, load.Held)
+	if held && err == nil {
+		w.foreign, w.foreignPieces = w.sweep(ctx, load.Held)
+	}
 	w.group.decide(func(a *admission.Group) []admission.Decision {
 		a.SetUp(w.engine.Name, up)
 		if err == nil {
 			a.Report(w.engine.Name, load)
-			a.SetForeign(w.engine.Name, foreign, foreignPieces)
+			a.SetForeign(w.engine.Name, w.foreign, w.foreignPieces)
 		}
 		if load.State == "leaving" {
 			a.SetLeaving(w.engine.Name, true)
--- a/hemlockd/internal/membership/membership.go
+++ b/hemlockd/internal/membership/membership.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	m := membership.New(self, rng, now)
-//	for _, peer := range m.Tick(now) { answer, err := probe(peer, m.Message()) ... }
+//	for _, peer := range m.Tick(now) { answer, err := probe(peer, m.Message(peer)) ... }
 package membership
 
 import (
@@ -40,8 +40,9 @@
 	// failuresToDeath is the number of unanswered probes in a row after which a
 	// daemon is dead.
 	failuresToDeath = 2
-	// newsPerMessage is the number of entries carried beside the sender's own.
-	newsPerMessage = 4
+	// newsPerMessage is the most entries of fresh news carried beside the
+	// sender's own.
+	newsPerMessage = 6
 	// newsSends is how often one daemon passes one change on, times the
 	// logarithm of the number of members.
 	newsSends = 3
@@ -269,17 +270,29 @@
 	return all
 }
 
-// Message returns what to send now: the own entry, the freshest news, and one
-// random entry, so that every entry comes around in time.
-func (m *Membership) Message() Message {
+// Message returns what to send to an address now: the own entry, what is thought
+// of the receiver where that is wrong if the message arrives, the freshest news,
+// and one random entry, so that every entry comes around in time.
+func (m *Membership) Message(to string) Message {
 	all := m.sorted()
 	m.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	sort.SliceStable(all, func(i, j int) bool { return all[i].sends > all[j].sends })
 	msg := Message{From: m.self}
-	for _, e := range all[:min(newsPerMessage, len(all))] {
-		if e.sends > 0 {
-			e.sends--
+	for _, e := range all {
+		if e.Address == to && e.State == Dead {
+			msg.News = append(msg.News, e.Member) // it will refute this
 		}
+	}
+	for i, e := range all {
+		if e.sends == 0 {
+			// Nothing fresh is left: one entry at random.
+			msg.News = append(msg.News, e.Member)
+			break
+		}
+		if i == newsPerMessage {
+			break
+		}
+		e.sends--
 		msg.News = append(msg.News, e.Member)
 	}
 	return msg
--- a/hemlockd/internal/shared/shared.go
+++ b/hemlockd/internal/shared/shared.go
@@ -84,7 +84,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Bucket: "hemlockmux", PlatformTimeoutMs: 2 * clock.Second, ProbeMs: 500, PollMs: clock.Second,
-		VMListMs: 2 * clock.Second, LoadMs: 500, DrainMs: 60 * clock.Second,
+		VMListMs: 2 * clock.Second, LoadMs: clock.Second, DrainMs: 60 * clock.Second,
 	}
 }
 
--- a/standin/internal/app/command.go
+++ b/standin/internal/app/command.go
@@ -7,7 +7,9 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"hemlockmux.example/standin/internal/load"
 	"hemlockmux.example/standin/internal/measure"
+	"hemlockmux.example/standin/internal/scale"
 )
 
 // Command is the command line of the stand-ins.
@@ -43,6 +45,8 @@
 				},
 				Action: runMeasure,
 			},
+			scale.Command(),
+			load.Command(),
 		},
 	}
 }
--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -164,10 +164,12 @@
 	return e.held
 }
 
-func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	report := e.reported
-	report.Held = e.heldLocked()
+	if r.URL.Query().Get("held") == "1" {
+		report.Held = e.heldLocked()
+	}
 	e.mu.Unlock()
 	if _, leaving := e.faults.Take(fault.Leave, ""); leaving {
 		report.State = "leaving"
