Probing is kept; a new version no longer crowds out the news of a death

Cause: each daemon's newer version counted as news like a death and was passed on as often; 60 of them filled the six places of every message for seconds.

Change: a version alone is passed on once, since its owner tells it in every message.

--- a/hemlockd/internal/membership/membership.go
+++ b/hemlockd/internal/membership/membership.go
@@ -329,11 +329,21 @@
 	if member.State != Dead {
 		e.failures = 0
 	}
+	e.sends = max(e.sends, m.sendsOf(member, e.Member, !ok))
 	e.Member = member
-	e.sends = m.sendsPerNews()
 	delete(m.seeds, member.Address)
 }
 
+// sendsOf is how often the news that replaces old is worth passing on. A newer
+// version alone is told by the daemon itself in every message; passing it on
+// often would crowd out the news of a death.
+func (m *Membership) sendsOf(member, old Member, first bool) int {
+	if !first && member.Started == old.Started && member.Incarnation == old.Incarnation && member.State == old.State {
+		return 1
+	}
+	return m.sendsPerNews()
+}
+
 // refute answers news of the own death, or of an earlier run under this name.
 func (m *Membership) refute(member Member) {
 	if member.Started != m.self.Started || member.State != Dead || member.Incarnation < m.self.Incarnation {
