A team's share of its limit follows demand by loans that never add up to more

Cause: each daemon of a data centre had an equal share of a team's rate; a team whose callers all come to one of 28 daemons got 3.6 of its 100 requests a second and was told, untruthfully, that it was at its limit.

Change: a daemon whose share is used up asks four others at once for what they do not use, for 2 s. The borrower counts the term from before it asked and the lender from when it gave, so a loan is never counted twice.

Ruled out: demand in the heartbeats (late by seconds, and a sum of shares above the limit while it moves); a keeper for each team (a message for each request).

The limit on requests in flight is still an equal share, rounded up.

--- a/common/settings/store.go
+++ b/common/settings/store.go
@@ -120,10 +120,12 @@
 // Store reads and changes the settings in the platform's table.
 type Store struct {
 	table Table
+	// pause is the time between two tries of an apply.
+	pause clock.Millis
 }
 
 // NewStore returns a store over table.
-func NewStore(table Table) *Store { return &Store{table: table} }
+func NewStore(table Table) *Store { return &Store{table: table, pause: retryPause} }
 
 // Head reads the newest version; 0 means that there are no settings yet.
 func (s *Store) Head(ctx context.Context) (Head, error) {
@@ -224,7 +226,7 @@
 	uncertain := false
 	lastErr := errContended
 	for try := range maxTries {
-		if try > 0 && !sleep(ctx, retryPause) {
+		if try > 0 && !sleep(ctx, s.pause) {
 			break
 		}
 		version, done, err := s.applyOnce(ctx, change)
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -139,10 +139,14 @@
 	}
 	svc, closeServices := services.New(common, d.configuration, ledger, list)
 	d.onClose(closeServices)
+	front := callers.New(common, callers.Parts{
+		Configuration: d.configuration, Daemons: d.daemons, Keeper: k, Services: svc, HandOff: handOff,
+		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
+	})
 	closeDaemons, err := d.daemons.Start(daemons.Handlers{
 		HandOff:      handoff.NewServer(d.configuration, k, svc),
 		CopyVerdicts: recorder.TakeCopies, FindVerdict: recorder.Find,
-		Suspects: suspectNews(common, sus), LearnSuspects: learnSuspects(common, sus),
+		Lend: front.Lend, Suspects: suspectNews(common, sus), LearnSuspects: learnSuspects(common, sus),
 		DaemonDied: func(m membership.Member) {
 			k.FrontDied(daemons.RunName(m))
 			recorder.DaemonDied(daemons.RunName(m), m.Name)
@@ -163,10 +167,6 @@
 		Configuration: d.configuration, Store: d.store, Objects: objects, Daemons: d.daemons,
 		Keeper: k, Services: svc, Verdicts: recorder,
 	})
-	front := callers.New(common, callers.Parts{
-		Configuration: d.configuration, Daemons: d.daemons, Keeper: k, Services: svc, HandOff: handOff,
-		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
-	})
 	if d.operatorsPort, err = d.listen("operators", cfg.Operators, d.operators.Handler()); err != nil {
 		return err
 	}
--- a/hemlockd/internal/callers/callers.go
+++ b/hemlockd/internal/callers/callers.go
@@ -131,17 +131,6 @@
 	return nil
 }
 
-// admit holds the team to its limits; release must be called at the end.
-func (e *exchange) admit() (release func(), p *problem.Problem) {
-	c := e.c
-	peers := len(c.Daemons.Live(c.common.Config.DataCentre))
-	retry, release, ok := c.Limits.Admit(e.verdict.Team, e.team, peers, c.common.Clock.Now())
-	if !ok {
-		return nil, problem.New(problem.TeamLimit, "team %q is at its limit in %s", e.verdict.Team, c.common.Config.DataCentre).RetryIn(retry)
-	}
-	return release, nil
-}
-
 // refuse records the verdict of a refusal and answers with it. Once an answer
 // has begun it can only be cut short, with the reason as its last event.
 func (e *exchange) refuse(p *problem.Problem) {
--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -51,6 +51,8 @@
 	CopyVerdicts func(CopyRequest) CopyAnswer
 	// FindVerdict looks a verdict up in memory.
 	FindVerdict func(FindRequest) FindAnswer
+	// Lend gives away what a team does not use here.
+	Lend func(LendRequest) LendAnswer
 	// Suspects is this daemon's share of the news.
 	Suspects func() []SuspectNews
 	// LearnSuspects takes in others' news.
@@ -224,6 +226,13 @@
 	return answer.Verdict, answer.Found, answer.Copy, err
 }
 
+// Lend asks another daemon for a part of a team's limit.
+func (d *Daemons) Lend(ctx context.Context, name, team string) (LendAnswer, error) {
+	var loan LendAnswer
+	err := d.call(ctx, name, methodLend, LendRequest{Team: team}, &loan)
+	return loan, err
+}
+
 // UnknownDaemonError reports a daemon that was never heard of.
 type UnknownDaemonError struct {
 	Name string
--- a/hemlockd/internal/daemons/messages.go
+++ b/hemlockd/internal/daemons/messages.go
@@ -4,6 +4,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/limits"
 	"hemlockmux.example/hemlockd/internal/membership"
 )
 
@@ -13,6 +14,7 @@
 	methodSettings = "settings"
 	methodCopy     = "copyVerdicts"
 	methodFind     = "findVerdict"
+	methodLend     = "lend"
 )
 
 // ProbeMessage is a probe or its answer.
@@ -55,6 +57,14 @@
 	Held int `json:"held"`
 }
 
+// LendRequest asks for a part of a team's limit that is not used.
+type LendRequest struct {
+	Team string `json:"team"`
+}
+
+// LendAnswer is what is lent.
+type LendAnswer = limits.Loan
+
 // FindRequest asks for a verdict, or for its copy.
 type FindRequest struct {
 	RequestID string `json:"requestId"`
--- a/hemlockd/internal/daemons/rpc.go
+++ b/hemlockd/internal/daemons/rpc.go
@@ -56,6 +56,8 @@
 		return answer(req, func(r SettingsRequest) SettingsAnswer { return d.configuration.Since(r.Have) })
 	case methodCopy:
 		return answer(req, d.handlers.CopyVerdicts)
+	case methodLend:
+		return answer(req, d.handlers.Lend)
 	case methodFind:
 		return answer(req, d.handlers.FindVerdict)
 	}
--- /dev/null
+++ b/hemlockd/internal/suspects/suspects_test.go
@@ -0,0 +1,42 @@
+package suspects
+
+import (
+	"testing"
+
+	"hemlockmux.example/common/clock"
+)
+
+func TestSuspects(t *testing.T) {
+	const until = 10 * clock.Minute
+	for _, c := range []struct {
+		name               string
+		do                 func(s *Suspects)
+		suspected, refused bool
+	}{
+		{"nothing happened", func(*Suspects) {}, false, false},
+		{"one death", func(s *Suspects) { s.Died("d", 1, until) }, true, false},
+		{"two deaths", func(s *Suspects) { s.Died("d", 1, until); s.Died("d", 2, until) }, true, true},
+		{"one death, then it ran", func(s *Suspects) { s.Died("d", 1, until); s.Survived("d") }, false, false},
+		{"two deaths, then a late answer", func(s *Suspects) { s.Died("d", 1, until); s.Died("d", 1, until); s.Survived("d") }, true, true},
+		{"news of two deaths", func(s *Suspects) { s.Learn(Entry{Digest: "d", Deaths: 2, UntilMs: until}, 1) }, true, true},
+		{"the same news of one death twice", func(s *Suspects) {
+			s.Learn(Entry{Digest: "d", Deaths: 1, UntilMs: until}, 1)
+			s.Learn(Entry{Digest: "d", Deaths: 1, UntilMs: until}, 2)
+		}, true, false},
+		{"old news", func(s *Suspects) { s.Learn(Entry{Digest: "d", Deaths: 2, UntilMs: 50}, 60) }, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New()
+			c.do(s)
+			if got := s.Suspected("d", 100); got != c.suspected {
+				t.Errorf("suspected: %t", got)
+			}
+			if _, got := s.Refused("d", 100); got != c.refused {
+				t.Errorf("refused: %t", got)
+			}
+			if _, got := s.Refused("d", until); got {
+				t.Error("refused after its time")
+			}
+		})
+	}
+}
