--- a/common/settings/parse.go
+++ b/common/settings/parse.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"sort"
 	"strings"
 
@@ -134,14 +135,29 @@
 		p.parseError(n.Path, err)
 		return false
 	}
-	for _, key := range meta.Undecoded() {
-		last := key[len(key)-1]
+	names := keyNames(reflect.TypeOf(out).Elem(), map[reflect.Type]bool{})
+	unknown := append(meta.Undecoded(), otherCase(meta.Keys(), names)...)
+	for _, key := range unknown {
 		p.findings = append(p.findings, Finding{
 			Path: n.Path, Line: lineOf(n.Text, key), Text: fmt.Sprintf("unknown key %q", key.String()),
-			Suggestion: nearest(last, keyNames(reflect.TypeOf(out).Elem(), map[reflect.Type]bool{})),
+			Suggestion: nearest(key[len(key)-1], names),
 		})
 	}
-	return len(meta.Undecoded()) == 0
+	return len(unknown) == 0
+}
+
+// otherCase returns the keys that differ from a name only in upper and lower
+// case, which the TOML library takes for the same.
+func otherCase(keys []toml.Key, names []string) []toml.Key {
+	var wrong []toml.Key
+	for _, key := range keys {
+		last := key[len(key)-1]
+		folds := func(name string) bool { return strings.EqualFold(name, last) }
+		if !slices.Contains(names, last) && slices.ContainsFunc(names, folds) {
+			wrong = append(wrong, key)
+		}
+	}
+	return wrong
 }
 
 func (p *parser) parseError(path string, err error) {
--- a/hemlockctl/internal/app/app.go
+++ b/hemlockctl/internal/app/app.go
@@ -57,7 +57,9 @@
 // Run runs one command line and returns the exit code.
 func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	c := &ctl{out: out}
-	err := c.command(errOut).Run(ctx, args)
+	command := c.command(errOut)
+	reportUsage(command)
+	err := command.Run(ctx, args)
 	if err == nil {
 		return ExitOK
 	}
@@ -65,6 +67,16 @@
 	return exitCode(err)
 }
 
+// reportUsage makes every command report a wrong command line as a UsageError.
+func reportUsage(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &UsageError{Text: err.Error()}
+	}
+	for _, below := range command.Commands {
+		reportUsage(below)
+	}
+}
+
 func exitCode(err error) int {
 	var refused *operator.RefusedError
 	var unreachable *operator.UnreachableError
@@ -105,9 +117,6 @@
 		EnableShellCompletion: true,
 		Writer:                c.out, ErrWriter: errOut,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &UsageError{Text: err.Error()}
-		},
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "operator", Value: "127.0.0.1:8081", Usage: "IP:port of a daemon's operators' port", Sources: cli.EnvVars("HEMLOCK_OPERATOR")},
 			&cli.StringFlag{Name: "key", Usage: "the operator's key", Sources: cli.EnvVars("HEMLOCK_OPERATOR_KEY")},
--- a/hemlockd/internal/daemons/messages.go
+++ b/hemlockd/internal/daemons/messages.go
@@ -47,11 +47,22 @@
 	Opened []verdict.Verdict `json:"opened,omitempty"`
 	// Verdicts are the verdicts of requests that have ended.
 	Verdicts []verdict.Verdict `json:"verdicts,omitempty"`
+	// Batches are verdicts that wait for the object store, as they will be
+	// stored; a new holder of copies is sent them one by one.
+	Batches []CopyBatch `json:"batches,omitempty"`
 	// StoredUpToMs says that the object store has all verdicts that ended
 	// before, so that their copies may go.
 	StoredUpToMs clock.Millis `json:"storedUpToMs,omitempty"`
 }
 
+// CopyBatch is one object that is not stored yet.
+type CopyBatch struct {
+	Key        string       `json:"key"`
+	Body       []byte       `json:"body"`
+	FirstEndMs clock.Millis `json:"firstEndMs"`
+	LastEndMs  clock.Millis `json:"lastEndMs"`
+}
+
 // CopyAnswer confirms copies.
 type CopyAnswer struct {
 	Held int `json:"held"`
--- a/hemlockd/internal/verdicts/copies.go
+++ b/hemlockd/internal/verdicts/copies.go
@@ -16,7 +16,9 @@
 type runCopies struct {
 	open  map[string]verdict.Verdict
 	ended map[string]verdict.Verdict
-	dead  bool
+	// batches wait for the object store, by their keys.
+	batches map[string]segment
+	dead    bool
 }
 
 func newCopies() copies { return copies{byRun: map[string]*runCopies{}} }
@@ -24,7 +26,7 @@
 func (c copies) of(run string) *runCopies {
 	held, ok := c.byRun[run]
 	if !ok {
-		held = &runCopies{open: map[string]verdict.Verdict{}, ended: map[string]verdict.Verdict{}}
+		held = &runCopies{open: map[string]verdict.Verdict{}, ended: map[string]verdict.Verdict{}, batches: map[string]segment{}}
 		c.byRun[run] = held
 	}
 	return held
@@ -40,11 +42,19 @@
 		delete(held.open, v.RequestID)
 		held.ended[v.RequestID] = v
 	}
+	for _, b := range req.Batches {
+		held.batches[b.Key] = segment{key: b.Key, body: b.Body, firstEndMs: b.FirstEndMs, lastEndMs: b.LastEndMs}
+	}
 	for id, v := range held.ended {
 		if v.EndMs < req.StoredUpToMs {
 			delete(held.ended, id)
 		}
 	}
+	for key, b := range held.batches {
+		if b.lastEndMs < req.StoredUpToMs {
+			delete(held.batches, key)
+		}
+	}
 	return len(held.ended)
 }
 
@@ -56,18 +66,28 @@
 		if v, ok := held.open[id]; ok && held.dead {
 			return v, true
 		}
+		for _, b := range held.batches {
+			if v, ok := b.find(id); ok {
+				return v, true
+			}
+		}
 	}
 	return verdict.Verdict{}, false
 }
 
 // died turns what is held for a dead daemon into verdicts to be stored: a
 // request without a verdict may or may not have run.
-func (c copies) died(run string, now clock.Millis) []verdict.Verdict {
+// Batches that were not stored come beside them.
+func (c copies) died(run string, now clock.Millis) ([]verdict.Verdict, []segment) {
 	held, ok := c.byRun[run]
 	if !ok || held.dead {
-		return nil
+		return nil, nil
 	}
 	held.dead = true
+	var batches []segment
+	for _, b := range held.batches {
+		batches = append(batches, b)
+	}
 	var verdicts []verdict.Verdict
 	for _, v := range held.ended {
 		verdicts = append(verdicts, v)
@@ -79,7 +99,7 @@
 		held.open[id] = v
 		verdicts = append(verdicts, v)
 	}
-	return verdicts
+	return verdicts, batches
 }
 
 // TakeCopies keeps another daemon's verdicts.
@@ -94,7 +114,8 @@
 func (r *Recorder) DaemonDied(run, daemon string) {
 	now := r.common.Clock.Now()
 	r.mu.Lock()
-	verdicts := r.copies.died(run, now)
+	verdicts, batches := r.copies.died(run, now)
+	r.segments = append(r.segments, batches...)
 	r.mu.Unlock()
 	if len(verdicts) == 0 {
 		return
--- a/hemlockd/internal/verdicts/recorder.go
+++ b/hemlockd/internal/verdicts/recorder.go
@@ -161,9 +161,10 @@
 			close(r.takeCopies().sent)
 			return
 		case <-r.wake:
-			r.sendCopies(nil)
+			r.sendCopies(nil, nil)
 		case <-ticker.C:
-			r.sendCopies(r.newlyOpen())
+			opened := r.newlyOpen()
+			r.sendCopies(opened, r.unheldBatch())
 		}
 	}
 }
@@ -197,16 +198,18 @@
 	return opened
 }
 
-func (r *Recorder) sendCopies(opened []verdict.Verdict) {
+func (r *Recorder) sendCopies(opened []verdict.Verdict, batches []daemons.CopyBatch) {
 	batch := r.takeCopies()
 	defer close(batch.sent)
 	holder := r.peers.CopyHolder()
-	if holder == "" || len(batch.verdicts) == 0 && len(opened) == 0 {
+	if holder == "" || len(batch.verdicts) == 0 && len(opened) == 0 && len(batches) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, (2 * copyTimeout).Duration())
 	defer cancel()
-	req := daemons.CopyRequest{From: r.common.Self(), Opened: opened, Verdicts: batch.verdicts, StoredUpToMs: r.storedUpTo()}
+	req := daemons.CopyRequest{
+		From: r.common.Self(), Opened: opened, Verdicts: batch.verdicts, Batches: batches, StoredUpToMs: r.storedUpTo(),
+	}
 	if err := r.peers.CopyVerdicts(ctx, holder, req); err != nil {
 		metrics.Add("copyFailures", 1)
 		r.mu.Lock()
@@ -214,6 +217,7 @@
 		r.mu.Unlock()
 		return
 	}
+	r.batchesHeld(batches, holder)
 	metrics.Add("copied", int64(len(batch.verdicts)))
 }
 
--- a/hemlockd/internal/verdicts/segments.go
+++ b/hemlockd/internal/verdicts/segments.go
@@ -16,6 +16,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/platform"
 	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/daemons"
 )
 
 // lookupObjects bounds the objects that one lookup reads.
@@ -27,7 +28,9 @@
 	key        string
 	body       []byte
 	firstEndMs clock.Millis
-	count      int
+	lastEndMs  clock.Millis
+	// holder is the daemon that has copies of all its verdicts, or "".
+	holder string
 }
 
 // objectKey names a batch so that those of one daemon are listed by the time of
@@ -42,7 +45,7 @@
 	var buffer bytes.Buffer
 	zip := gzip.NewWriter(&buffer)
 	encoder := json.NewEncoder(zip)
-	s := segment{key: objectKey(daemon, now, suffix), firstEndMs: now, count: len(verdicts)}
+	s := segment{key: objectKey(daemon, now, suffix), firstEndMs: now, lastEndMs: now}
 	for _, v := range verdicts {
 		s.firstEndMs = min(s.firstEndMs, v.EndMs)
 		if err := encoder.Encode(v); err != nil {
@@ -112,10 +115,36 @@
 		r.common.Log.Error("verdicts can't be encoded", zap.Error(err))
 		return
 	}
+	s.holder = r.holder
 	r.segments = append(r.segments, s)
 	r.unstored = nil
 }
 
+// unheldBatch returns a batch that the holder has no copy of.
+func (r *Recorder) unheldBatch() []daemons.CopyBatch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.segments {
+		if s.holder != r.holder && r.holder != "" {
+			return []daemons.CopyBatch{{Key: s.key, Body: s.body, FirstEndMs: s.firstEndMs, LastEndMs: s.lastEndMs}}
+		}
+	}
+	return nil
+}
+
+// batchesHeld notes that the holder has copies of batches now.
+func (r *Recorder) batchesHeld(batches []daemons.CopyBatch, holder string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, batch := range batches {
+		for i := range r.segments {
+			if r.segments[i].key == batch.Key {
+				r.segments[i].holder = holder
+			}
+		}
+	}
+}
+
 // upload stores batches, oldest first, until one fails.
 func (r *Recorder) upload(ctx context.Context) {
 	for {
--- /dev/null
+++ b/hemlockd/internal/verdicts/verdicts_test.go
@@ -0,0 +1,152 @@
+package verdicts
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/invariant"
+	"hemlockmux.example/common/platform"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/daemons"
+	"hemlockmux.example/hemlockd/internal/shared"
+)
+
+// fakePeers is a holder of copies in memory.
+type fakePeers struct {
+	mu   sync.Mutex
+	held copies
+	down bool
+}
+
+func (p *fakePeers) CopyHolder() string { return "holder" }
+
+func (p *fakePeers) CopyVerdicts(_ context.Context, _ string, req daemons.CopyRequest) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return &platform.UnavailableError{Op: "copy"}
+	}
+	p.held.add(req)
+	return nil
+}
+
+// newTestRecorder returns a recorder whose object store answers 503 while away
+// holds a value.
+func newTestRecorder(t *testing.T, peers Peers, away *sync.Map, violated *int) *Recorder {
+	objects := map[string]bool{}
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, down := away.Load("down"); down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		objects[r.URL.Path] = true
+	}))
+	t.Cleanup(store.Close)
+	client, closeClient := platform.NewObjects(store.URL, "b", "", clock.Second)
+	t.Cleanup(closeClient)
+	log := zap.NewNop()
+	inv := invariant.New(log)
+	inv.OnViolation(func(invariant.Name, string) { *violated++ })
+	cfg := shared.DefaultConfig()
+	cfg.Name = "vm-1"
+	common := shared.Common{Log: log, Clock: clock.System(), Config: cfg, Invariants: inv, Incarnation: 1}
+	r, closeRecorder := New(common, client, peers, func() clock.Millis { return clock.Hour })
+	t.Cleanup(closeRecorder)
+	return r
+}
+
+func record(r *Recorder, end clock.Millis) string {
+	id := verdict.NewID("vm-1", end)
+	v := verdict.Verdict{RequestID: id, StartMs: end, Daemon: "vm-1"}
+	r.Open(v)
+	v.Outcome, v.Ran, v.EndMs = verdict.Refused, problem.RanNo, end
+	r.Close(context.Background(), v)
+	return id
+}
+
+func TestRequestHasOneVerdict(t *testing.T) {
+	var away sync.Map
+	violated := 0
+	r := newTestRecorder(t, &fakePeers{held: newCopies()}, &away, &violated)
+	id := record(r, 1000)
+	r.Close(context.Background(), verdict.Verdict{RequestID: id, Outcome: verdict.Run})
+	if violated != 1 {
+		t.Errorf("a second verdict violated %d invariants", violated)
+	}
+	if found := r.Find(daemons.FindRequest{RequestID: id}); found.Verdict.Outcome != verdict.Refused {
+		t.Errorf("the verdict is now %q", found.Verdict.Outcome)
+	}
+}
+
+// While the store is away verdicts wait in batches, can be found, and keep
+// their copies; when it is back they are stored and the copies may go.
+func TestVerdictsOutliveAnOutage(t *testing.T) {
+	var away sync.Map
+	violated := 0
+	peers := &fakePeers{held: newCopies()}
+	r := newTestRecorder(t, peers, &away, &violated)
+	away.Store("down", true)
+	var ids []string
+	for i := range 500 {
+		ids = append(ids, record(r, clock.Millis(1000+i)))
+		if i%100 == 99 {
+			r.seal()
+			r.upload(context.Background())
+		}
+	}
+	if len(r.segments) != 5 || r.storedUpTo() != 1000 {
+		t.Fatalf("%d batches wait, stored up to %d", len(r.segments), r.storedUpTo())
+	}
+	clear(r.recent)
+	for _, id := range ids {
+		if !r.Find(daemons.FindRequest{RequestID: id}).Found {
+			t.Fatalf("%s can't be found during the outage", id)
+		}
+	}
+	if v, ok := peers.held.find(ids[0]); !ok || v.Ran != problem.RanNo {
+		t.Error("the first verdict has no copy")
+	}
+	bytes := 0
+	for _, s := range r.segments {
+		bytes += len(s.body)
+	}
+	t.Logf("%d bytes for each verdict in a waiting batch", bytes/len(ids))
+	away.Delete("down")
+	r.upload(context.Background())
+	if len(r.segments) != 0 || r.storedUpTo() < 2000 {
+		t.Errorf("%d batches wait, stored up to %d", len(r.segments), r.storedUpTo())
+	}
+}
+
+// A holder turns what it has of a dead daemon into verdicts: the ended as they
+// are, the open as not known.
+func TestCopiesOfADeadDaemon(t *testing.T) {
+	c := newCopies()
+	c.add(daemons.CopyRequest{From: "vm-2~1", Opened: []verdict.Verdict{{RequestID: "open"}, {RequestID: "ended"}}})
+	c.add(daemons.CopyRequest{From: "vm-2~1", Verdicts: []verdict.Verdict{
+		{RequestID: "ended", Outcome: verdict.Refused, Ran: problem.RanNo, EndMs: 50}, {RequestID: "stored", EndMs: 10},
+	}})
+	c.add(daemons.CopyRequest{From: "vm-2~1", StoredUpToMs: 20})
+	c.add(daemons.CopyRequest{From: "vm-2~1", Batches: []daemons.CopyBatch{{Key: "waits", LastEndMs: 60}, {Key: "gone", LastEndMs: 10}}, StoredUpToMs: 20})
+	got := map[string]problem.Ran{}
+	verdicts, batches := c.died("vm-2~1", 99)
+	if len(batches) != 1 || batches[0].key != "waits" {
+		t.Errorf("batches: %+v", batches)
+	}
+	for _, v := range verdicts {
+		got[v.RequestID] = v.Ran
+	}
+	if len(got) != 2 || got["open"] != problem.RanUnknown || got["ended"] != problem.RanNo {
+		t.Errorf("%v", got)
+	}
+	if again, _ := c.died("vm-2~1", 100); again != nil {
+		t.Errorf("a death is reported twice: %v", again)
+	}
+}
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 proofs="
 blindTable ./hemlockd/internal/placements TestClaimIsWonAtMostOnce
+blindTable ./common/settings TestChangesAreAuditedOnce
 blindTable ./hemlockd/e2e TestPlacementRunsAtMostOnce
 noPeers ./hemlockd/e2e TestVerdictOutlivesItsDaemon
 noResume ./hemlockd/e2e TestAnswerIsWhole
