Copies of verdicts cost no message where a request was handed over; views meet again for sure

The keeper that ran a request for another daemon of its data centre knows how it ended. Change: it keeps the copy; only refusals, and runs that were not handed over, are sent.

Change: the one not probed for longest, every fourth period, every period by a daemon that sees nobody; when one returns all deaths are told anew, for the others on its side to refute.

Cause 3: entries of newly met daemons were passed on 18 times by each of 60: at a start of all at once 4 KB a second for 45 s. Change: 3 times.

Cause 4: a lone daemon did not see its own settings version confirmed.

Cause 5: per chunk, three timers were moved, a channel was made and an unneeded argument list built. Change: none of them in the usual case.

--- a/common/problem/problem.go
+++ b/common/problem/problem.go
@@ -52,7 +52,6 @@
 	CrashSuspect         Reason = "crashSuspect"
 	PlatformUnavailable  Reason = "platformUnavailable"
 	OutcomeUnknown       Reason = "outcomeUnknown"
-	ShuttingDown         Reason = "shuttingDown"
 	NotReady             Reason = "notReady"
 	DataCentreOutOfReach Reason = "dataCentreOutOfReach"
 	CallerGone           Reason = "callerGone"
@@ -70,7 +69,7 @@
 	NoUpstream: http.StatusServiceUnavailable, UpstreamFailed: http.StatusBadGateway,
 	UpstreamSilent: http.StatusGatewayTimeout, CrashSuspect: http.StatusUnprocessableEntity,
 	PlatformUnavailable: http.StatusServiceUnavailable, OutcomeUnknown: http.StatusConflict,
-	ShuttingDown: http.StatusServiceUnavailable, NotReady: http.StatusServiceUnavailable,
+	NotReady:             http.StatusServiceUnavailable,
 	DataCentreOutOfReach: http.StatusServiceUnavailable, CallerGone: 499,
 	DaemonLost: http.StatusBadGateway, Internal: http.StatusInternalServerError,
 }
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -144,9 +144,9 @@
 		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
 	})
 	closeDaemons, err := d.daemons.Start(daemons.Handlers{
-		HandOff:      handoff.NewServer(d.configuration, k, svc),
+		HandOff:      handoff.NewServer(cfg.DataCentre, d.configuration, k, svc, recorder.TakeCopies),
 		CopyVerdicts: recorder.TakeCopies, FindVerdict: recorder.Find,
-		Lend: front.Lend, Suspects: suspectNews(common, sus), LearnSuspects: learnSuspects(common, sus),
+		StoredUpTo: recorder.StoredUpTo, Lend: front.Lend, Suspects: suspectNews(common, sus), LearnSuspects: learnSuspects(common, sus),
 		DaemonDied: func(m membership.Member) {
 			k.FrontDied(daemons.RunName(m))
 			recorder.DaemonDied(daemons.RunName(m), m.Name)
--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -40,18 +40,25 @@
 	}
 }
 
-// stopContexts returns a context that ends with the first signal to stop, and
-// one that ends with the second.
+// stopSignals ends one context with the first signal to stop, and another with
+// the second.
+type stopSignals struct {
+	signals          chan os.Signal
+	endSoft, endHard context.CancelFunc
+}
+
+func (s *stopSignals) run() {
+	<-s.signals
+	s.endSoft()
+	<-s.signals
+	s.endHard()
+}
+
 func stopContexts() (soft, hard context.Context) {
-	soft, endSoft := context.WithCancel(context.Background())
-	hard, endHard := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	go func() {
-		<-signals
-		endSoft()
-		<-signals
-		endHard()
-	}()
+	s := &stopSignals{signals: make(chan os.Signal, 2)}
+	soft, s.endSoft = context.WithCancel(context.Background())
+	hard, s.endHard = context.WithCancel(context.Background())
+	signal.Notify(s.signals, os.Interrupt, syscall.SIGTERM)
+	go s.run()
 	return soft, hard
 }
--- a/hemlockd/internal/callers/callers.go
+++ b/hemlockd/internal/callers/callers.go
@@ -13,6 +13,7 @@
 	"expvar"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -86,6 +87,9 @@
 	verdict verdict.Verdict
 	// begun says that the head of the answer has been sent.
 	begun bool
+
+	controller  *http.ResponseController
+	deadlineDue time.Time // when the write deadline is to be renewed
 }
 
 // exchange makes a handler of a method that either answers the request itself
--- a/hemlockd/internal/callers/whole.go
+++ b/hemlockd/internal/callers/whole.go
@@ -14,7 +14,9 @@
 
 // checkOrder asserts that chunks come in order without gap or repeat.
 func (e *exchange) checkOrder(c streams.Chunk, next int) {
-	e.c.common.Invariants.Check(invariant.WholeAnswer, c.Offset == next, "requestId", e.id, "offset", c.Offset, "next", next)
+	if c.Offset != next { // the arguments are made only for a violation
+		e.c.common.Invariants.Check(invariant.WholeAnswer, false, "requestId", e.id, "offset", c.Offset, "next", next)
+	}
 }
 
 // wholeSink gathers an answer for a caller that did not ask for a stream.
--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -29,6 +29,7 @@
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
 
+	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/membership"
@@ -51,6 +52,8 @@
 	CopyVerdicts func(CopyRequest) CopyAnswer
 	// FindVerdict looks a verdict up in memory.
 	FindVerdict func(FindRequest) FindAnswer
+	// StoredUpTo is the time before which all own verdicts are stored.
+	StoredUpTo func() clock.Millis
 	// Lend gives away what a team does not use here.
 	Lend func(LendRequest) LendAnswer
 	// Suspects is this daemon's share of the news.
@@ -156,6 +159,7 @@
 	d.mu.Lock()
 	d.members.SetVersion(version)
 	d.mu.Unlock()
+	d.publishViews()
 	select {
 	case d.news <- struct{}{}:
 	default:
--- a/hemlockd/internal/daemons/messages.go
+++ b/hemlockd/internal/daemons/messages.go
@@ -20,6 +20,9 @@
 // ProbeMessage is a probe or its answer.
 type ProbeMessage struct {
 	Membership membership.Message `json:"membership"`
+	// StoredUpToMs says that the object store has all of the sender's verdicts
+	// that ended before, so that their copies may go.
+	StoredUpToMs clock.Millis `json:"storedUpToMs,omitempty"`
 	// Suspects holds the crash suspects that the sender learned of lately.
 	Suspects []SuspectNews `json:"suspects,omitempty"`
 }
@@ -47,6 +50,8 @@
 	Opened []verdict.Verdict `json:"opened,omitempty"`
 	// Verdicts are the verdicts of requests that have ended.
 	Verdicts []verdict.Verdict `json:"verdicts,omitempty"`
+	// Closed are opened requests whose verdict is kept elsewhere.
+	Closed []string `json:"closed,omitempty"`
 	// Batches are verdicts that wait for the object store, as they will be
 	// stored; a new holder of copies is sent them one by one.
 	Batches []CopyBatch `json:"batches,omitempty"`
--- a/hemlockd/internal/daemons/probe.go
+++ b/hemlockd/internal/daemons/probe.go
@@ -94,6 +94,7 @@
 	msg := ProbeMessage{Membership: d.members.Message(to)}
 	d.mu.Unlock()
 	msg.Suspects = d.handlers.Suspects()
+	msg.StoredUpToMs = d.handlers.StoredUpTo()
 	return msg
 }
 
@@ -104,6 +105,7 @@
 	d.members.Receive(msg.Membership, now)
 	d.mu.Unlock()
 	d.handlers.LearnSuspects(msg.Suspects)
+	d.handlers.CopyVerdicts(CopyRequest{From: RunName(msg.Membership.From), StoredUpToMs: msg.StoredUpToMs})
 	d.publishViews()
 	if msg.Membership.From.Version > d.configuration.Version() {
 		d.catchUp(msg.Membership.From.Address)
--- a/hemlockd/internal/handoff/server.go
+++ b/hemlockd/internal/handoff/server.go
@@ -15,7 +15,9 @@
 	"hemlockmux.example/common/prefix"
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/settings"
+	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/daemons"
 	"hemlockmux.example/hemlockd/internal/keeper"
 	"hemlockmux.example/hemlockd/internal/services"
 	"hemlockmux.example/hemlockd/internal/streams"
@@ -29,11 +31,15 @@
 	configuration *configuration.Configuration
 	keeper        *keeper.Keeper
 	services      *services.Services
+	dataCentre    string
+	copies        func(daemons.CopyRequest) daemons.CopyAnswer
 }
 
 // NewServer returns the handler for the daemons' port.
-func NewServer(cfg *configuration.Configuration, k *keeper.Keeper, s *services.Services) http.Handler {
-	server := &Server{configuration: cfg, keeper: k, services: s}
+// copies keeps the verdicts of the requests that are run here for another daemon
+// of this data centre.
+func NewServer(dataCentre string, cfg *configuration.Configuration, k *keeper.Keeper, s *services.Services, copies func(daemons.CopyRequest) daemons.CopyAnswer) http.Handler {
+	server := &Server{configuration: cfg, keeper: k, services: s, dataCentre: dataCentre, copies: copies}
 	r := chi.NewRouter()
 	r.Post("/models", server.model)
 	r.Post("/services", server.service)
@@ -71,6 +77,9 @@
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-ID")); err == nil {
 		from = last + 1
 	}
+	if call.FrontCentre == s.dataCentre {
+		s.copies(daemons.CopyRequest{From: call.Front, Opened: []verdict.Verdict{verdictOf(call)}})
+	}
 	run, p := s.begin(call, body)
 	writer := newEventWriter(w)
 	if p != nil {
@@ -88,10 +97,38 @@
 		}
 	}
 	if result := run.Result(); result != nil {
+		s.keepVerdict(call, result)
 		_ = writer.result(result)
 	}
 }
 
+// keepVerdict keeps the copy of a verdict on a request that was run here; of
+// what came to nothing here the front tells its holder itself.
+func (s *Server) keepVerdict(call keeper.Call, result *keeper.Result) {
+	if call.FrontCentre != s.dataCentre {
+		return
+	}
+	n := len(result.Attempts)
+	if result.Problem != nil || n == 0 {
+		s.copies(daemons.CopyRequest{From: call.Front, Closed: []string{call.RequestID}})
+		return
+	}
+	v := verdictOf(call)
+	v.Outcome, v.Ran, v.Status, v.Attempts = verdict.Run, problem.RanYes, http.StatusOK, result.Attempts
+	v.EndMs = call.ArrivedMs + result.Attempts[n-1].EndMs - result.Attempts[0].StartMs
+	s.copies(daemons.CopyRequest{From: call.Front, Verdicts: []verdict.Verdict{v}})
+}
+
+// verdictOf is what a call tells of the verdict on it.
+func verdictOf(call keeper.Call) verdict.Verdict {
+	front, _, _ := verdict.ParseID(call.RequestID)
+	return verdict.Verdict{
+		RequestID: call.RequestID, Team: call.Team, Target: call.Model, Daemon: front, DataCentre: call.FrontCentre,
+		SettingsVersion: call.SettingsVersion, StartMs: call.ArrivedMs, EndMs: call.ArrivedMs,
+		Outcome: verdict.Unknown, Ran: problem.RanUnknown,
+	}
+}
+
 // begin fills in what did not travel with the call and starts it.
 func (s *Server) begin(call keeper.Call, body []byte) (*keeper.Run, *problem.Problem) {
 	tree := s.configuration.Tree()
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -129,8 +129,8 @@
 		// The first chunk waits for the transfer as well.
 		stall += time.Duration(r.transferMs()) * time.Millisecond
 	}
-	watchdog := time.AfterFunc(stall, func() { cancel(errStalled) })
-	defer watchdog.Stop()
+	watchdog := newWatchdog(stall, func() { cancel(errStalled) })
+	defer watchdog.stop()
 	for chunk, err := range r.keeper.client.Stream(ctx, r.engine(name), call, from) {
 		if err != nil {
 			if errors.Is(context.Cause(ctx), errStalled) {
@@ -145,7 +145,7 @@
 		if len(ready) == 0 {
 			continue
 		}
-		watchdog.Reset(r.tree.System.Policy.StallMs.Duration())
+		watchdog.progress(r.tree.System.Policy.StallMs.Duration())
 		r.deliver(ready)
 	}
 	if !assembler.Done() {
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -65,6 +65,9 @@
 	ArrivedMs    clock.Millis `json:"arrivedMs"`
 	// Front is the run of the daemon that took the request from its caller.
 	Front string `json:"front"`
+	// FrontCentre and SettingsVersion are that daemon's.
+	FrontCentre     string `json:"frontCentre"`
+	SettingsVersion int64  `json:"settingsVersion"`
 	// What follows is filled in again by the daemon that a call is handed to.
 	Allowed map[string]bool `json:"-"`
 	Hashes  []uint64        `json:"-"`
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -40,7 +40,8 @@
 	mu       sync.Mutex
 	chunks   []streams.Chunk
 	result   *Result
-	changed  chan struct{} // closed and replaced when chunks or result change
+	changed  chan struct{} // closed and replaced when there is news and a reader waits
+	waiting  bool
 	readers  int
 	detached *time.Timer
 
@@ -142,6 +143,7 @@
 			r.mu.Lock()
 			ready := r.chunks[min(from, len(r.chunks)):]
 			ended, changed := r.result != nil, r.changed
+			r.waiting = r.waiting || len(ready) == 0
 			r.mu.Unlock()
 			if len(ready) > 0 {
 				if !yield(ready) {
@@ -188,8 +190,11 @@
 	if result != nil {
 		r.result = result
 	}
-	close(r.changed)
-	r.changed = make(chan struct{})
+	if r.waiting {
+		r.waiting = false
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
 }
 
 // run carries the call out.
@@ -406,6 +411,9 @@
 	if err == nil {
 		return problem.New(problem.NoUpstream, "no engine is left for the %s", phase).RetryIn(clock.Second)
 	}
+	if errors.Is(err, errStalled) {
+		return problem.New(problem.UpstreamSilent, "the %s made no progress in time", phase).RetryIn(clock.Second)
+	}
 	return problem.New(problem.UpstreamFailed, "the %s failed: %v", phase, err).RetryIn(clock.Second)
 }
 
--- a/hemlockd/internal/membership/membership.go
+++ b/hemlockd/internal/membership/membership.go
@@ -49,9 +49,9 @@
 	// otherCentrePeriods is the number of periods between two probes of another
 	// data centre.
 	otherCentrePeriods = 4
-	// deadPeriods is the number of periods between two probes of a daemon that
-	// is thought dead, so that views meet again after a cut.
-	deadPeriods = 8
+	// deadPeriods is the number of periods between two probes of daemons that are
+	// thought dead, one after the other, so that views meet again after a cut.
+	deadPeriods = 4
 	// forgetAfter is how long a dead daemon is remembered.
 	forgetAfter = 10 * clock.Minute
 )
@@ -104,6 +104,8 @@
 	heardAt  clock.Millis
 	deadAt   clock.Millis
 	sends    int // how often the newest news of it may still be passed on
+	// probedDead is the period of the last probe of it as a dead daemon.
+	probedDead int
 }
 
 // Membership is the view of one daemon. It is not safe for concurrent use.
@@ -164,8 +166,8 @@
 			return e.DataCentre != m.self.DataCentre && e.State != Dead
 		})
 	}
-	if m.period%deadPeriods == 2 {
-		probes = m.appendRandom(probes, func(e *entry) bool { return e.State == Dead })
+	if m.period%deadPeriods == 2 || len(probes) == 0 {
+		probes = m.appendDead(probes)
 	}
 	if m.period%2 == 1 {
 		probes = m.appendSeed(probes)
@@ -248,6 +250,21 @@
 	return append(probes, candidates[m.rng.IntN(len(candidates))])
 }
 
+// appendDead adds the dead daemon that was not probed for longest.
+func (m *Membership) appendDead(probes []string) []string {
+	var longest *entry
+	for _, e := range m.sorted() {
+		if e.State == Dead && (longest == nil || e.probedDead < longest.probedDead) {
+			longest = e
+		}
+	}
+	if longest == nil {
+		return probes
+	}
+	longest.probedDead = m.period
+	return append(probes, longest.Address)
+}
+
 func (m *Membership) appendSeed(probes []string) []string {
 	if len(m.seeds) == 0 {
 		return probes
@@ -300,7 +317,12 @@
 
 // Receive takes in a probe or an answer.
 func (m *Membership) Receive(msg Message, now clock.Millis) {
+	before, known := m.entries[msg.From.Name]
+	returned := known && before.State == Dead && msg.From.State != Dead
 	m.merge(msg.From, now)
+	if returned {
+		m.tellDeaths()
+	}
 	if e, ok := m.entries[msg.From.Name]; ok {
 		e.failures = 0
 		e.heardAt = now
@@ -311,6 +333,17 @@
 	}
 }
 
+// tellDeaths passes all deaths on anew: a daemon that is back may stand for a
+// whole side of a cut, whose other daemons must hear of their deaths to refute
+// them.
+func (m *Membership) tellDeaths() {
+	for _, e := range m.entries {
+		if e.State == Dead {
+			e.sends = m.sendsPerNews()
+		}
+	}
+}
+
 func (m *Membership) merge(member Member, now clock.Millis) {
 	if member.Name == m.self.Name {
 		m.refute(member)
@@ -335,9 +368,13 @@
 }
 
 // sendsOf is how often the news that replaces old is worth passing on. A newer
-// version alone is told by the daemon itself in every message; passing it on
-// often would crowd out the news of a death.
+// version alone is told by the daemon itself in every message, and a daemon that
+// was not known yet makes itself known by its probes; passing these on often
+// would crowd out the news of a death.
 func (m *Membership) sendsOf(member, old Member, first bool) int {
+	if first && member.State == Live {
+		return newsSends
+	}
 	if !first && member.Started == old.Started && member.Incarnation == old.Incarnation && member.State == old.State {
 		return 1
 	}
--- a/hemlockd/internal/operators/operators.go
+++ b/hemlockd/internal/operators/operators.go
@@ -13,6 +13,7 @@
 	"errors"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,6 +84,12 @@
 		r.Get("/upstreams", o.upstreams)
 		r.Get("/verdicts/{id}", o.verdict)
 	})
+	r.Route("/debug/pprof", func(r chi.Router) {
+		r.Use(o.authenticate)
+		r.Get("/profile", pprof.Profile)
+		r.Get("/heap", pprof.Handler("heap").ServeHTTP)
+		r.Get("/goroutine", pprof.Handler("goroutine").ServeHTTP)
+	})
 	return r
 }
 
--- a/hemlockd/internal/verdicts/copies.go
+++ b/hemlockd/internal/verdicts/copies.go
@@ -7,6 +7,10 @@
 	"hemlockmux.example/hemlockd/internal/daemons"
 )
 
+// keepCopies is how much longer than its original a copy is kept: its end is
+// put together from times that two VMs took.
+const keepCopies = 30 * clock.Second
+
 // copies holds other daemons' verdicts, by the run of the daemon.
 type copies struct {
 	byRun map[string]*runCopies
@@ -42,16 +46,19 @@
 		delete(held.open, v.RequestID)
 		held.ended[v.RequestID] = v
 	}
+	for _, id := range req.Closed {
+		delete(held.open, id)
+	}
 	for _, b := range req.Batches {
 		held.batches[b.Key] = segment{key: b.Key, body: b.Body, firstEndMs: b.FirstEndMs, lastEndMs: b.LastEndMs}
 	}
 	for id, v := range held.ended {
-		if v.EndMs < req.StoredUpToMs {
+		if v.EndMs+keepCopies < req.StoredUpToMs {
 			delete(held.ended, id)
 		}
 	}
 	for key, b := range held.batches {
-		if b.lastEndMs < req.StoredUpToMs {
+		if b.lastEndMs+keepCopies < req.StoredUpToMs {
 			delete(held.batches, key)
 		}
 	}
@@ -106,6 +113,9 @@
 func (r *Recorder) TakeCopies(req daemons.CopyRequest) daemons.CopyAnswer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if _, known := r.copies.byRun[req.From]; !known && len(req.Opened)+len(req.Verdicts)+len(req.Batches) == 0 {
+		return daemons.CopyAnswer{}
+	}
 	held := r.copies.add(req)
 	return daemons.CopyAnswer{Held: held}
 }
--- a/hemlockd/internal/verdicts/recorder.go
+++ b/hemlockd/internal/verdicts/recorder.go
@@ -51,15 +51,17 @@
 	peers    Peers
 	interval func() clock.Millis
 
-	mu       sync.Mutex
-	open     map[string]verdict.Verdict
-	told     map[string]bool            // open requests that the holder knows
-	recent   map[string]verdict.Verdict // ended, in memory
-	unstored []verdict.Verdict          // not yet in a batch
-	segments []segment                  // batches not yet in the store
-	copying  *copyBatch                 // gathers while a copy is under way
-	holder   string
-	copies   copies
+	mu   sync.Mutex
+	open map[string]verdict.Verdict
+	told map[string]bool // open requests that the holder knows
+	// elsewhere holds the open requests whose copy is where they were handed to.
+	elsewhere map[string]bool
+	recent    map[string]verdict.Verdict // ended, in memory
+	unstored  []verdict.Verdict          // not yet in a batch
+	segments  []segment                  // batches not yet in the store
+	copying   *copyBatch                 // gathers while a copy is under way
+	holder    string
+	copies    copies
 
 	wake   chan struct{}
 	ctx    context.Context
@@ -79,7 +81,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Recorder{
 		common: common, store: store, peers: peers, interval: interval,
-		open: map[string]verdict.Verdict{}, told: map[string]bool{}, recent: map[string]verdict.Verdict{},
+		open: map[string]verdict.Verdict{}, told: map[string]bool{}, elsewhere: map[string]bool{}, recent: map[string]verdict.Verdict{},
 		copying: newCopyBatch(), copies: newCopies(), wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	r.done.Add(2)
@@ -108,6 +110,17 @@
 	metrics.Add("opened", 1)
 }
 
+// HeldElsewhere notes that the daemon which an open request was handed to keeps
+// the copy of its verdict, so that none needs to be sent.
+func (r *Recorder) HeldElsewhere(requestID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, open := r.open[requestID]; open {
+		r.told[requestID] = true
+		r.elsewhere[requestID] = true
+	}
+}
+
 // Close records the verdict of a request that was opened, and waits until
 // another VM holds a copy, at most copyTimeout.
 func (r *Recorder) Close(ctx context.Context, v verdict.Verdict) {
@@ -120,15 +133,24 @@
 	}
 	delete(r.open, v.RequestID)
 	delete(r.told, v.RequestID)
+	// Whoever it was handed to knows a run, but not what came of it here else.
+	held := r.elsewhere[v.RequestID] && v.Outcome == verdict.Run
+	delete(r.elsewhere, v.RequestID)
 	r.recent[v.RequestID] = v
 	r.unstored = append(r.unstored, v)
 	batch := r.copying
-	batch.verdicts = append(batch.verdicts, v)
+	if !held {
+		batch.verdicts = append(batch.verdicts, v)
+	}
 	r.mu.Unlock()
 	metrics.Add(string(v.Outcome), 1)
 	if v.Reason != "" {
 		metrics.Add("reason:"+string(v.Reason), 1)
 	}
+	if held {
+		metrics.Add("copyElsewhere", 1)
+		return
+	}
 	select {
 	case r.wake <- struct{}{}:
 	default:
@@ -208,7 +230,7 @@
 	ctx, cancel := context.WithTimeout(r.ctx, (2 * copyTimeout).Duration())
 	defer cancel()
 	req := daemons.CopyRequest{
-		From: r.common.Self(), Opened: opened, Verdicts: batch.verdicts, Batches: batches, StoredUpToMs: r.storedUpTo(),
+		From: r.common.Self(), Opened: opened, Verdicts: batch.verdicts, Batches: batches, StoredUpToMs: r.StoredUpTo(),
 	}
 	if err := r.peers.CopyVerdicts(ctx, holder, req); err != nil {
 		metrics.Add("copyFailures", 1)
@@ -221,8 +243,8 @@
 	metrics.Add("copied", int64(len(batch.verdicts)))
 }
 
-// storedUpTo is the time before which every verdict that ended is stored.
-func (r *Recorder) storedUpTo() clock.Millis {
+// StoredUpTo is the time before which every verdict that ended is stored.
+func (r *Recorder) StoredUpTo() clock.Millis {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	upTo := r.common.Clock.Now()
--- a/hemlockd/internal/verdicts/segments.go
+++ b/hemlockd/internal/verdicts/segments.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"path"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +23,9 @@
 // lookupObjects bounds the objects that one lookup reads.
 const lookupObjects = 200
 
+// maxObjectBytes bounds the objects that waiting batches are joined to.
+const maxObjectBytes = 1 << 20
+
 // segment is a batch of verdicts as it is stored: JSON lines, compressed, so
 // that hours of a platform outage fit in memory.
 type segment struct {
@@ -118,6 +122,26 @@
 	s.holder = r.holder
 	r.segments = append(r.segments, s)
 	r.unstored = nil
+	r.mergeLocked()
+}
+
+// mergeLocked joins batches that have waited for the store, so that the end of
+// an outage of hours does not bring a write for each interval of it: gzip
+// streams may be joined end to end.
+func (r *Recorder) mergeLocked() {
+	for len(r.segments) >= 2 {
+		last := len(r.segments) - 1
+		a, b := r.segments[last-1], r.segments[last]
+		if path.Dir(a.key) != path.Dir(b.key) || len(a.body)+len(b.body) > maxObjectBytes {
+			return
+		}
+		if a.holder != b.holder {
+			b.holder = ""
+		}
+		b.body = append(append([]byte(nil), a.body...), b.body...)
+		b.firstEndMs = min(a.firstEndMs, b.firstEndMs)
+		r.segments = append(r.segments[:last-1], b)
+	}
 }
 
 // unheldBatch returns a batch that the holder has no copy of.
