Answers of services whole with their headers; storms and bad requests proved; large files split

Cause and change, one line a finding: - Of a service's answer only status, content type and body reached the caller, and a lookup over 64 KB failed with 'ran: yes'.

Ruled out: fewer flushes to make chunks cheaper (each token would wait).

--- a/hemlockd/internal/callers/services.go
+++ b/hemlockd/internal/callers/services.go
@@ -48,8 +48,11 @@
 	if out.Replayed {
 		e.w.Header().Set("Idempotency-Replayed", "true")
 	}
+	for key, values := range out.Answer.Header {
+		e.w.Header()[key] = values
+	}
 	e.succeed(out.Answer.Status)
-	e.writeWhole(out.Answer.Status, out.Answer.ContentType, out.Answer.Body)
+	e.writeWhole(out.Answer.Status, out.Answer.Body)
 	return nil
 }
 
--- a/hemlockd/internal/callers/whole.go
+++ b/hemlockd/internal/callers/whole.go
@@ -83,16 +83,16 @@
 		return problem.New(problem.Internal, "the answer can't be encoded: %v", err).WithRan(problem.RanYes)
 	}
 	s.succeed(http.StatusOK)
-	s.writeWhole(http.StatusOK, "application/json", body)
+	s.w.Header().Set("Content-Type", "application/json")
+	s.writeWhole(http.StatusOK, body)
 	return nil
 }
 
 // writeWhole sends a whole answer.
-func (e *exchange) writeWhole(status int, contentType string, body []byte) {
-	if contentType != "" {
-		e.w.Header().Set("Content-Type", contentType)
+func (e *exchange) writeWhole(status int, body []byte) {
+	if e.r.Method != http.MethodHead {
+		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	e.w.WriteHeader(status)
 	if _, err := e.w.Write(body); err != nil {
 		metrics.Add("callersGone", 1)
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -2,21 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"iter"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"hemlockmux.example/common/admission"
 	"hemlockmux.example/common/clock"
-	"hemlockmux.example/common/completions"
 	"hemlockmux.example/common/invariant"
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/settings"
 	"hemlockmux.example/common/verdict"
-	"hemlockmux.example/hemlockd/internal/engines"
-	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/streams"
 )
 
@@ -217,23 +212,6 @@
 	})
 }
 
-// ran says what the attempts together tell.
-func (r *Run) ran(p *problem.Problem) problem.Ran {
-	if p == nil {
-		return problem.RanYes
-	}
-	ran := problem.RanNo
-	for _, a := range r.attempts {
-		switch a.Result {
-		case verdict.AttemptRan:
-			return problem.RanYes
-		case verdict.AttemptUnknown:
-			ran = problem.RanUnknown
-		}
-	}
-	return ran
-}
-
 // serve admits the call and runs it; nil means that the whole answer was made.
 func (r *Run) serve() *problem.Problem {
 	k := r.keeper
@@ -305,176 +283,3 @@
 func (r *Run) gone() *problem.Problem {
 	return problem.New(problem.CallerGone, "the caller went away before the answer was whole")
 }
-
-// attempt notes the outcome of one attempt and learns from a death.
-func (r *Run) attempt(upstream, phase string, started clock.Millis, err error) {
-	now := r.keeper.common.Clock.Now()
-	a := verdict.Attempt{Upstream: upstream, Phase: phase, Result: verdict.AttemptRan, StartMs: started, EndMs: now}
-	var call *engines.CallError
-	if errors.As(err, &call) {
-		a.Result, a.Cause = call.Result, call.Err.Error()
-	} else if err != nil {
-		a.Result, a.Cause = verdict.AttemptUnknown, err.Error()
-	}
-	r.dispatched = r.dispatched || a.Result != verdict.AttemptNotRun
-	if call != nil && call.Broken {
-		metrics.Add("brokenAttempts", 1)
-		r.keeper.suspects.Died(r.call.Digest, now, now+r.tree.System.Policy.SuspectMs)
-	}
-	if call != nil && call.Unreachable {
-		// It counts as down until it gives its next load report.
-		r.group.with(func(g *admission.Group) { g.SetUp(upstream, false) })
-	}
-	r.attempts = append(r.attempts, a)
-}
-
-// suspectRefused returns the refusal of a request that two upstreams died of.
-func (r *Run) suspectRefused() *problem.Problem {
-	now := r.keeper.common.Clock.Now()
-	until, refused := r.keeper.suspects.Refused(r.call.Digest, now)
-	if !refused {
-		return nil
-	}
-	return SuspectProblem(until - now)
-}
-
-// SuspectProblem is the refusal of a request that upstreams died of.
-func SuspectProblem(left clock.Millis) *problem.Problem {
-	return problem.New(problem.CrashSuspect, "two upstreams died while they ran this request; it is refused for a while").RetryIn(left)
-}
-
-func (r *Run) backoff(attempt int) *problem.Problem {
-	wait := retries.Backoff(attempt, rand.New(rand.NewPCG(uint64(r.keeper.common.Clock.Now()), uint64(attempt))))
-	select {
-	case <-time.After(wait.Duration()):
-		return nil
-	case <-r.ctx.Done():
-		return r.gone()
-	}
-}
-
-func (r *Run) engine(name string) engines.Engine {
-	return engines.Engine{Name: name, Address: r.tree.System.Upstreams[name].Address}
-}
-
-// enginesCall is the body of a call to an engine.
-func (r *Run) enginesCall(replace map[string]any) (engines.Call, error) {
-	replace["priority"] = r.call.Priority
-	body, err := completions.Forward(r.call.Body, replace)
-	return engines.Call{
-		Path: r.call.Path, RID: r.keeper.rid(), RequestID: r.call.RequestID, Body: body,
-	}, err
-}
-
-// prefill has the prompt prefilled, on another engine where one fails.
-func (r *Run) prefill() (completions.KVTransferParams, *problem.Problem) {
-	k, policy := r.keeper, r.tree.System.Policy
-	not := map[string]bool{}
-	name := r.grant.Prefill
-	if name == "" {
-		name = r.nextPrefill(not)
-	}
-	r.grant.Prefill = ""
-	var last error
-	for attempt := 0; name != ""; attempt++ {
-		result, err := r.prefillOn(name)
-		if err == nil {
-			r.group.decide(func(a *admission.Group) []admission.Decision {
-				return a.PrefillDone(r.call.RequestID, result.CachedTokens, k.common.Clock.Now())
-			})
-			return result.KV, nil
-		}
-		last = err
-		if r.ctx.Err() != nil {
-			return completions.KVTransferParams{}, r.gone()
-		}
-		if p := r.suspectRefused(); p != nil {
-			return completions.KVTransferParams{}, p
-		}
-		if attempt+1 >= policy.MaxAttempts || !k.budget.Take() {
-			break
-		}
-		not[name] = true
-		name = r.nextPrefill(not)
-	}
-	return completions.KVTransferParams{}, r.failed("prefill", last)
-}
-
-func (r *Run) nextPrefill(not map[string]bool) (name string) {
-	r.group.with(func(a *admission.Group) {
-		name = a.PrefillFailed(r.call.RequestID, not, r.keeper.common.Clock.Now())
-	})
-	return name
-}
-
-func (r *Run) failed(phase string, err error) *problem.Problem {
-	if err == nil {
-		return problem.New(problem.NoUpstream, "no engine is left for the %s", phase).RetryIn(clock.Second)
-	}
-	if errors.Is(err, errStalled) {
-		return problem.New(problem.UpstreamSilent, "the %s made no progress in time", phase).RetryIn(clock.Second)
-	}
-	return problem.New(problem.UpstreamFailed, "the %s failed: %v", phase, err).RetryIn(clock.Second)
-}
-
-// prefillOn runs one prefill, bounded by its predicted time and a reserve.
-func (r *Run) prefillOn(name string) (engines.PrefillResult, error) {
-	k := r.keeper
-	call, err := r.enginesCall(map[string]any{
-		"max_tokens": 1, "stream": false, "kv_transfer_params": completions.KVTransferParams{DoRemoteDecode: true},
-	})
-	if err != nil {
-		return engines.PrefillResult{}, err
-	}
-	model := r.tree.System.Models[r.call.Model]
-	own := model.PrefillBaseMs + clock.Millis(int64(r.call.PromptTokens)*model.PrefillTokenUs/1000)
-	ctx, cancel := context.WithTimeout(r.ctx, (r.grant.PrefillMs + own + r.tree.System.Policy.PrefillTimeoutMs).Duration())
-	defer cancel()
-	k.claims.add(call.RID)
-	defer k.claims.remove(call.RID)
-	started := k.common.Clock.Now()
-	k.checkNotLeaving(name)
-	result, err := k.client.Prefill(ctx, r.engine(name), call)
-	r.attempt(name, settings.KindPrefill, started, err)
-	if err != nil {
-		r.abort(name, call.RID, err)
-	}
-	return result, err
-}
-
-// abort frees what a failed attempt may hold.
-func (r *Run) abort(name, rid string, err error) {
-	var call *engines.CallError
-	if errors.As(err, &call) && call.Result == verdict.AttemptNotRun {
-		return
-	}
-	r.keeper.abort(r.engine(name), rid)
-}
-
-// abort ends an attempt at an engine, in the background; what is lost on the
-// way is found by the sweep, since the attempt is no longer claimed.
-func (k *Keeper) abort(e engines.Engine, rid string) {
-	k.claims.remove(rid)
-	k.done.Add(1)
-	go k.runAbort(e, rid)
-}
-
-func (k *Keeper) runAbort(e engines.Engine, rid string) {
-	defer k.done.Done()
-	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout.Duration())
-	defer cancel()
-	if err := k.client.Abort(ctx, e, rid); err != nil {
-		metrics.Add("abortFailures", 1)
-	}
-}
-
-// checkNotLeaving asserts that no new work goes to an upstream after the grace
-// period from the first signal that it leaves.
-func (k *Keeper) checkNotLeaving(name string) {
-	k.mu.Lock()
-	since, leaving := k.leavingSince[name]
-	k.mu.Unlock()
-	grace := k.configuration.Tree().System.Policy.LeavingGraceMs
-	late := leaving && k.common.Clock.Now()-since > grace
-	k.common.Invariants.Check(invariant.NoWorkToLeaving, !late, "upstream", name)
-}
--- /dev/null
+++ b/hemlockd/internal/membership/probes.go
@@ -0,0 +1,141 @@
+package membership
+
+import (
+	"sort"
+
+	"hemlockmux.example/common/clock"
+)
+
+// Tick starts a period and returns the addresses to probe in it.
+func (m *Membership) Tick(now clock.Millis) []string {
+	m.period++
+	m.forget(now)
+	var probes []string
+	if address := m.nextOwn(); address != "" {
+		probes = append(probes, address)
+	}
+	if m.period%otherCentrePeriods == 1 {
+		probes = m.appendRandom(probes, func(e *entry) bool {
+			return e.DataCentre != m.self.DataCentre && e.State != Dead
+		})
+	}
+	if m.period%deadPeriods == 2 || len(probes) == 0 {
+		probes = m.appendDead(probes)
+	}
+	if m.period%2 == 1 {
+		probes = m.appendSeed(probes)
+	}
+	return probes
+}
+
+// Fanout returns up to k addresses of live daemons of the own data centre, for
+// news that can't wait for the next period.
+func (m *Membership) Fanout(k int) []string {
+	var addresses []string
+	for _, e := range m.sorted() {
+		if e.DataCentre == m.self.DataCentre && e.State != Dead {
+			addresses = append(addresses, e.Address)
+		}
+	}
+	m.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(k, len(addresses))]
+}
+
+// OnePerCentre returns the address of one live daemon, chosen at random, in each
+// other data centre.
+func (m *Membership) OnePerCentre() []string {
+	byCentre := map[string][]string{}
+	var centres []string
+	for _, e := range m.sorted() {
+		if e.DataCentre == m.self.DataCentre || e.State == Dead {
+			continue
+		}
+		if len(byCentre[e.DataCentre]) == 0 {
+			centres = append(centres, e.DataCentre)
+		}
+		byCentre[e.DataCentre] = append(byCentre[e.DataCentre], e.Address)
+	}
+	addresses := make([]string, 0, len(centres))
+	for _, dc := range centres {
+		addresses = append(addresses, byCentre[dc][m.rng.IntN(len(byCentre[dc]))])
+	}
+	return addresses
+}
+
+// nextOwn returns the next peer of the own data centre in this round's order.
+func (m *Membership) nextOwn() string {
+	for range 2 {
+		for len(m.order) > 0 {
+			name := m.order[0]
+			m.order = m.order[1:]
+			if e, ok := m.entries[name]; ok && e.State != Dead {
+				return e.Address
+			}
+		}
+		for _, e := range m.sorted() {
+			if e.DataCentre == m.self.DataCentre && e.State != Dead {
+				m.order = append(m.order, e.Name)
+			}
+		}
+		m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	}
+	return ""
+}
+
+func (m *Membership) appendRandom(probes []string, want func(*entry) bool) []string {
+	var candidates []string
+	for _, e := range m.sorted() {
+		if want(e) {
+			candidates = append(candidates, e.Address)
+		}
+	}
+	if len(candidates) == 0 {
+		return probes
+	}
+	return append(probes, candidates[m.rng.IntN(len(candidates))])
+}
+
+// appendDead adds the dead daemon that was not probed for longest.
+func (m *Membership) appendDead(probes []string) []string {
+	var longest *entry
+	for _, e := range m.sorted() {
+		if e.State == Dead && (longest == nil || e.probedDead < longest.probedDead) {
+			longest = e
+		}
+	}
+	if longest == nil {
+		return probes
+	}
+	longest.probedDead = m.period
+	return append(probes, longest.Address)
+}
+
+func (m *Membership) appendSeed(probes []string) []string {
+	if len(m.seeds) == 0 {
+		return probes
+	}
+	addresses := make([]string, 0, len(m.seeds))
+	for address := range m.seeds {
+		addresses = append(addresses, address)
+	}
+	sort.Strings(addresses)
+	return append(probes, addresses[m.rng.IntN(len(addresses))])
+}
+
+// Failed takes in that a probe of an address was not answered.
+func (m *Membership) Failed(address string, now clock.Millis) {
+	for _, e := range m.entries {
+		if e.Address != address || e.State == Dead {
+			continue
+		}
+		e.failures++
+		if e.failures >= failuresToDeath {
+			e.State = Dead
+			e.deadAt = now
+			e.sends = m.sendsPerNews()
+		} else {
+			// The same peer is next, so that one lost message costs one period.
+			m.order = append([]string{e.Name}, m.order...)
+		}
+	}
+}
--- a/hemlockd/internal/placements/ledger.go
+++ b/hemlockd/internal/placements/ledger.go
@@ -22,6 +22,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,13 +60,23 @@
 
 // Answer is a service's answer, kept to be replayed.
 type Answer struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"contentType"`
-	Body        []byte `json:"body"`
+	Status int `json:"status"`
+	// Header holds the headers that concern the caller, not one connection.
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body"`
 	// Omitted says that the body was too long to be kept.
 	Omitted bool `json:"omitted,omitempty"`
 }
 
+// Recorded returns the answer as it is kept: without its body where that is
+// longer than limit.
+func (a Answer) Recorded(limit int64) Answer {
+	if int64(len(a.Body)) > limit {
+		a.Body, a.Omitted = nil, true
+	}
+	return a
+}
+
 // Claim is the result of claiming a key.
 type Claim struct {
 	Won    bool
--- /dev/null
+++ b/hemlockd/internal/services/health.go
@@ -0,0 +1,94 @@
+package services
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/settings"
+)
+
+// health is what the health checks of one instance say.
+type health struct {
+	failures int
+	leaving  bool
+	inFlight int
+}
+
+func (s *Services) healthLocked(name string) *health {
+	h, ok := s.health[name]
+	if !ok {
+		h = &health{}
+		s.health[name] = h
+	}
+	return h
+}
+
+// runHealth checks all instances of this data centre again and again.
+func (s *Services) runHealth(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	ticker := time.NewTicker((2 * s.common.Config.LoadMs).Duration())
+	defer ticker.Stop()
+	for {
+		if tree := s.configuration.Tree(); tree != nil {
+			s.checkAll(ctx, tree)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Services) checkAll(ctx context.Context, tree *settings.Tree) {
+	var checks sync.WaitGroup
+	for name, u := range tree.System.Upstreams {
+		if u.Kind == settings.KindService && u.DataCentre == s.common.Config.DataCentre {
+			checks.Go(func() { s.check(ctx, name, u.Address) })
+		}
+	}
+	checks.Wait()
+}
+
+func (s *Services) check(ctx context.Context, name, address string) {
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout.Duration())
+	defer cancel()
+	leaving := false
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/health", nil)
+	if err == nil {
+		var resp *http.Response
+		if resp, err = s.fresh.Do(req); err == nil {
+			leaving = resp.Header.Get("X-Upstream-State") == "leaving"
+			_ = resp.Body.Close()
+		}
+	}
+	s.mu.Lock()
+	h := s.healthLocked(name)
+	wasUp, wasLeaving := h.failures < failuresToDown, h.leaving
+	if err != nil {
+		h.failures++
+	} else {
+		h.failures, h.leaving = 0, leaving
+	}
+	up := h.failures < failuresToDown
+	leaving = h.leaving
+	s.mu.Unlock()
+	if up != wasUp || leaving != wasLeaving {
+		s.common.Log.Info("service instance changed state", zap.String("instance", name), zap.Bool("up", up), zap.Bool("leaving", leaving))
+	}
+}
+
+// Status returns the instances checked here.
+func (s *Services) Status(name string) (up, leaving bool, inFlight int, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.health[name]
+	if !ok {
+		return false, false, 0, false
+	}
+	return h.failures < failuresToDown, h.leaving, h.inFlight, true
+}
--- a/hemlockd/internal/services/place.go
+++ b/hemlockd/internal/services/place.go
@@ -107,9 +107,9 @@
 			break
 		}
 		s.common.Invariants.Check(invariant.AtMostOnce, ranOf(d.out.Attempts) == problem.RanNo, "requestId", d.call.RequestID)
-		answer, err := s.callOnce(context.Background(), s.fresh, name, d.tree, d.service, d.call, d.service.TimeoutMs+lateAnswer, &d.out)
+		answer, err := s.callOnce(context.Background(), s.fresh, name, d.tree, d.call, d.service.TimeoutMs+lateAnswer, &d.out)
 		if err == nil {
-			s.ledger.Finish(d.claim, *answer)
+			s.ledger.Finish(d.claim, answer.Recorded(d.service.MaxAnswerBytes))
 			d.out.Answer = answer
 			return
 		}
--- a/hemlockd/internal/verdicts/recorder.go
+++ b/hemlockd/internal/verdicts/recorder.go
@@ -110,15 +110,20 @@
 	metrics.Add("opened", 1)
 }
 
-// HeldElsewhere notes that the daemon which an open request was handed to keeps
-// the copy of its verdict, so that none needs to be sent.
-func (r *Recorder) HeldElsewhere(requestID string) {
+// HeldElsewhere notes whether the daemon which an open request is handed to
+// keeps the copy of its verdict, so that none needs to be sent.
+func (r *Recorder) HeldElsewhere(requestID string, held bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, open := r.open[requestID]; open {
-		r.told[requestID] = true
-		r.elsewhere[requestID] = true
+	if _, open := r.open[requestID]; !open {
+		return
+	}
+	if held {
+		r.told[requestID], r.elsewhere[requestID] = true, true
+		return
 	}
+	delete(r.told, requestID)
+	delete(r.elsewhere, requestID)
 }
 
 // Close records the verdict of a request that was opened, and waits until
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -14,6 +14,7 @@
 deafDaemons ./hemlockd/e2e TestLeavingUpstreamGetsNoNewWork
 hardStop ./hemlockd/e2e TestRollingReplacementCutsOffNothing
 noSuspects ./hemlockd/e2e TestCrashSuspectIsStopped
+patient ./hemlockd/e2e TestStormPasses
 "
 wrong=0
 while read -r switch package test; do
--- a/standin/internal/service/service.go
+++ b/standin/internal/service/service.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -76,6 +77,7 @@
 		<-r.Context().Done()
 		return
 	}
+	w.Header().Set("Location", fmt.Sprintf("/%s/%d", r.PathValue("call"), s.calls.Load()+1))
 	writeJSON(w, http.StatusCreated, map[string]any{
 		"call": r.PathValue("call"), "by": s.name, "number": s.calls.Add(1), "accepted": json.RawMessage(body),
 	})
