All 1,100 teams fit one change of settings

Change: the nodes are written by nested transactions of 64, still at one point in time; the table in memory counts nested operations as etcd does.

Ruled out: several transactions (a change would be in force by halves).

Seen: TestManyTeamsInOneChange red before, green after.

--- a/common/platform/memory/memory.go
+++ b/common/platform/memory/memory.go
@@ -54,7 +54,7 @@
 
 // Txn carries out one transaction.
 func (t *Table) Txn(_ context.Context, req platform.TxnRequest) (platform.TxnResponse, error) {
-	if operations(req) > platform.MaxTxnOperations {
+	if tooMany(req, platform.MaxTxnOperations) {
 		return platform.TxnResponse{}, ErrTooManyOperations
 	}
 	t.mu.Lock()
@@ -68,8 +68,20 @@
 	return t.txn(req), nil
 }
 
-// operations counts the operations of one branch, as the table's limit does.
-func operations(req platform.TxnRequest) int { return max(len(req.Success), len(req.Failure)) }
+// tooMany tells whether a transaction has more operations than the table takes;
+// what it holds itself is taken off what those nested in it may hold.
+func tooMany(req platform.TxnRequest, limit int) bool {
+	n := max(len(req.Compare), len(req.Success), len(req.Failure))
+	if n > limit {
+		return true
+	}
+	for _, op := range append(append([]platform.RequestOp(nil), req.Success...), req.Failure...) {
+		if op.RequestTxn != nil && tooMany(*op.RequestTxn, limit-n) {
+			return true
+		}
+	}
+	return false
+}
 
 // writes tells whether a transaction can write.
 func writes(req platform.TxnRequest) bool {
--- a/common/settings/apply.go
+++ b/common/settings/apply.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +25,10 @@
 // retryPause is the time between two tries of an apply.
 const retryPause = 50 * clock.Millisecond
 
+// nodesPerTxn is the number of nodes that are written by one transaction nested
+// in that of a change, within the table's limit on operations.
+const nodesPerTxn = 64
+
 // Change is what an operator asks for.
 type Change struct {
 	ChangeID string       `json:"changeId"`
@@ -247,19 +252,27 @@
 	txn := platform.TxnRequest{Compare: []platform.Compare{
 		platform.Unchanged(headKey, headRevision), platform.Absent(changePrefix + row.ChangeID),
 	}}
-	put := func(key string, v any) error {
+	put := func(to *platform.TxnRequest, key string, v any) error {
 		value, err := json.Marshal(v)
 		if err != nil {
 			return fmt.Errorf("encode %s: %w", key, err)
 		}
-		txn.Success = append(txn.Success, platform.Put(key, value))
+		to.Success = append(to.Success, platform.Put(key, value))
 		return nil
 	}
-	err := put(headKey, Head{Version: row.Version, ChangeID: row.ChangeID})
-	err = errors.Join(err, put(auditKey(row.Version), row))
-	err = errors.Join(err, put(changePrefix+row.ChangeID, row.Version))
-	for _, c := range row.Changes {
-		err = errors.Join(err, put(treePrefix+c.Path, merged[indexOf(merged, c.Path)]))
+	err := put(&txn, headKey, Head{Version: row.Version, ChangeID: row.ChangeID})
+	err = errors.Join(err, put(&txn, auditKey(row.Version), row))
+	err = errors.Join(err, put(&txn, changePrefix+row.ChangeID, row.Version))
+	byPath := make(map[string]Node, len(merged))
+	for _, n := range merged {
+		byPath[n.Path] = n
+	}
+	for changes := range slices.Chunk(row.Changes, nodesPerTxn) {
+		var nested platform.TxnRequest
+		for _, c := range changes {
+			err = errors.Join(err, put(&nested, treePrefix+c.Path, byPath[c.Path]))
+		}
+		txn.Success = append(txn.Success, platform.RequestOp{RequestTxn: &nested})
 	}
 	return txn, err
 }
--- a/common/settings/store_test.go
+++ b/common/settings/store_test.go
@@ -90,6 +90,22 @@
 	})
 }
 
+// All teams of the letter come in one change, as the first one does.
+func TestManyTeamsInOneChange(t *testing.T) {
+	store := NewStore(memory.New())
+	change := Change{ChangeID: "all", Who: "a", Nodes: []NodeChange{{Path: SystemPath, After: goodSystem}}}
+	for i := range 1100 {
+		change.Nodes = append(change.Nodes, NodeChange{Path: fmt.Sprint(TeamsPrefix, "team-", i), After: "priority = 3\n"})
+	}
+	if _, err := store.Apply(context.Background(), change); err != nil {
+		t.Fatal(err)
+	}
+	_, nodes, err := store.Snapshot(context.Background())
+	if err != nil || len(nodes) != len(change.Nodes) {
+		t.Errorf("%d of %d nodes: %v", len(nodes), len(change.Nodes), err)
+	}
+}
+
 func checkTrail(t *rapid.T, store *Store, rows []AuditRow, accepted map[string]int64, refused map[string]bool) {
 	texts := map[string]string{}
 	seen := map[string]int64{}
