--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -13,6 +13,7 @@
 package clock
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 )
@@ -35,6 +36,18 @@
 // Time converts a point in time to the standard library's type, in UTC.
 func (m Millis) Time() time.Time { return time.UnixMilli(int64(m)).UTC() }
 
+// Pause waits for a span and tells whether ctx still holds.
+func Pause(ctx context.Context, span Millis) bool {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // Clock tells the time.
 type Clock struct {
 	now func() Millis
--- a/common/settings/apply.go
+++ b/common/settings/apply.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/platform"
@@ -90,7 +89,7 @@
 	uncertain := false
 	lastErr := errContended
 	for try := range maxTries {
-		if try > 0 && !sleep(ctx, s.pause) {
+		if try > 0 && !clock.Pause(ctx, s.pause) {
 			break
 		}
 		version, done, err := s.applyOnce(ctx, change)
@@ -138,18 +137,6 @@
 
 func (e *lostWriteError) Unwrap() error { return e.err }
 
-// sleep waits and tells whether ctx still holds.
-func sleep(ctx context.Context, pause clock.Millis) bool {
-	timer := time.NewTimer(pause.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // applyOnce tries a change once; done is false where another change to other
 // nodes came between.
 func (s *Store) applyOnce(ctx context.Context, change Change) (version int64, done bool, err error) {
--- a/common/settings/settings_test.go
+++ b/common/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 )
@@ -63,3 +64,19 @@
 		})
 	}
 }
+
+// BenchmarkParse is the cost of a change for a daemon that serves the letter's
+// 1,100 teams.
+func BenchmarkParse(b *testing.B) {
+	nodes := []Node{{Path: SystemPath, Text: goodSystem}}
+	for i := range 1100 {
+		name := fmt.Sprint(TeamsPrefix, "team-", i)
+		text := fmt.Sprintf("priority = 3\nrequestsPerSecond = 10.0\nmodels = [\"spec-models\"]\n[keys.k]\nhash = %q\n", HashKey(name))
+		nodes = append(nodes, Node{Path: name, Text: text})
+	}
+	for b.Loop() {
+		if _, err := Parse(1, nodes); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/hemlockd/internal/daemons/probe.go
+++ b/hemlockd/internal/daemons/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -15,6 +16,9 @@
 // the time between the most distant regions and back.
 const probeTimeout = 400 * clock.Millisecond
 
+// refreshProbes is the most probes that one look of an operator causes.
+const refreshProbes = 16
+
 // RunName tells one run of a daemon from the next.
 func RunName(m membership.Member) string {
 	return m.Name + "~" + strconv.FormatInt(int64(m.Started), 36)
@@ -60,6 +64,21 @@
 	d.probeAll(addresses)
 }
 
+// Refresh probes live daemons that are not known to have this daemon's settings
+// in force, a few at a time: news of versions alone is passed on sparingly, and
+// an operator who looks should see what is so now.
+func (d *Daemons) Refresh() {
+	own := d.configuration.Version()
+	var behind []string
+	for _, v := range d.Views() {
+		if v.State != membership.Dead && v.Version < own && v.Name != d.common.Config.Name {
+			behind = append(behind, v.Address)
+		}
+	}
+	rand.Shuffle(len(behind), func(i, j int) { behind[i], behind[j] = behind[j], behind[i] })
+	d.probeAll(behind[:min(refreshProbes, len(behind))])
+}
+
 func (d *Daemons) probeAll(addresses []string) {
 	for _, address := range addresses {
 		d.done.Add(1)
--- a/hemlockd/internal/keeper/attempts.go
+++ b/hemlockd/internal/keeper/attempts.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"time"
 
 	"hemlockmux.example/common/admission"
 	"hemlockmux.example/common/clock"
@@ -71,12 +70,10 @@
 
 func (r *Run) backoff(attempt int) *problem.Problem {
 	wait := retries.Backoff(attempt, rand.New(rand.NewPCG(uint64(r.keeper.common.Clock.Now()), uint64(attempt))))
-	select {
-	case <-time.After(wait.Duration()):
-		return nil
-	case <-r.ctx.Done():
+	if !clock.Pause(r.ctx, wait) {
 		return r.gone()
 	}
+	return nil
 }
 
 func (r *Run) failed(phase string, err error) *problem.Problem {
--- a/hemlockd/internal/operators/operators.go
+++ b/hemlockd/internal/operators/operators.go
@@ -197,6 +197,7 @@
 }
 
 func (o *Operators) daemons(w http.ResponseWriter, _ *http.Request) {
+	o.Daemons.Refresh()
 	list := []operatorapi.DaemonStatus{}
 	for _, v := range o.Daemons.Views() {
 		list = append(list, operatorapi.DaemonStatus{
--- a/hemlockd/internal/placements/ledger.go
+++ b/hemlockd/internal/placements/ledger.go
@@ -23,7 +23,6 @@
 	"expvar"
 	"fmt"
 	"net/http"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -150,7 +149,7 @@
 	var lastErr error
 	uncertain := false
 	for try := range claimTries {
-		if try > 0 && !pause(ctx, l.firstPause<<try) {
+		if try > 0 && !clock.Pause(ctx, l.firstPause<<try) {
 			break
 		}
 		result, err := l.batch.do(ctx, key, condition, record)
@@ -229,7 +228,7 @@
 		if err == nil {
 			revision = result.revision
 		}
-		if !pause(l.ctx, wait) {
+		if !clock.Pause(l.ctx, wait) {
 			return
 		}
 		wait = min(2*wait, maxSettlePause)
@@ -253,7 +252,7 @@
 			condition = platform.Unchanged(key, result.revision)
 			continue
 		}
-		if !pause(l.ctx, wait) {
+		if !clock.Pause(l.ctx, wait) {
 			return
 		}
 		wait = min(2*wait, maxSettlePause)
@@ -261,18 +260,6 @@
 	metrics.Add("releaseGivenUp", 1)
 }
 
-// pause waits and tells whether ctx still holds.
-func pause(ctx context.Context, wait clock.Millis) bool {
-	timer := time.NewTimer(wait.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func newNonce() string {
 	var b [8]byte
 	_, _ = rand.Read(b[:]) // crypto/rand.Read never fails.
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -174,7 +174,9 @@
 			break
 		}
 		wait := retries.Backoff(attempt, rand.New(rand.NewPCG(rand.Uint64(), 0)))
-		time.Sleep(wait.Duration())
+		if !clock.Pause(ctx, wait) {
+			continue // the next attempt finds the caller gone
+		}
 	}
 	if last == nil {
 		out.Problem = problem.New(problem.NoUpstream, "no instance of service %q is up in %s", call.Service, s.common.Config.DataCentre).RetryIn(clock.Second)
