The list of daemons waits for what it asks

Cause: right after a start, settings status showed a daemon behind that was not: the probes that the look caused were answered after it. Ruled out: asking all daemons at each look.

--- a/hemlockd/internal/daemons/probe.go
+++ b/hemlockd/internal/daemons/probe.go
@@ -65,8 +65,9 @@
 }
 
 // Refresh probes live daemons that are not known to have this daemon's settings
-// in force, a few at a time: news of versions alone is passed on sparingly, and
-// an operator who looks should see what is so now.
+// in force, a few at a time, and waits for them a short while: news of versions
+// alone is passed on sparingly, and an operator who looks should see what is so
+// now.
 func (d *Daemons) Refresh() {
 	own := d.configuration.Version()
 	var behind []string
@@ -76,7 +77,24 @@
 		}
 	}
 	rand.Shuffle(len(behind), func(i, j int) { behind[i], behind[j] = behind[j], behind[i] })
-	d.probeAll(behind[:min(refreshProbes, len(behind))])
+	behind = behind[:min(refreshProbes, len(behind))]
+	answered := make(chan struct{}, len(behind))
+	for _, address := range behind {
+		d.done.Add(1)
+		go func() {
+			d.runProbe(address)
+			answered <- struct{}{}
+		}()
+	}
+	timer := time.NewTimer(probeTimeout.Duration())
+	defer timer.Stop()
+	for range behind {
+		select {
+		case <-answered:
+		case <-timer.C:
+			return
+		}
+	}
 }
 
 func (d *Daemons) probeAll(addresses []string) {
