A model request whose keeper dies before the first chunk is run by the next

Change: it goes to the next place; what is told of a later refusal still counts that the first may have run it.

Ruled out: the same for plain services' placements (the record decides there).

--- a/hemlockd/e2e/requests_test.go
+++ b/hemlockd/e2e/requests_test.go
@@ -202,6 +202,18 @@
 	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
 }
 
+// keeps tells whether the daemon keeps an engine.
+func (m *daemon) keeps(engine string) bool {
+	var list []operatorapi.UpstreamStatus
+	_, _ = m.operator(http.MethodGet, "/v1/upstreams", nil, &list)
+	for _, u := range list {
+		if u.Name == engine && u.Keeper == m.name {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *daemon) views() []operatorapi.DaemonStatus {
 	var list []operatorapi.DaemonStatus
 	_, _ = m.operator(http.MethodGet, "/v1/daemons", nil, &list)
--- a/hemlockd/e2e/whole_answer_test.go
+++ b/hemlockd/e2e/whole_answer_test.go
@@ -60,6 +60,21 @@
 		d.fault("all", "silent", nil)
 		So(whole(<-done, 200), ShouldBeBlank)
 	})
+	Convey("the daemon that keeps the engines dies before the first chunk", t, func() {
+		keeper, front := d.daemons[0], d.daemons[1]
+		if front.keeps("brandon-a-decode-1") {
+			keeper, front = front, keeper
+		}
+		done := make(chan answer, 1)
+		go func() { done <- front.stream(fmt.Sprintf("%0*d", 160_000, 1), tokens) }() // prefill 0.8 s
+		d.eventually("it is under way", 5*time.Second, func() bool { return keeper.metric("daemon", "keeperRuns") == 1 })
+		keeper.kill()
+		a := <-done
+		So(whole(a, tokens), ShouldBeBlank)
+		keeper.start()
+		keeper.waitReady()
+		d.waitFormed()
+	})
 	Convey("the caller of a slow stream comes and goes: the rest is not disturbed", t, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -128,12 +128,17 @@
 			"no daemon of a data centre with engines for model %q can be reached", call.Model).RetryIn(clock.Second)
 	}
 	var attempts []verdict.Attempt
+	ran := problem.RanNo
 	for i, place := range places {
 		if i >= maxHandOffs || i > 0 && sink.started() {
 			break
 		}
 		result = e.runModelAt(place, call, sink)
 		attempts = append(attempts, result.Attempts...)
+		if result.Problem != nil && result.Ran == problem.RanNo {
+			result.Ran = ran // an earlier place may have run it
+		}
+		ran = result.Ran
 		if !movable(result) {
 			break
 		}
@@ -142,15 +147,18 @@
 	return result
 }
 
-// movable tells whether another place may run the call: nothing of it ran and
-// the reason is the place's.
+// movable tells whether another place may run the call. A model's call may be
+// repeated, so a daemon that was lost in the middle is no hindrance as long as
+// the caller has seen nothing of the answer.
 func movable(result keeper.Result) bool {
-	if result.Problem == nil || result.Ran != problem.RanNo {
+	if result.Problem == nil {
 		return false
 	}
 	switch result.Problem.Reason {
-	case problem.NoUpstream, problem.DaemonLost, problem.NotReady, problem.DataCentreOutOfReach:
+	case problem.DaemonLost:
 		return true
+	case problem.NoUpstream, problem.NotReady, problem.DataCentreOutOfReach:
+		return result.Ran == problem.RanNo
 	}
 	return false
 }
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -128,8 +128,8 @@
 }
 
 // Chunks yields the call's chunks in order from an offset on, as many at a time
-// as there are. It ends when the call has ended or ctx does. While no reader is there the call
-// goes on for reattachWindow only.
+// as there are. It ends when the call has ended or ctx does. While no reader is
+// there the call goes on for reattachWindow only.
 func (r *Run) Chunks(ctx context.Context, from int) iter.Seq[[]streams.Chunk] {
 	return func(yield func([]streams.Chunk) bool) {
 		r.attach()
