--- a/hemlockctl/internal/app/app_test.go
+++ b/hemlockctl/internal/app/app_test.go
@@ -142,3 +142,16 @@
 		t.Fatal(err)
 	}
 }
+
+// The reference page is what the structs say.
+func TestReferencePageIsCurrent(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	Run(context.Background(), []string{"hemlockctl", "settings", "reference"}, &out, &out)
+	if out.String() != string(page) {
+		t.Error("docs/settings.md is not what `hemlockctl settings reference` prints; make it anew")
+	}
+}
--- a/hemlockd/e2e/requests_test.go
+++ b/hemlockd/e2e/requests_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"hemlockmux.example/common/operatorapi"
@@ -82,6 +83,29 @@
 	return string(text)
 }
 
+// background calls do again and again from a number of workers, until the
+// function that it returns is called; that waits for the last calls.
+func background(workers int, do func(w, i int)) (end func()) {
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for w := range workers {
+		all.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+					do(w, i)
+				}
+			}
+		})
+	}
+	return sync.OnceFunc(func() {
+		close(stop)
+		all.Wait()
+	})
+}
+
 // whole tells what is wrong with a streamed answer, or "".
 func whole(a answer, tokens int) string {
 	if a.err != nil {
