What attempts tell of 'ran' is decided in one place

Cause: the rule by which a refusal may say 'not run' stood twice, in keeper and in services, and could have drifted apart; found by reading the whole change once more.

Change: verdict.RanOf serves both. Assembler.Gap and the prefix index's count of gaps were read by nobody and are gone. Behaviour, bounds and assertions are unchanged.

Seen: make lint clean; common, streams, verdicts and placements green; of e2e, run under the race detector, the tests of at most once, bad requests and suspects (20.7 s).

--- a/common/admission/prefix.go
+++ b/common/admission/prefix.go
@@ -18,7 +18,6 @@
 	order *list.List // of uint64, most recent in front
 	at    map[uint64]*list.Element
 	seq   int64
-	gaps  int
 	trust float64
 }
 
@@ -80,7 +79,6 @@
 		return // late or repeated
 	}
 	if x.seq != 0 && events.Seq != x.seq+1 {
-		x.gaps++
 		for keep := x.order.Len() / 2; x.order.Len() > keep; {
 			delete(x.at, x.order.Remove(x.order.Back()).(uint64))
 		}
--- a/common/verdict/verdict.go
+++ b/common/verdict/verdict.go
@@ -55,6 +55,20 @@
 	EndMs    clock.Millis  `json:"endMs"`
 }
 
+// RanOf says what attempts together tell: whether any of them ran, or may have.
+func RanOf(attempts []Attempt) problem.Ran {
+	ran := problem.RanNo
+	for _, a := range attempts {
+		switch a.Result {
+		case AttemptRan:
+			return problem.RanYes
+		case AttemptUnknown:
+			ran = problem.RanUnknown
+		}
+	}
+	return ran
+}
+
 // Verdict is the record of one request.
 type Verdict struct {
 	RequestID       string         `json:"requestId"`
--- a/hemlockd/internal/keeper/attempts.go
+++ b/hemlockd/internal/keeper/attempts.go
@@ -14,21 +14,12 @@
 	"hemlockmux.example/hemlockd/internal/retries"
 )
 
-// ran says what the attempts together tell.
+// ran says whether the call was run, by its end and its attempts.
 func (r *Run) ran(p *problem.Problem) problem.Ran {
 	if p == nil {
 		return problem.RanYes
 	}
-	ran := problem.RanNo
-	for _, a := range r.attempts {
-		switch a.Result {
-		case verdict.AttemptRan:
-			return problem.RanYes
-		case verdict.AttemptUnknown:
-			ran = problem.RanUnknown
-		}
-	}
-	return ran
+	return verdict.RanOf(r.attempts)
 }
 
 // attempt notes the outcome of one attempt and learns from a death.
--- a/hemlockd/internal/services/place.go
+++ b/hemlockd/internal/services/place.go
@@ -106,7 +106,7 @@
 		if !ok {
 			break
 		}
-		s.common.Invariants.Check(invariant.AtMostOnce, ranOf(d.out.Attempts) == problem.RanNo, "requestId", d.call.RequestID)
+		s.common.Invariants.Check(invariant.AtMostOnce, verdict.RanOf(d.out.Attempts) == problem.RanNo, "requestId", d.call.RequestID)
 		answer, err := s.callOnce(context.Background(), s.fresh, name, d.tree, d.call, d.service.TimeoutMs+lateAnswer, &d.out)
 		if err == nil {
 			s.ledger.Finish(d.claim, answer.Recorded(d.service.MaxAnswerBytes))
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -167,7 +167,7 @@
 		last = err
 		not[name] = true
 		if ctx.Err() != nil {
-			out.Problem = problem.New(problem.CallerGone, "the caller went away").WithRan(ranOf(out.Attempts))
+			out.Problem = problem.New(problem.CallerGone, "the caller went away").WithRan(verdict.RanOf(out.Attempts))
 			return out
 		}
 		if attempt+1 >= tree.System.Policy.MaxAttempts || !s.budget.Take() {
@@ -182,24 +182,10 @@
 		out.Problem = problem.New(problem.NoUpstream, "no instance of service %q is up in %s", call.Service, s.common.Config.DataCentre).RetryIn(clock.Second)
 		return out
 	}
-	out.Problem = problem.New(problem.UpstreamFailed, "service %q gave no answer: %v", call.Service, last).WithRan(ranOf(out.Attempts)).RetryIn(clock.Second)
+	out.Problem = problem.New(problem.UpstreamFailed, "service %q gave no answer: %v", call.Service, last).WithRan(verdict.RanOf(out.Attempts)).RetryIn(clock.Second)
 	return out
 }
 
-// ranOf says what the attempts together tell.
-func ranOf(attempts []verdict.Attempt) problem.Ran {
-	ran := problem.RanNo
-	for _, a := range attempts {
-		switch a.Result {
-		case verdict.AttemptRan:
-			return problem.RanYes
-		case verdict.AttemptUnknown:
-			ran = problem.RanUnknown
-		}
-	}
-	return ran
-}
-
 // instances returns the names of the instances in this data centre that the
 // team may use, in order.
 func (s *Services) instances(tree *settings.Tree, call Call) []string {
--- a/hemlockd/internal/streams/streams.go
+++ b/hemlockd/internal/streams/streams.go
@@ -51,9 +51,6 @@
 // Done tells whether the last chunk has been returned.
 func (a *Assembler) Done() bool { return a.done }
 
-// Gap tells whether later chunks wait for one that is missing.
-func (a *Assembler) Gap() bool { return len(a.held) > 0 }
-
 // Add takes one chunk and returns those that are next in order.
 func (a *Assembler) Add(c Chunk) ([]Chunk, error) {
 	if a.done || c.Offset < a.next {
