--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/hemlockd/internal/shared"
+	"hemlockmux.example/platform"
 )
 
 // Command is the daemon's command line.
@@ -20,6 +21,7 @@
 		Description: "hemlockd reads who it is from its own file and everything else from the settings in the platform's\n" +
 			"table. SIGTERM shuts it down gracefully; a second one ends the wait for requests in flight.",
 		EnableShellCompletion: true,
+		Commands:              []*cli.Command{platformCommand()},
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Value: "hemlockd.toml", Usage: "the daemon's own file"},
 			&cli.BoolFlag{Name: "check", Usage: "check the file and exit"},
@@ -40,6 +42,34 @@
 	}
 }
 
+// platformCommand runs the daemon on the users' platform.
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run on the users' platform, which names the settings file in the environment",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			path, err := platform.SettingsPath()
+			if err != nil {
+				return err
+			}
+			own, err := platform.LoadSettings(path)
+			if err != nil || c.Bool("check") {
+				return err
+			}
+			log, err := zap.NewProduction(zap.Fields(zap.String("daemon", own.Name)))
+			if err != nil {
+				return err
+			}
+			defer func() { _ = log.Sync() }()
+			soft, hard := stopContexts()
+			return RunOnPlatform(soft, hard, own, log)
+		},
+	}
+}
+
 // stopSignals ends one context with the first signal to stop, and another with
 // the second.
 type stopSignals struct {
--- /dev/null
+++ b/hemlockd/internal/app/onplatform.go
@@ -0,0 +1,250 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
+	"hemlockmux.example/hemlockd/internal/capacity"
+	inforce "hemlockmux.example/hemlockd/internal/directory"
+	"hemlockmux.example/hemlockd/internal/dispatch"
+	"hemlockmux.example/hemlockd/internal/peers"
+	"hemlockmux.example/hemlockd/internal/retries"
+	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/platform"
+)
+
+const (
+	// refreshInterval is the time between two looks at what changes with time
+	// alone.
+	refreshInterval = 250 * clock.Millisecond
+	// enrolTimeout bounds the call that enters the daemon into the list.
+	enrolTimeout = 2 * clock.Second
+	enrolPause   = 2 * clock.Second
+	// listenFor is how long after the signal to stop new connections are still
+	// taken: the balancer needs that long to see that the daemon is not ready.
+	listenFor = 2800 * clock.Millisecond
+	// shutdownReserve is the time before the kill at which the daemon ends.
+	shutdownReserve = 700 * clock.Millisecond
+	// callerIdleTimeout is longer than callers keep an idle connection.
+	callerIdleTimeout   = 30 * clock.Second
+	callerHeaderTimeout = 10 * clock.Second
+)
+
+// platformDaemon is the daemon on the users' platform.
+type platformDaemon struct {
+	log        *zap.Logger
+	own        platform.Settings
+	clk        clock.Clock
+	directory  *inforce.Directory
+	peers      *peers.Peers
+	dispatcher *dispatch.Dispatcher
+	store      *platform.Store
+	callers    *http.Server
+	ready      *http.Server
+	failed     chan error
+	stopping   chan struct{} // closed when the shutdown begins
+	cleanup    []func()      // run in reverse
+}
+
+// RunOnPlatform runs the daemon on the users' platform until ctx ends, then
+// shuts it down gracefully; a second context, hard, ends the wait for requests
+// in flight.
+func RunOnPlatform(ctx, hard context.Context, own platform.Settings, log *zap.Logger) error {
+	d := &platformDaemon{log: log, own: own, clk: clock.System(), failed: make(chan error, 2), stopping: make(chan struct{})}
+	defer d.close()
+	if err := d.wire(); err != nil {
+		return err
+	}
+	log.Info("daemon is serving", zap.String("callers", own.Callers), zap.String("dataCentre", own.DataCentre),
+		zap.String("daemons", own.Daemons))
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-d.failed:
+		log.Error("a port failed", zap.Error(err))
+	}
+	d.drain(hard)
+	log.Info("daemon has stopped")
+	return err
+}
+
+func (d *platformDaemon) close() {
+	for _, f := range slices.Backward(d.cleanup) {
+		f()
+	}
+}
+
+func (d *platformDaemon) onClose(f func()) { d.cleanup = append(d.cleanup, f) }
+
+func (d *platformDaemon) datagramAddress() string {
+	return net.JoinHostPort(d.own.IP, strconv.Itoa(d.own.FirstPort))
+}
+
+// wire makes all parts, each with what it depends on.
+func (d *platformDaemon) wire() error {
+	store, closeStore := platform.NewStore(d.own.StoreAddress)
+	d.onClose(closeStore)
+	d.store = store
+	servers, closeServers := platform.NewServers()
+	d.onClose(closeServers)
+	started := d.clk.Now()
+	view := capacity.NewView(capacity.DefaultForecast())
+	queue := capacity.NewQueue(d.clk, view)
+	sus := suspects.New()
+	d.directory = inforce.New(inforce.Options{
+		Log: d.log, Clock: d.clk, Store: store,
+		Decoder:  inforce.Decoder{Config: platform.DecodeConfig, Upstream: platform.DecodeUpstream},
+		OnConfig: d.refresh, OnUpstreams: d.refresh, OnDaemon: d.meetListed,
+	})
+	var err error
+	var closePeers func()
+	d.peers, closePeers, err = peers.New(peers.Options{
+		Log: d.log, Clock: d.clk, Name: d.own.Name, DataCentre: d.own.DataCentre,
+		Address: d.datagramAddress(), Control: d.own.Daemons, StartedMs: started,
+	}, peers.Handlers{
+		Version: d.directory.Version, View: view, Suspects: sus, RoomChanged: queue.Wake,
+		NewerVersion: func(control string, _ int64) { d.directory.AskPeer(control) },
+		Snapshot:     d.directory.Snapshot,
+	})
+	if err != nil {
+		return err
+	}
+	d.onClose(closePeers)
+	bound := retries.Bound{Ratio: d.own.RetryRatio, Slack: d.own.RetrySlack, WindowMs: d.own.RetryWindowMs}
+	d.dispatcher = dispatch.New(dispatch.Options{
+		Log: d.log, Clock: d.clk, Directory: d.directory, Upstreams: servers, View: view, Queue: queue, Peers: d.peers,
+		Retries: retries.NewWindows(bound, started, d.peers.Count), Suspects: sus,
+		ReadCall: platform.ReadCall, DataCentre: d.own.DataCentre, Regions: d.own.Regions,
+	})
+	d.meetSeeds()
+	d.onClose(d.directory.Start())
+	ctx, cancel := context.WithCancel(context.Background())
+	d.onClose(cancel)
+	go d.runRefresh(ctx)
+	go d.runEnrol(ctx)
+	if d.ready, err = d.listen("ready", d.own.Ready, http.HandlerFunc(d.serveReady)); err != nil {
+		return err
+	}
+	d.callers, err = d.listen("callers", d.own.Callers, d.dispatcher)
+	return err
+}
+
+func (d *platformDaemon) listen(name, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s: %w", name, err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: callerHeaderTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(),
+		ErrorLog: zap.NewStdLog(d.log),
+	}
+	go d.runServer(name, server, listener)
+	d.onClose(func() { _ = server.Close() })
+	return server, nil
+}
+
+func (d *platformDaemon) runServer(name string, server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		d.failed <- fmt.Errorf("%s' port: %w", name, err)
+	}
+}
+
+// serveReady answers the balancer.
+func (d *platformDaemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	select {
+	case <-d.stopping:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	default:
+	}
+	if !d.directory.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (d *platformDaemon) refresh() {
+	if d.dispatcher != nil {
+		d.dispatcher.Refresh()
+	}
+}
+
+func (d *platformDaemon) runRefresh(ctx context.Context) {
+	for clock.Pause(ctx, refreshInterval) {
+		d.directory.Sync()
+		d.refresh()
+	}
+}
+
+// meetSeeds meets the daemons that the settings name.
+func (d *platformDaemon) meetSeeds() {
+	for _, seed := range d.own.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			d.log.Warn("seed can't be read", zap.String("seed", seed), zap.Error(err))
+			continue
+		}
+		d.peers.Meet(net.JoinHostPort(host, strconv.Itoa(d.own.FirstPort)))
+	}
+}
+
+// enrolment is this daemon's entry in the list of daemons.
+type enrolment struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+}
+
+// meetListed meets a daemon of the list.
+func (d *platformDaemon) meetListed(name string, raw []byte) {
+	var e enrolment
+	if err := json.Unmarshal(raw, &e); err != nil || e.Address == "" {
+		d.log.Warn("entry of a daemon can't be read", zap.String("peer", name), zap.Error(err))
+		return
+	}
+	d.peers.Meet(e.Address)
+}
+
+// runEnrol enters this daemon into the list, trying until the store answers.
+func (d *platformDaemon) runEnrol(ctx context.Context) {
+	raw, err := json.Marshal(enrolment{Address: d.datagramAddress(), DataCentre: d.own.DataCentre})
+	if err != nil {
+		d.log.Error("entry of this daemon can't be encoded", zap.Error(err))
+		return
+	}
+	for ctx.Err() == nil {
+		attemptCtx, cancel := context.WithTimeout(ctx, enrolTimeout.Duration())
+		err := d.store.Put(attemptCtx, directory.Daemons, d.own.Name, raw)
+		cancel()
+		if err == nil {
+			return
+		}
+		clock.Pause(ctx, enrolPause)
+	}
+}
+
+// drain takes the daemon out of service without cutting off a request.
+func (d *platformDaemon) drain(hard context.Context) {
+	d.log.Info("draining", zap.Int("open", d.dispatcher.Open()))
+	close(d.stopping)
+	d.dispatcher.Drain()
+	d.peers.Leave()
+	ctx, cancel := context.WithTimeout(hard, max(listenFor, d.own.ShutdownMs-shutdownReserve).Duration())
+	defer cancel()
+	select {
+	case <-time.After(listenFor.Duration()):
+	case <-ctx.Done():
+	}
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.log.Warn("drain ended with requests in flight", zap.Int("open", d.dispatcher.Open()), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/hemlockd/internal/capacity/view.go
@@ -0,0 +1,309 @@
+// Package capacity keeps what is known of the memory of decode engines: the
+// runs that this daemon has placed there and those that other daemons have told
+// of. It predicts how much memory the runs of an engine will need at the most
+// and chooses the engine for the next run. It does no I/O and takes the time as
+// an argument.
+//
+// # Usage
+//
+//	v := capacity.NewView(capacity.DefaultForecast())
+//	v.SetEngines(engines)
+//	if engine, ok := v.Place(run, now); ok { ... v.Progress(run.ID, made, now) ... v.End(run.ID) }
+//	v.Replace("other-daemon", itsRuns, now)
+package capacity
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"hemlockmux.example/common/clock"
+)
+
+// own is the owner of this daemon's runs.
+const own = ""
+
+const (
+	// blockTokens rounds the memory of a run up.
+	blockTokens = 16
+	// initialMsPerToken is the pace of an engine of which nothing is known yet.
+	initialMsPerToken = 1.0
+	// paceWeight is the weight of a new observation of an engine's pace.
+	paceWeight = 0.2
+)
+
+// Engine is a decode engine as the view needs to know it.
+type Engine struct {
+	ID           string
+	MemoryTokens int
+	Slots        int
+	// Cost is added to the fraction of the engine's memory in use when engines
+	// are compared: for distance, for doubt.
+	Cost float64
+}
+
+type engine struct {
+	Engine
+	msPerToken float64
+	// runs holds the runs of each owner by id.
+	runs map[string]map[string]Run
+}
+
+// View is the memory of all decode engines. It is safe for concurrent use.
+type View struct {
+	mu       sync.Mutex
+	forecast Forecast
+	engines  map[string]*engine
+	// where holds the engine of each of this daemon's runs.
+	where map[string]string
+}
+
+// NewView returns a view without engines.
+func NewView(f Forecast) *View {
+	return &View{forecast: f, engines: map[string]*engine{}, where: map[string]string{}}
+}
+
+// SetEngines takes over which engines there are. Runs at engines that stay are
+// kept; what is known of others is forgotten once nothing of ours runs there.
+func (v *View) SetEngines(engines []Engine) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	usable := map[string]bool{}
+	for _, e := range engines {
+		usable[e.ID] = true
+		v.engineLocked(e.ID).Engine = e
+	}
+	for id, e := range v.engines {
+		if !usable[id] {
+			e.MemoryTokens = 0
+		}
+		if !usable[id] && len(e.runs[own]) == 0 {
+			delete(v.engines, id)
+		}
+	}
+}
+
+func (v *View) engineLocked(id string) *engine {
+	e, ok := v.engines[id]
+	if !ok {
+		e = &engine{Engine: Engine{ID: id}, msPerToken: initialMsPerToken, runs: map[string]map[string]Run{own: {}}}
+		v.engines[id] = e
+	}
+	return e
+}
+
+// Place chooses an engine that will have room for the run and books it there.
+// Engines in not are passed over.
+func (v *View) Place(r Run, not map[string]bool, now clock.Millis) (string, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var best *engine
+	bestCost := 0.0
+	for _, e := range v.sortedLocked() {
+		if not[e.ID] || e.MemoryTokens == 0 || e.count() >= e.Slots {
+			continue
+		}
+		need := v.peakLocked(e, &r, now)
+		if need > e.MemoryTokens {
+			continue
+		}
+		cost := float64(need)/float64(e.MemoryTokens) + e.Cost
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	r.Engine, r.atMs = best.ID, now
+	best.runs[own][r.ID] = r
+	v.where[r.ID] = best.ID
+	return best.ID, true
+}
+
+// Fits tells whether any engine could ever hold the run alone.
+func (v *View) Fits(r Run) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.engines {
+		if r.Prompt < e.MemoryTokens {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *View) sortedLocked() []*engine {
+	all := make([]*engine, 0, len(v.engines))
+	for _, id := range slices.Sorted(maps.Keys(v.engines)) {
+		all = append(all, v.engines[id])
+	}
+	return all
+}
+
+func (e *engine) count() int {
+	n := 0
+	for _, runs := range e.runs {
+		n += len(runs)
+	}
+	return n
+}
+
+// peakLocked predicts the most memory that the engine's runs will need, with
+// one more if extra is set.
+func (v *View) peakLocked(e *engine, extra *Run, now clock.Millis) int {
+	loads := make([]load, 0, e.count()+1)
+	add := func(r Run) {
+		made := r.madeBy(now, e.msPerToken)
+		loads = append(loads, load{held: r.Prompt + made + blockTokens, left: v.forecast.output(r, made) - made})
+	}
+	for _, runs := range e.runs {
+		for _, r := range runs {
+			add(r)
+		}
+	}
+	if extra != nil {
+		add(*extra)
+	}
+	return peak(loads)
+}
+
+// Progress takes in how many tokens one of this daemon's runs has generated.
+func (v *View) Progress(id string, made int, now clock.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, r, ok := v.ownLocked(id)
+	if !ok {
+		return
+	}
+	if more := made - r.Made; r.Decoding && more > 0 && now > r.atMs {
+		pace := float64(now-r.atMs) / float64(more)
+		e.msPerToken += paceWeight * (pace - e.msPerToken)
+	}
+	r.Made, r.Decoding, r.atMs = max(r.Made, made), true, now
+	r.Prefill = ""
+	e.runs[own][id] = r
+}
+
+func (v *View) ownLocked(id string) (*engine, Run, bool) {
+	e, ok := v.engines[v.where[id]]
+	if !ok {
+		return nil, Run{}, false
+	}
+	r, ok := e.runs[own][id]
+	return e, r, ok
+}
+
+// End frees what one of this daemon's runs has booked.
+func (v *View) End(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e, _, ok := v.ownLocked(id); ok {
+		delete(e.runs[own], id)
+	}
+	delete(v.where, id)
+}
+
+// SetPrefill takes in which engine reads the prompt of one of this daemon's runs
+// ("" once it has been read) and returns the run.
+func (v *View) SetPrefill(id, prefill string) Run {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, r, ok := v.ownLocked(id)
+	if !ok {
+		return Run{}
+	}
+	r.Prefill = prefill
+	e.runs[own][id] = r
+	return r
+}
+
+// PrefillLoad returns the prompt tokens that each prefill engine is known to
+// have been given and not yet read.
+func (v *View) PrefillLoad() map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	tokens := map[string]int{}
+	for _, e := range v.engines {
+		for _, runs := range e.runs {
+			for _, r := range runs {
+				if r.Prefill != "" {
+					tokens[r.Prefill] += r.Prompt
+				}
+			}
+		}
+	}
+	return tokens
+}
+
+// Own returns this daemon's runs, for the other daemons.
+func (v *View) Own(now clock.Millis) []Run {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var all []Run
+	for _, e := range v.sortedLocked() {
+		for _, id := range slices.Sorted(maps.Keys(e.runs[own])) {
+			r := e.runs[own][id]
+			r.Made = r.madeBy(now, e.msPerToken)
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// Replace takes over all runs of another daemon.
+func (v *View) Replace(owner string, runs []Run, now clock.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.engines {
+		delete(e.runs, owner)
+	}
+	for _, r := range runs {
+		v.addLocked(owner, r, now)
+	}
+}
+
+// Add takes in one more run of another daemon.
+func (v *View) Add(owner string, r Run, now clock.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.addLocked(owner, r, now)
+}
+
+func (v *View) addLocked(owner string, r Run, now clock.Millis) {
+	e := v.engineLocked(r.Engine)
+	if e.runs[owner] == nil {
+		e.runs[owner] = map[string]Run{}
+	}
+	r.atMs = now
+	e.runs[owner][r.ID] = r
+}
+
+// Remove takes in that runs of another daemon have ended.
+func (v *View) Remove(owner string, ids []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.engines {
+		for _, id := range ids {
+			delete(e.runs[owner], id)
+		}
+	}
+}
+
+// Status is one engine as operators see it.
+type Status struct {
+	Engine
+	Runs, Peak int
+	MsPerToken float64
+}
+
+// Engines returns what is known of each engine.
+func (v *View) Engines(now clock.Millis) []Status {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var all []Status
+	for _, e := range v.sortedLocked() {
+		all = append(all, Status{Engine: e.Engine, Runs: e.count(), Peak: v.peakLocked(e, nil, now), MsPerToken: e.msPerToken})
+	}
+	return all
+}
--- /dev/null
+++ b/hemlockd/internal/directory/upstreams.go
@@ -0,0 +1,102 @@
+package directory
+
+import (
+	"maps"
+	"slices"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
+	"hemlockmux.example/common/routing"
+)
+
+// returnGrace is how long after trouble at the store an upstream whose entry
+// has gone is still used: upstreams that live write themselves back within two
+// seconds.
+const returnGrace = 2400 * clock.Millisecond
+
+// upstreamList is the list of upstreams. Its owner serializes calls.
+type upstreamList struct {
+	entries map[string]*listed
+	// troubleMs is when the store last failed to answer.
+	troubleMs clock.Millis
+}
+
+type listed struct {
+	upstream routing.Upstream
+	raw      []byte
+	// goneMs is set while an upstream without an entry is still used.
+	goneMs clock.Millis
+}
+
+func newUpstreamList() *upstreamList {
+	return &upstreamList{entries: map[string]*listed{}, troubleMs: -returnGrace}
+}
+
+// put takes in an entry and tells whether it says something new.
+func (l *upstreamList) put(u routing.Upstream, raw []byte) bool {
+	old, ok := l.entries[u.ID]
+	l.entries[u.ID] = &listed{upstream: u, raw: raw}
+	return !ok || old.upstream != u || old.goneMs != 0
+}
+
+// remove takes in that an entry has gone. After trouble at the store that may
+// be the store's doing.
+func (l *upstreamList) remove(id string, now clock.Millis) {
+	e, ok := l.entries[id]
+	if !ok {
+		return
+	}
+	if e.upstream.Leaving || now-l.troubleMs > returnGrace {
+		delete(l.entries, id)
+		return
+	}
+	if e.goneMs == 0 {
+		e.goneMs = now
+	}
+}
+
+// keepOnly takes in that the entries are all there are.
+func (l *upstreamList) keepOnly(entries []directory.Entry, now clock.Millis) {
+	there := map[string]bool{}
+	for _, e := range entries {
+		there[e.Key] = true
+	}
+	for _, id := range slices.Collect(maps.Keys(l.entries)) {
+		if !there[id] {
+			l.remove(id, now)
+		}
+	}
+}
+
+// expire drops upstreams whose entries have not come back in time and tells
+// whether there were any.
+func (l *upstreamList) expire(now clock.Millis) bool {
+	changed := false
+	for id, e := range l.entries {
+		if e.goneMs != 0 && now-max(l.troubleMs, e.goneMs) > returnGrace {
+			delete(l.entries, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// byService returns the upstreams that may get new work.
+func (l *upstreamList) byService() map[string][]routing.Upstream {
+	services := map[string][]routing.Upstream{}
+	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
+		if u := l.entries[id].upstream; !u.Leaving {
+			services[u.Service] = append(services[u.Service], u)
+		}
+	}
+	return services
+}
+
+// raw returns the entries in the platform's form, for other daemons.
+func (l *upstreamList) raw() map[string][]byte {
+	all := map[string][]byte{}
+	for id, e := range l.entries {
+		all[id] = e.raw
+	}
+	return all
+}
--- /dev/null
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -0,0 +1,134 @@
+// Package dispatch decides what becomes of a caller's request: which upstream
+// gets it, whether it waits or is refused, whether it is sent again, and what
+// the caller is told. It speaks to upstreams through an interface of its own.
+//
+// What may be repeated follows from the route's kind. A refusal says that a
+// request has not run, so it is given only where that is certain; what is not
+// known is answered with 502 or 504.
+//
+// # Usage
+//
+//	d := dispatch.New(options)
+//	server := &http.Server{Handler: d}
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/calls"
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/routing"
+	"hemlockmux.example/hemlockd/internal/capacity"
+	"hemlockmux.example/hemlockd/internal/directory"
+	"hemlockmux.example/hemlockd/internal/peers"
+	"hemlockmux.example/hemlockd/internal/retries"
+	"hemlockmux.example/hemlockd/internal/suspects"
+)
+
+// Upstreams sends calls to upstreams. An error is a *calls.Error.
+type Upstreams interface {
+	Send(ctx context.Context, call *calls.Call, to routing.Upstream, d calls.Delivery) (*calls.Reply, error)
+	Prefill(ctx context.Context, call *calls.Call, to routing.Upstream, d calls.Delivery) (calls.KVSource, error)
+	Free(ctx context.Context, source calls.KVSource) error
+}
+
+// Options is what a dispatcher works with.
+type Options struct {
+	Log       *zap.Logger
+	Clock     clock.Clock
+	Directory *directory.Directory
+	Upstreams Upstreams
+	View      *capacity.View
+	Queue     *capacity.Queue
+	Peers     *peers.Peers
+	Retries   *retries.Windows
+	Suspects  *suspects.Suspects
+	// ReadCall reads a caller's request, without its body.
+	ReadCall func(*http.Request) *calls.Call
+	// DataCentre is this daemon's, Regions the region of each.
+	DataCentre string
+	Regions    map[string]string
+}
+
+// Dispatcher serves callers. It implements [http.Handler].
+type Dispatcher struct {
+	o      Options
+	health *health
+	// drainingSinceMs is set once the daemon shuts down.
+	drainingSinceMs atomic.Int64
+	open            atomic.Int64
+}
+
+// New returns a dispatcher.
+func New(o Options) *Dispatcher { return &Dispatcher{o: o, health: newHealth(o.Clock)} }
+
+// Drain makes answers ask callers to come over new connections, so that they
+// come to other daemons.
+func (d *Dispatcher) Drain() { d.drainingSinceMs.Store(int64(d.o.Clock.Now())) }
+
+// Open is the number of requests in flight.
+func (d *Dispatcher) Open() int { return int(d.open.Load()) }
+
+// ServeHTTP implements [http.Handler].
+func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.open.Add(1)
+	defer d.open.Add(-1)
+	x := &exchange{d: d, w: w, r: r, call: d.o.ReadCall(r), arrivedMs: d.o.Clock.Now(), outcome: calls.NotRun}
+	defer x.conclude()
+	x.serve()
+}
+
+// Refresh tells the view which decode engines there are; it is called after a
+// change of the directory and at intervals.
+func (d *Dispatcher) Refresh() {
+	table := d.o.Directory.Table()
+	if table == nil {
+		return
+	}
+	var engines []capacity.Engine
+	for name, service := range table.Config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for _, u := range d.o.Directory.Upstreams(name) {
+			if u.Role != routing.RoleDecode || d.health.down(u.ID) {
+				continue
+			}
+			engines = append(engines, capacity.Engine{
+				ID: u.ID, MemoryTokens: service.Engine.MemoryTokens, Slots: service.Engine.Slots,
+				Cost: engineDistanceCost * d.distance(u.DataCentre),
+			})
+		}
+	}
+	d.o.View.SetEngines(engines)
+	d.o.Queue.Wake()
+}
+
+// engineDistanceCost weighs a millisecond on the way to an engine against the
+// fraction of its memory in use.
+const engineDistanceCost = 0.002
+
+// Times on the way to an upstream and back, in ms.
+const (
+	ownDataCentreMs = 0.5
+	ownRegionMs     = 3
+	otherRegionMs   = 60
+)
+
+// distance is the time on the way to a data centre and back, in ms.
+func (d *Dispatcher) distance(dataCentre string) float64 {
+	switch {
+	case dataCentre == d.o.DataCentre:
+		return ownDataCentreMs
+	case d.o.Regions[dataCentre] == d.o.Regions[d.o.DataCentre]:
+		return ownRegionMs
+	}
+	return otherRegionMs
+}
+
+func jitter(span clock.Millis) clock.Millis { return clock.Millis(rand.Int64N(int64(span) + 1)) }
--- /dev/null
+++ b/hemlockd/internal/dispatch/model.go
@@ -0,0 +1,303 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"hemlockmux.example/common/calls"
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/routing"
+	"hemlockmux.example/hemlockd/internal/capacity"
+	"hemlockmux.example/hemlockd/internal/peers"
+)
+
+const (
+	// patience is the part of a route's target that a request may wait for a
+	// place; the rest is for reading the prompt and the way.
+	patience = 0.6
+	// resumePatience is how long a stream that has lost its engine waits for
+	// another.
+	resumePatience = 2 * clock.Second
+	// maxPlacements bounds the engines that one run is sent to, also where they
+	// do not take it.
+	maxPlacements = 4
+	// minPrefillTimeout and prefillTimeoutMsPerKiloToken bound the wait for a
+	// prefill.
+	minPrefillTimeout            = 700 * clock.Millisecond
+	prefillTimeoutMsPerKiloToken = 60
+	// freeTimeout bounds the call that frees a prefill's result.
+	freeTimeout = clock.Second
+	// prefillFailureTokens is what a prefill engine that always fails costs in
+	// the choice, as tokens to read.
+	prefillFailureTokens = 60000
+	// distanceTokensPerMs weighs the way between prefill and decode.
+	distanceTokensPerMs = 30
+	// roomRetry is the least and the spread of the time after which a request
+	// that found no room may come back.
+	roomRetry = 1500 * clock.Millisecond
+)
+
+// modelRun takes one request through prefill and decode.
+type modelRun struct {
+	*exchange
+	ctx  context.Context
+	spec *routing.EngineSpec
+	run  capacity.Run
+	// not holds engines that are not tried again.
+	not map[string]bool
+	// source is the prefill's result while nobody has fetched it.
+	source *calls.KVSource
+	// prefills, sends count calls to upstreams; runs those that may have run.
+	prefills, sends, runs int
+	stream                streamState
+}
+
+func (m *modelRun) serve() {
+	p := m.call.Prompt
+	done := eventsBefore(m.call.ResumeAfter) * m.spec.EventTokens
+	m.run = capacity.Run{
+		ID: m.call.ID, Prompt: p.Tokens + done, Most: max(1, p.MostOutput-done), Likely: max(0, p.LikelyOutput-done),
+	}
+	m.stream.after = m.call.ResumeAfter
+	defer m.release()
+	if !m.d.o.View.Fits(m.run) {
+		m.refuse(http.StatusServiceUnavailable, reasonNoUpstream, roomRetry+jitter(roomRetry))
+		return
+	}
+	if since := m.d.drainingSinceMs.Load(); since != 0 && m.now()-clock.Millis(since) > lastStream {
+		m.refuse(http.StatusServiceUnavailable, reasonShutdown, 100*clock.Millisecond)
+		return
+	}
+	wait := clock.Millis(patience * float64(m.route.TargetMs))
+	for m.runs < m.route.MaxAttempts {
+		if !m.attempt(wait - (m.now() - m.arrivedMs)) {
+			return
+		}
+		wait = m.now() - m.arrivedMs + resumePatience
+	}
+	m.giveUp(reasonUnknown)
+}
+
+// eventsBefore is the number of events up to an id; ids count from 0 or 1.
+func eventsBefore(id string) int {
+	n, err := strconv.Atoi(id)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+// attempt runs the request at one engine, from the place to the last event. It
+// returns true where the stream may go on at another engine.
+func (m *modelRun) attempt(wait clock.Millis) bool {
+	if !m.place(wait) {
+		m.giveUp(reasonNoRoom)
+		return false
+	}
+	for {
+		if !m.prefill() {
+			m.giveUp(reasonBusy)
+			return false
+		}
+		reply, failed := m.decode()
+		if failed == nil {
+			return m.forward(reply)
+		}
+		if failed.Outcome != calls.NotRun {
+			m.runs++
+			return m.mayGoOn()
+		}
+		if !m.placeAgain() {
+			m.giveUp(reasonBusy)
+			return false
+		}
+	}
+}
+
+// mayGoOn tells whether the request may be sent to another engine after one
+// may have run it.
+func (m *modelRun) mayGoOn() bool {
+	if m.callerGone() || m.leftMs() <= 0 || !m.route.Repeatable() || m.runs >= m.route.MaxAttempts ||
+		!m.d.o.Retries.Take(m.service, m.now()) {
+		m.giveUp(reasonUnknown)
+		return false
+	}
+	m.releasePlace()
+	return true
+}
+
+// giveUp ends the request without a whole answer.
+func (m *modelRun) giveUp(reason string) {
+	if m.answered {
+		m.cut(reasonStreamCut)
+	}
+	m.fail(reason, roomRetry+jitter(roomRetry))
+}
+
+// place books a place at a decode engine and tells the other daemons.
+func (m *modelRun) place(wait clock.Millis) bool {
+	start := m.now()
+	ctx, cancel := context.WithTimeout(m.ctx, max(0, wait).Duration())
+	defer cancel()
+	engine, ok := m.d.o.Queue.Place(ctx, m.run, m.not)
+	m.waitedMs += m.now() - start
+	m.run.Engine = engine
+	return ok
+}
+
+// placeAgain moves the run to another engine after one has not taken it.
+func (m *modelRun) placeAgain() bool {
+	m.not[m.run.Engine] = true
+	m.releasePlace()
+	return m.sends < maxPlacements && m.leftMs() > 0 && !m.callerGone() && m.place(0) &&
+		m.d.o.Retries.Take(m.service, m.now())
+}
+
+// releasePlace frees the place that is booked and tells the other daemons.
+func (m *modelRun) releasePlace() {
+	if m.run.Engine == "" {
+		return
+	}
+	m.d.o.View.End(m.run.ID)
+	m.run.Engine = ""
+	m.d.o.Peers.Tell(peers.News{Ended: []string{m.run.ID}})
+	m.d.o.Queue.Wake()
+}
+
+func (m *modelRun) release() {
+	m.releasePlace()
+	m.freeResult()
+}
+
+// freeResult frees a prefill's result that no engine has fetched.
+func (m *modelRun) freeResult() {
+	if m.source == nil {
+		return
+	}
+	f := &freeing{d: m.d, source: *m.source}
+	m.source = nil
+	go f.run()
+}
+
+// freeing frees one prefill's result.
+type freeing struct {
+	d      *Dispatcher
+	source calls.KVSource
+}
+
+func (f *freeing) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout.Duration())
+	defer cancel()
+	if err := f.d.o.Upstreams.Free(ctx, f.source); err != nil {
+		metrics.Add("freeFailed", 1)
+	}
+}
+
+// prefill has the prompt read, unless a result is there already.
+func (m *modelRun) prefill() bool {
+	if m.source != nil {
+		return true
+	}
+	tried := map[string]bool{}
+	for m.prefills < maxPlacements && m.leftMs() > 0 && !m.callerGone() {
+		u, ok := m.choosePrefill(tried)
+		if !ok || m.prefills > 0 && !m.d.o.Retries.Take(m.service, m.now()) {
+			return false
+		}
+		tried[u.ID] = true
+		m.d.o.Peers.Tell(peers.News{Runs: []capacity.Run{m.d.o.View.SetPrefill(m.run.ID, u.ID)}})
+		start := m.now()
+		source, err := m.sendPrefill(u)
+		failed := m.record(u.ID, calls.PhasePrefill, start, err)
+		m.d.o.View.SetPrefill(m.run.ID, "")
+		if failed == nil {
+			m.prefills++
+			m.source = &source
+			return true
+		}
+		if failed.Cause != calls.CauseUnreachable {
+			m.prefills++
+		}
+		m.noteResult(u, err)
+	}
+	return false
+}
+
+func (m *modelRun) sendPrefill(u routing.Upstream) (calls.KVSource, error) {
+	defer m.d.health.begin(u.ID)()
+	timeout := minPrefillTimeout + clock.Millis(m.run.Prompt*prefillTimeoutMsPerKiloToken/1000)
+	ctx, cancel := context.WithTimeout(m.ctx, timeout.Duration())
+	defer cancel()
+	return m.d.o.Upstreams.Prefill(ctx, m.call, u, calls.Delivery{LeftMs: max(1, m.leftMs()), ResumeAfter: m.stream.resumeAfter()})
+}
+
+// choosePrefill returns the prefill engine that is thought to end first.
+func (m *modelRun) choosePrefill(tried map[string]bool) (routing.Upstream, bool) {
+	load := m.d.o.View.PrefillLoad()
+	decoder, _ := m.upstream(m.run.Engine)
+	var best routing.Upstream
+	bestCost, found := 0.0, false
+	for _, u := range m.d.o.Directory.Upstreams(m.service) {
+		if u.Role != routing.RolePrefill || tried[u.ID] {
+			continue
+		}
+		_, failureRate := m.d.health.state(u.ID)
+		cost := float64(load[u.ID]) + prefillFailureTokens*failureRate + distanceTokensPerMs*m.d.distance(u.DataCentre)
+		if u.DataCentre != decoder.DataCentre {
+			cost += distanceTokensPerMs * ownRegionMs
+		}
+		if m.d.health.down(u.ID) {
+			cost += prefillFailureTokens
+		}
+		if !found || cost < bestCost {
+			best, bestCost, found = u, cost, true
+		}
+	}
+	return best, found
+}
+
+func (m *modelRun) upstream(id string) (routing.Upstream, bool) {
+	for _, u := range m.d.o.Directory.Upstreams(m.service) {
+		if u.ID == id {
+			return u, true
+		}
+	}
+	return routing.Upstream{}, false
+}
+
+// decode sends the request to the engine where its place is.
+func (m *modelRun) decode() (*calls.Reply, *calls.Error) {
+	u, ok := m.upstream(m.run.Engine)
+	if !ok {
+		return nil, &calls.Error{
+			Upstream: m.run.Engine, Phase: calls.PhaseDecode, Cause: calls.CauseUnreachable, Outcome: calls.NotRun,
+			Err: errors.New("the engine has left"),
+		}
+	}
+	start := m.now()
+	m.sends++
+	m.stream.begin(m.ctx)
+	reply, err := m.d.o.Upstreams.Send(m.stream.ctx, m.call, u, calls.Delivery{
+		Phase: calls.PhaseDecode, LeftMs: max(1, m.leftMs()), KVSource: *m.source, ResumeAfter: m.stream.resumeAfter(),
+	})
+	failed := m.record(u.ID, calls.PhaseDecode, start, err)
+	if failed == nil {
+		m.source = nil
+		return reply, nil
+	}
+	m.stream.end()
+	m.noteResult(u, err)
+	if failed.Outcome != calls.NotRun {
+		m.source = nil
+		m.d.health.setDown(u.ID)
+		m.d.Refresh()
+		return nil, failed
+	}
+	if m.sends > 1 {
+		// Two engines refused: the result is probably gone.
+		m.freeResult()
+	}
+	return nil, failed
+}
--- /dev/null
+++ b/hemlockd/internal/peers/messages.go
@@ -0,0 +1,54 @@
+package peers
+
+import (
+	"hemlockmux.example/hemlockd/internal/capacity"
+	"hemlockmux.example/hemlockd/internal/suspects"
+)
+
+// Methods of the messages between daemons.
+const (
+	// methodState is a notification in a datagram.
+	methodState = "daemon.state"
+	// methodSnapshot asks over a connection for what a daemon knows of routes
+	// and upstreams.
+	methodSnapshot = "daemon.snapshot"
+)
+
+// State is what a daemon tells the others: all of it at intervals, and what has
+// changed at once.
+type State struct {
+	Name string `json:"name"`
+	// StartedMs tells one run of the daemon from the next; Number orders its
+	// messages.
+	StartedMs  int64  `json:"startedMs"`
+	Number     int64  `json:"number"`
+	Address    string `json:"address"` // IP:port for datagrams
+	Control    string `json:"control"` // IP:port for calls
+	DataCentre string `json:"dataCentre"`
+	// Version is the version of the configuration in force.
+	Version int64 `json:"version"`
+	// Whole says that Runs are all runs of the daemon; otherwise they are added
+	// to, or replace, those told before.
+	Whole bool           `json:"whole,omitempty"`
+	Runs  []capacity.Run `json:"runs,omitempty"`
+	Ended []string       `json:"ended,omitempty"`
+	// Daemons are addresses of others that the sender has heard of lately.
+	Daemons  []string         `json:"daemons,omitempty"`
+	Suspects []suspects.Entry `json:"suspects,omitempty"`
+	// Leaving says that the daemon is shutting down.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Snapshot is what a daemon knows of routes and upstreams, in the form in which
+// the platform keeps them.
+type Snapshot struct {
+	Version   int64             `json:"version"`
+	Config    []byte            `json:"config,omitempty"`
+	Upstreams map[string][]byte `json:"upstreams,omitempty"`
+}
+
+// SnapshotRequest says what the asking daemon has already.
+type SnapshotRequest struct {
+	HaveVersion   int64 `json:"haveVersion"`
+	WantUpstreams bool  `json:"wantUpstreams,omitempty"`
+}
--- /dev/null
+++ b/hemlockd/internal/retries/window_test.go
@@ -0,0 +1,58 @@
+package retries
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hemlockmux.example/common/clock"
+)
+
+// TestRepeatsOfAllDaemonsKeepTheBound lets several daemons, some of which
+// restart, ask for as many repeats as they can get.
+func TestRepeatsOfAllDaemonsKeepTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "daemons")
+		bound := Bound{Ratio: 0.2, Slack: 52, WindowMs: 10 * clock.Second}
+		budgets := make([]*Windows, n)
+		start := func(at clock.Millis) *Windows { return NewWindows(bound, at, func() int { return n }) }
+		for i := range budgets {
+			budgets[i] = start(0)
+		}
+		type event struct {
+			at     clock.Millis
+			repeat bool
+		}
+		var events []event
+		for now := clock.Millis(0); now < 30*clock.Second; now += 100 {
+			i := rapid.IntRange(0, n-1).Draw(t, "daemon")
+			if rapid.IntRange(0, 60).Draw(t, "restart") == 0 {
+				budgets[i] = start(now)
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "requests") {
+				budgets[i].First("s", now)
+				events = append(events, event{now, false})
+			}
+			for budgets[i].Take("s", now) {
+				events = append(events, event{now, true})
+			}
+		}
+		for from := clock.Millis(0); from < 30*clock.Second; from += 500 {
+			firsts, before, repeats := 0.0, 0.0, 0.0
+			for _, e := range events {
+				inside := e.at >= from && e.at < from+bound.WindowMs
+				switch {
+				case inside && e.repeat:
+					repeats++
+				case inside:
+					firsts++
+				case !e.repeat && e.at >= from-bound.WindowMs && e.at < from:
+					before++
+				}
+			}
+			if limit := bound.Ratio*max(firsts, before) + bound.Slack; repeats > limit {
+				t.Fatalf("%v repeats from %d ms on, %v allowed", repeats, from, limit)
+			}
+		}
+	})
+}
