--- a/common/routing/routing.go
+++ b/common/routing/routing.go
@@ -87,6 +87,8 @@
 // Service is a group of upstreams that serve the same calls.
 type Service struct {
 	Name string
+	// HealthPath is where an upstream is asked whether it is healthy.
+	HealthPath string
 	// MaxConnections is the most connections that an upstream takes from all
 	// daemons together.
 	MaxConnections int
--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -65,7 +65,7 @@
 			}
 			defer func() { _ = log.Sync() }()
 			soft, hard := stopContexts()
-			return RunOnPlatform(soft, hard, own, log)
+			return RunOnPlatform(soft, hard, path, own, log)
 		},
 	}
 }
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -53,6 +53,7 @@
 	callers    *http.Server
 	ready      *http.Server
 	failed     chan error
+	retries    *retries.Windows
 	stopping   chan struct{} // closed when the shutdown begins
 	cleanup    []func()      // run in reverse
 }
@@ -60,12 +61,15 @@
 // RunOnPlatform runs the daemon on the users' platform until ctx ends, then
 // shuts it down gracefully; a second context, hard, ends the wait for requests
 // in flight.
-func RunOnPlatform(ctx, hard context.Context, own platform.Settings, log *zap.Logger) error {
+//
+// The settings at path are read again when they change.
+func RunOnPlatform(ctx, hard context.Context, path string, own platform.Settings, log *zap.Logger) error {
 	d := &platformDaemon{log: log, own: own, clk: clock.System(), failed: make(chan error, 2), stopping: make(chan struct{})}
 	defer d.close()
 	if err := d.wire(); err != nil {
 		return err
 	}
+	d.onClose(watchSettings(log, path, d.reload))
 	log.Info("daemon is serving", zap.String("callers", own.Callers), zap.String("dataCentre", own.DataCentre),
 		zap.String("daemons", own.Daemons))
 	var err error
@@ -113,7 +117,7 @@
 		Log: d.log, Clock: d.clk, Name: d.own.Name, DataCentre: d.own.DataCentre,
 		Address: d.datagramAddress(), Control: d.own.Daemons, StartedMs: started,
 	}, peers.Handlers{
-		Version: d.directory.Version, View: view, Suspects: sus, RoomChanged: queue.Wake,
+		Version: d.directory.Version, View: view, Suspects: sus, RoomChanged: queue.Wake, Down: d.hearDown,
 		NewerVersion: func(control string, _ int64) { d.directory.AskPeer(control) },
 		Snapshot:     d.directory.Snapshot,
 	})
@@ -121,17 +125,18 @@
 		return err
 	}
 	d.onClose(closePeers)
-	bound := retries.Bound{Ratio: d.own.RetryRatio, Slack: d.own.RetrySlack, WindowMs: d.own.RetryWindowMs}
+	d.retries = retries.NewWindows(retryBound(d.own), started, d.peers.Count)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Log: d.log, Clock: d.clk, Directory: d.directory, Upstreams: servers, View: view, Queue: queue, Peers: d.peers,
-		Retries: retries.NewWindows(bound, started, d.peers.Count), Suspects: sus,
+		Retries: d.retries, Suspects: sus,
 		ReadCall: platform.ReadCall, DataCentre: d.own.DataCentre, Regions: d.own.Regions,
 	})
-	d.meetSeeds()
+	d.meetSeeds(d.own.Seeds)
 	d.onClose(d.directory.Start())
 	ctx, cancel := context.WithCancel(context.Background())
 	d.onClose(cancel)
 	go d.runRefresh(ctx)
+	go d.dispatcher.RunProbes(ctx)
 	go d.runEnrol(ctx)
 	if d.ready, err = d.listen("ready", d.own.Ready, http.HandlerFunc(d.serveReady)); err != nil {
 		return err
@@ -179,6 +184,12 @@
 	}
 }
 
+func (d *platformDaemon) hearDown(ids []string) {
+	if d.dispatcher != nil {
+		d.dispatcher.HearDown(ids)
+	}
+}
+
 func (d *platformDaemon) runRefresh(ctx context.Context) {
 	for clock.Pause(ctx, refreshInterval) {
 		d.directory.Sync()
@@ -186,9 +197,23 @@
 	}
 }
 
+// reload takes over what of new settings can change while the daemon runs: the
+// seeds and the bound on retries. Addresses change only with a new process.
+func (d *platformDaemon) reload(own platform.Settings) {
+	d.meetSeeds(own.Seeds)
+	d.retries.SetBound(retryBound(own))
+	if own.Callers != d.own.Callers || own.Ready != d.own.Ready || own.Daemons != d.own.Daemons || own.StoreAddress != d.own.StoreAddress {
+		d.log.Warn("addresses have changed; they are in force after the next start")
+	}
+}
+
+func retryBound(own platform.Settings) retries.Bound {
+	return retries.Bound{Ratio: own.RetryRatio, Slack: own.RetrySlack, WindowMs: own.RetryWindowMs}
+}
+
 // meetSeeds meets the daemons that the settings name.
-func (d *platformDaemon) meetSeeds() {
-	for _, seed := range d.own.Seeds {
+func (d *platformDaemon) meetSeeds(seeds []string) {
+	for _, seed := range seeds {
 		host, _, err := net.SplitHostPort(seed)
 		if err != nil {
 			d.log.Warn("seed can't be read", zap.String("seed", seed), zap.Error(err))
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		need := v.peakLocked(e, &r, now)
-		if need > e.MemoryTokens {
+		if float64(need) > 0.86*float64(e.MemoryTokens) {
 			continue
 		}
 		cost := float64(need)/float64(e.MemoryTokens) + e.Cost
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -35,6 +35,8 @@
 	Send(ctx context.Context, call *calls.Call, to routing.Upstream, d calls.Delivery) (*calls.Reply, error)
 	Prefill(ctx context.Context, call *calls.Call, to routing.Upstream, d calls.Delivery) (calls.KVSource, error)
 	Free(ctx context.Context, source calls.KVSource) error
+	// Probe tells whether the upstream answers.
+	Probe(ctx context.Context, to routing.Upstream, path string) error
 }
 
 // Options is what a dispatcher works with.
@@ -109,6 +111,63 @@
 	d.o.Queue.Wake()
 }
 
+// setDown takes the upstream out of use until it answers a probe, and tells the
+// other daemons.
+func (d *Dispatcher) setDown(id string) {
+	if !d.health.setDown(id) {
+		return
+	}
+	d.o.Log.Info("upstream is down", zap.String("upstream", id), zap.String("source", "own call"))
+	d.o.Peers.Tell(peers.News{Down: []string{id}})
+	d.Refresh()
+}
+
+// HearDown takes in that another daemon found upstreams down.
+func (d *Dispatcher) HearDown(ids []string) {
+	for _, id := range ids {
+		if d.health.setDown(id) {
+			d.o.Log.Info("upstream is down", zap.String("upstream", id), zap.String("source", "another daemon"))
+		}
+	}
+	d.Refresh()
+}
+
+// RunProbes probes the upstreams that are down until ctx ends.
+func (d *Dispatcher) RunProbes(ctx context.Context) {
+	for clock.Pause(ctx, probeInterval) {
+		table := d.o.Directory.Table()
+		if table == nil {
+			continue
+		}
+		for name, service := range table.Config.Services {
+			for _, u := range d.o.Directory.Upstreams(name) {
+				if d.health.down(u.ID) {
+					p := &probe{d: d, upstream: u, path: service.HealthPath}
+					go p.run(ctx)
+				}
+			}
+		}
+	}
+}
+
+// probe is one question to an upstream that is down.
+type probe struct {
+	d        *Dispatcher
+	upstream routing.Upstream
+	path     string
+}
+
+func (p *probe) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+	if err := p.d.o.Upstreams.Probe(ctx, p.upstream, p.path); err != nil {
+		return
+	}
+	p.d.health.setUp(p.upstream.ID)
+	p.d.o.Log.Info("upstream answers again", zap.String("upstream", p.upstream.ID))
+	p.d.Refresh()
+}
+
 // engineDistanceCost weighs a millisecond on the way to an engine against the
 // fraction of its memory in use.
 const engineDistanceCost = 0.002
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -40,6 +40,10 @@
 const (
 	// defaultBodyBytes bounds a body where the configuration doesn't.
 	defaultBodyBytes = 4 << 20
+	// firstTableWait is how long a request waits at a daemon that has not got a
+	// configuration yet; firstTablePause is the time between two looks.
+	firstTableWait  = 500 * clock.Millisecond
+	firstTablePause = 20 * clock.Millisecond
 	// lastStream is how long after the start of a shutdown streams are still
 	// begun.
 	lastStream = 2500 * clock.Millisecond
@@ -82,7 +86,7 @@
 
 // serve takes the request to its answer.
 func (x *exchange) serve() {
-	table := x.d.o.Directory.Table()
+	table := x.d.awaitTable(x.r.Context())
 	if table == nil {
 		x.refuse(http.StatusServiceUnavailable, reasonNoConfig, clock.Second)
 		return
@@ -122,6 +126,20 @@
 	x.servePlain(ctx)
 }
 
+// awaitTable returns the routes in force. A daemon that has just started waits
+// a little for them.
+func (d *Dispatcher) awaitTable(ctx context.Context) *routing.Table {
+	for end := d.o.Clock.Now() + firstTableWait; d.o.Clock.Now() < end; {
+		if d.o.Directory.Ready() {
+			break
+		}
+		if !clock.Pause(ctx, firstTablePause) {
+			break
+		}
+	}
+	return d.o.Directory.Table()
+}
+
 // digest identifies what a caller wants, whichever attempt it is.
 func digest(call *calls.Call) string {
 	h := xxhash.New()
--- a/hemlockd/internal/dispatch/health.go
+++ b/hemlockd/internal/dispatch/health.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// downFor is how long an upstream that could not be reached is passed over.
-	downFor = clock.Second
+	// probeInterval is the time between two probes of an upstream that is down.
+	probeInterval = 300 * clock.Millisecond
+	// probeTimeout bounds one probe.
+	probeTimeout = 600 * clock.Millisecond
 	// failureWeight is the weight of one result in an upstream's failure rate.
 	failureWeight = 0.15
 	// failureHalfLife is the time in which a failure rate halves by itself, so
@@ -28,7 +30,9 @@
 	inFlight    int
 	failureRate float64
 	changedMs   clock.Millis
-	downUntilMs clock.Millis
+	// down is set when the upstream could not be reached or broke off, until a
+	// probe is answered.
+	down bool
 }
 
 func newHealth(clk clock.Clock) *health {
@@ -64,24 +68,35 @@
 	failed := 1.0
 	if ok {
 		failed = 0
-		u.downUntilMs = 0
+		u.down = false
 	}
 	rate := u.rate(now)
 	u.failureRate, u.changedMs = rate+failureWeight*(failed-rate), now
 }
 
-// setDown takes in that the upstream could not be reached.
-func (h *health) setDown(id string) {
+// setDown takes in that the upstream could not be reached or broke off. It tells
+// whether that is news.
+func (h *health) setDown(id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.getLocked(id).downUntilMs = h.clk.Now() + downFor
+	u := h.getLocked(id)
+	news := !u.down
+	u.down = true
+	return news
+}
+
+// setUp takes in that the upstream answers again.
+func (h *health) setUp(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.getLocked(id).down = false
 }
 
 func (h *health) down(id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	u, ok := h.upstreams[id]
-	return ok && h.clk.Now() < u.downUntilMs
+	return ok && u.down
 }
 
 // state returns the calls in flight and the failure rate.
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -27,6 +27,9 @@
 	// prefill.
 	minPrefillTimeout            = 700 * clock.Millisecond
 	prefillTimeoutMsPerKiloToken = 60
+	// resultReserve is the time before a result lapses in which it is no longer
+	// sent for.
+	resultReserve = 120 * clock.Millisecond
 	// freeTimeout bounds the call that frees a prefill's result.
 	freeTimeout = clock.Second
 	// prefillFailureTokens is what a prefill engine that always fails costs in
@@ -49,6 +52,8 @@
 	not map[string]bool
 	// source is the prefill's result while nobody has fetched it.
 	source *calls.KVSource
+	// resultUntilMs is when the result lapses.
+	resultUntilMs clock.Millis
 	// prefills, sends count calls to upstreams; runs those that may have run.
 	prefills, sends, runs int
 	stream                streamState
@@ -109,7 +114,7 @@
 			m.runs++
 			return m.mayGoOn()
 		}
-		if !m.placeAgain() {
+		if !m.placeAgain(failed) {
 			m.giveUp(reasonBusy)
 			return false
 		}
@@ -147,12 +152,19 @@
 	return ok
 }
 
-// placeAgain moves the run to another engine after one has not taken it.
-func (m *modelRun) placeAgain() bool {
+// placeAgain moves the run to another engine after one has not taken it. It
+// waits for room as long as the prefill's result lives.
+func (m *modelRun) placeAgain(failed *calls.Error) bool {
 	m.not[m.run.Engine] = true
 	m.releasePlace()
-	return m.sends < maxPlacements && m.leftMs() > 0 && !m.callerGone() && m.place(0) &&
-		m.d.o.Retries.Take(m.service, m.now())
+	if m.sends >= maxPlacements || m.leftMs() <= 0 || m.callerGone() {
+		return false
+	}
+	// A call that reached no engine is no repeat.
+	if failed.Cause != calls.CauseUnreachable && !m.d.o.Retries.Take(m.service, m.now()) {
+		return false
+	}
+	return m.place(m.resultUntilMs - resultReserve - m.now())
 }
 
 // releasePlace frees the place that is booked and tells the other daemons.
@@ -215,6 +227,7 @@
 		if failed == nil {
 			m.prefills++
 			m.source = &source
+			m.resultUntilMs = m.now() + m.spec.ResultLivesMs
 			return true
 		}
 		if failed.Cause != calls.CauseUnreachable {
@@ -291,8 +304,7 @@
 	m.noteResult(u, err)
 	if failed.Outcome != calls.NotRun {
 		m.source = nil
-		m.d.health.setDown(u.ID)
-		m.d.Refresh()
+		m.d.setDown(u.ID)
 		return nil, failed
 	}
 	if m.sends > 1 {
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -24,6 +24,9 @@
 	// failurePenaltyMs is what an upstream that fails every call costs in the
 	// choice, as time on the way.
 	failurePenaltyMs = 400
+	// downPenaltyMs is what an upstream that is down costs in the choice; it is
+	// tried only where all are.
+	downPenaltyMs = 10000
 	// queuedMs is what a call in flight at an upstream costs in the choice,
 	// divided by the upstream's slots.
 	queuedMs = 15
@@ -102,7 +105,7 @@
 		inFlight, failureRate := x.d.health.state(u.ID)
 		cost := x.d.distance(u.DataCentre) + queuedMs*float64(inFlight)/float64(max(1, u.Slots)) + failurePenaltyMs*failureRate
 		if x.d.health.down(u.ID) {
-			cost += float64(downFor)
+			cost += downPenaltyMs
 		}
 		if !found || cost < bestCost {
 			best, bestCost, found = u, cost, true
@@ -146,7 +149,7 @@
 		x.d.health.result(u.ID, false)
 	}
 	if failed.Cause == calls.CauseUnreachable || failed.Cause == calls.CauseMoved {
-		x.d.health.setDown(u.ID)
+		x.d.setDown(u.ID)
 	}
 }
 
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -75,9 +75,8 @@
 	}
 	m.outcome = calls.Unknown
 	m.d.health.result(m.run.Engine, false)
-	m.d.health.setDown(m.run.Engine)
+	m.d.setDown(m.run.Engine)
 	m.not[m.run.Engine] = true
-	m.d.Refresh()
 	m.stream.end()
 	m.run.Prompt += m.run.Made
 	m.run.Most = max(1, m.run.Most-m.run.Made)
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -32,6 +32,8 @@
 	Whole bool           `json:"whole,omitempty"`
 	Runs  []capacity.Run `json:"runs,omitempty"`
 	Ended []string       `json:"ended,omitempty"`
+	// Down are upstreams that the sender has just found unreachable.
+	Down []string `json:"down,omitempty"`
 	// Daemons are addresses of others that the sender has heard of lately.
 	Daemons  []string         `json:"daemons,omitempty"`
 	Suspects []suspects.Entry `json:"suspects,omitempty"`
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -72,6 +72,8 @@
 	Suspects *suspects.Suspects
 	// RoomChanged is called when runs of others have ended.
 	RoomChanged func()
+	// Down is called with upstreams that another daemon found unreachable.
+	Down func(ids []string)
 	// NewerVersion is called when the daemon at the control address has a newer
 	// configuration.
 	NewerVersion func(control string, version int64)
@@ -83,6 +85,7 @@
 type News struct {
 	Runs  []capacity.Run
 	Ended []string
+	Down  []string
 }
 
 // Daemon is another daemon as this one knows it.
@@ -181,7 +184,7 @@
 
 // Tell sends news at once to the daemons that are alive.
 func (p *Peers) Tell(n News) {
-	p.send(State{Runs: n.Runs, Ended: n.Ended}, p.alive())
+	p.send(State{Runs: n.Runs, Ended: n.Ended, Down: n.Down}, p.alive())
 }
 
 // Alive returns the daemons heard of lately, without this one.
@@ -376,6 +379,9 @@
 	if !stale {
 		p.takeRuns(s, now)
 	}
+	if len(s.Down) > 0 {
+		p.handlers.Down(s.Down)
+	}
 	for _, at := range s.Daemons {
 		p.Meet(at)
 	}
--- a/hemlockd/internal/retries/window.go
+++ b/hemlockd/internal/retries/window.go
@@ -7,11 +7,13 @@
 )
 
 const (
-	// buckets is the number of parts that a window is counted in.
-	buckets = 20
-	// safety is the part of the bound that is used: windows slide, buckets do
-	// not, and daemons learn of each other late.
-	safety = 0.7
+	// parts is the number of parts that a window is counted in; one more is kept,
+	// since windows slide and buckets do not.
+	parts   = 20
+	buckets = parts + 1
+	// safety is the part of the bound that is used: daemons learn of each other
+	// late.
+	safety = 0.9
 )
 
 // Bound is what all daemons together may send beyond the first time to one
@@ -45,6 +47,13 @@
 	return &Windows{bound: b, started: started, daemons: daemons, services: map[string]*window{}}
 }
 
+// SetBound replaces the bound.
+func (w *Windows) SetBound(b Bound) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bound = b
+}
+
 // First takes in a request for the service.
 func (w *Windows) First(service string, now clock.Millis) {
 	w.mu.Lock()
@@ -69,7 +78,7 @@
 }
 
 func (w *Windows) serviceLocked(service string, now clock.Millis) *window {
-	bucket := int64(now / max(1, w.bound.WindowMs/buckets))
+	bucket := int64(now / max(1, w.bound.WindowMs/parts))
 	s, ok := w.services[service]
 	if !ok {
 		s = &window{bucket: bucket}
