--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -76,6 +76,24 @@
 	Handle  string
 }
 
+// EngineState is what an engine says of itself; it is some hundred ms old.
+type EngineState struct {
+	Prefill, Decode bool
+	// Changing says that an order is being carried out.
+	Changing bool
+	// Orders is the number of orders accepted since the engine started.
+	Orders int64
+}
+
+// Order tells an engine which role to take.
+type Order struct {
+	Prefill bool // else decode
+	Holder  string
+	// Fence rises with each right to give orders; AfterOrders is the number of
+	// orders that the engine must have accepted for this one to hold.
+	Fence, AfterOrders int64
+}
+
 // Outcome is what is known of a call at an upstream.
 type Outcome string
 
--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -14,8 +14,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a point in time (milliseconds since the Unix epoch) or a span of
@@ -63,6 +66,18 @@
 	return Clock{now: func() Millis { return base + Millis(time.Since(processStart)/time.Millisecond) }}
 }
 
+// Boot returns a clock that goes on while the machine is suspended; its times
+// count from the machine's start.
+func Boot() Clock {
+	return Clock{now: func() Millis {
+		var t unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+			panic(fmt.Sprintf("clock: the machine has no boot time: %v", err))
+		}
+		return Millis(t.Nano() / int64(time.Millisecond))
+	}}
+}
+
 // Now returns the current time.
 func (c Clock) Now() Millis { return c.now() }
 
--- a/common/directory/directory.go
+++ b/common/directory/directory.go
@@ -27,6 +27,8 @@
 	Routes    Topic = "routes"
 	Upstreams Topic = "upstreams"
 	Daemons   Topic = "daemons"
+	// Roles holds, for each data centre, which daemon gives its engines orders.
+	Roles Topic = "roles"
 )
 
 // Entry is one entry of a topic.
@@ -53,6 +55,9 @@
 	Follow(ctx context.Context, topic Topic, after int64, wait clock.Millis) (Page, error)
 	// Put writes one entry; only topics of the router's own can be written.
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
+	// Swap writes one entry if it still has the version expected (0: there is
+	// none) and returns its new version, or a *ConflictError.
+	Swap(ctx context.Context, topic Topic, key string, value []byte, expected int64) (int64, error)
 }
 
 // HistoryLostError says that the changes after a version are no longer known.
@@ -66,6 +71,17 @@
 	return fmt.Sprintf("%s: the changes after version %d are no longer known", e.Topic, e.After)
 }
 
+// ConflictError says that an entry has another version than expected.
+type ConflictError struct {
+	// Current is the entry as it is; its version is 0 where there is none.
+	Current Entry
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("entry %s has version %d", e.Current.Key, e.Current.Version)
+}
+
 // StatusError says that the store answered but did not do what was asked.
 type StatusError struct {
 	Call   string
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -15,11 +15,13 @@
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/directory"
+	"hemlockmux.example/common/routing"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	inforce "hemlockmux.example/hemlockd/internal/directory"
 	"hemlockmux.example/hemlockd/internal/dispatch"
 	"hemlockmux.example/hemlockd/internal/peers"
 	"hemlockmux.example/hemlockd/internal/retries"
+	"hemlockmux.example/hemlockd/internal/roles"
 	"hemlockmux.example/hemlockd/internal/suspects"
 	"hemlockmux.example/platform"
 )
@@ -117,7 +119,7 @@
 		Log: d.log, Clock: d.clk, Name: d.own.Name, DataCentre: d.own.DataCentre,
 		Address: d.datagramAddress(), Control: d.own.Daemons, StartedMs: started,
 	}, peers.Handlers{
-		Version: d.directory.Version, View: view, Suspects: sus, RoomChanged: queue.Wake, Down: d.hearDown,
+		Version: d.directory.Version, View: view, Suspects: sus, RoomChanged: queue.Wake, Down: d.hearDown, Changing: d.hearChanging,
 		NewerVersion: func(control string, _ int64) { d.directory.AskPeer(control) },
 		Snapshot:     d.directory.Snapshot,
 	})
@@ -131,6 +133,15 @@
 		Retries: d.retries, Suspects: sus,
 		ReadCall: platform.ReadCall, DataCentre: d.own.DataCentre, Regions: d.own.Regions,
 	})
+	boot := clock.Boot()
+	keeper := roles.NewKeeper(roles.Options{
+		Log: d.log, Clock: boot, Engines: servers, Name: d.own.Name, DataCentre: d.own.DataCentre,
+		Lease:    roles.NewLease(store, d.own.DataCentre, d.own.Name, d.own.RolesLeaseMs),
+		Services: d.engineServices, Responsible: d.firstOfDataCentre,
+		PrefillUse: func() float64 { return view.PrefillUse(d.clk.Now()) },
+		Memory:     func() map[string]float64 { return view.Use(d.clk.Now()) },
+		Changing:   d.dispatcher.SetChanging,
+	})
 	d.meetSeeds(d.own.Seeds)
 	d.onClose(d.directory.Start())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -138,6 +149,7 @@
 	go d.runRefresh(ctx)
 	go d.dispatcher.RunProbes(ctx)
 	go d.runEnrol(ctx)
+	go keeper.Run(ctx)
 	if d.ready, err = d.listen("ready", d.own.Ready, http.HandlerFunc(d.serveReady)); err != nil {
 		return err
 	}
@@ -190,6 +202,12 @@
 	}
 }
 
+func (d *platformDaemon) hearChanging(ids []string) {
+	if d.dispatcher != nil {
+		d.dispatcher.HearChanging(ids)
+	}
+}
+
 func (d *platformDaemon) runRefresh(ctx context.Context) {
 	for clock.Pause(ctx, refreshInterval) {
 		d.directory.Sync()
@@ -211,6 +229,32 @@
 	return retries.Bound{Ratio: own.RetryRatio, Slack: own.RetrySlack, WindowMs: own.RetryWindowMs}
 }
 
+// engineServices returns the engines of each service that has some.
+func (d *platformDaemon) engineServices() map[string][]routing.Upstream {
+	services := map[string][]routing.Upstream{}
+	table := d.directory.Table()
+	if table == nil {
+		return services
+	}
+	for name, s := range table.Config.Services {
+		if s.Engine != nil {
+			services[name] = d.directory.Upstreams(name)
+		}
+	}
+	return services
+}
+
+// firstOfDataCentre tells whether this daemon's name is the first of those alive
+// in its data centre.
+func (d *platformDaemon) firstOfDataCentre() bool {
+	for _, other := range d.peers.Alive() {
+		if other.DataCentre == d.own.DataCentre && !other.Leaving && other.Name < d.own.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // meetSeeds meets the daemons that the settings name.
 func (d *platformDaemon) meetSeeds(seeds []string) {
 	for _, seed := range seeds {
--- /dev/null
+++ b/hemlockd/internal/capacity/prefill.go
@@ -0,0 +1,190 @@
+package capacity
+
+import (
+	"maps"
+	"slices"
+
+	"hemlockmux.example/common/clock"
+)
+
+const (
+	// initialReadMsPerToken is the pace at which a prefill engine reads where
+	// nothing is known of it yet.
+	initialReadMsPerToken = 0.02
+	// readPaceWeight is the weight of a new observation of that pace.
+	readPaceWeight = 0.2
+	// correction is the part of the error of a prediction by which an engine's
+	// backlog is corrected.
+	correction = 0.5
+	// farDecodePenaltyMs is what a prefill in another data centre than the
+	// decode engine's costs in the choice.
+	farDecodePenaltyMs = 5
+	// failurePenaltyMs is what a prefill engine that always fails costs.
+	failurePenaltyMs = 1000
+)
+
+// Prefiller is a prefill engine as the view needs to know it.
+type Prefiller struct {
+	ID         string
+	DataCentre string
+	// DistanceMs is the time on the way there and back.
+	DistanceMs float64
+	// FailureRate is the part of the calls to it that failed lately.
+	FailureRate float64
+}
+
+// prefiller is a prefill engine with the work that it is known to have.
+type prefiller struct {
+	Prefiller
+	readMsPerToken float64
+	// freeMs is when it is thought to have read all that it was given.
+	freeMs float64
+	// booked holds the runs that were counted, with when each should be read.
+	booked map[string]booking
+}
+
+type booking struct {
+	startMs, endMs float64
+	waited         bool // other work was ahead
+}
+
+// SetPrefillers takes over which prefill engines there are.
+func (v *View) SetPrefillers(prefillers []Prefiller) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	there := map[string]bool{}
+	for _, p := range prefillers {
+		there[p.ID] = true
+		v.prefillerLocked(p.ID).Prefiller = p
+	}
+	maps.DeleteFunc(v.prefillers, func(id string, _ *prefiller) bool { return !there[id] })
+}
+
+func (v *View) prefillerLocked(id string) *prefiller {
+	p, ok := v.prefillers[id]
+	if !ok {
+		p = &prefiller{Prefiller: Prefiller{ID: id}, readMsPerToken: initialReadMsPerToken, booked: map[string]booking{}}
+		v.prefillers[id] = p
+	}
+	return p
+}
+
+// book counts a prompt that the engine is given.
+func (p *prefiller) book(r Run, now clock.Millis) {
+	key := r.ID
+	if _, ok := p.booked[key]; ok {
+		return
+	}
+	start := max(p.freeMs, float64(now)+p.DistanceMs/2)
+	p.freeMs = start + float64(r.Prompt)*p.readMsPerToken
+	p.expire(now)
+	p.booked[key] = booking{startMs: start, endMs: p.freeMs, waited: start > float64(now)+p.DistanceMs/2}
+}
+
+// backlog is the time until the engine is free.
+func (p *prefiller) backlog(now clock.Millis) float64 { return max(0, p.freeMs-float64(now)) }
+
+// expire forgets bookings that must be over.
+func (p *prefiller) expire(now clock.Millis) {
+	maps.DeleteFunc(p.booked, func(_ string, b booking) bool { return b.endMs+bookingKeptMs < float64(now) })
+}
+
+// bookingKeptMs is how long a booking is remembered after its predicted end, so
+// that it is not counted twice.
+const bookingKeptMs = 1500
+
+// choosePrefillerLocked returns the engine that is thought to have read the
+// prompt first, nil where each has more work ahead than MostBacklogMs.
+func (v *View) choosePrefillerLocked(decodeDataCentre string, not map[string]bool, now clock.Millis) *prefiller {
+	var best *prefiller
+	bestCost := 0.0
+	for _, id := range slices.Sorted(maps.Keys(v.prefillers)) {
+		p := v.prefillers[id]
+		if not[id] || p.backlog(now) > v.forecast.MostBacklogMs {
+			continue
+		}
+		cost := p.backlog(now) + p.DistanceMs + failurePenaltyMs*p.FailureRate
+		if p.DataCentre != decodeDataCentre {
+			cost += farDecodePenaltyMs
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = p, cost
+		}
+	}
+	return best
+}
+
+// PlacePrefill chooses another prefill engine for one of this daemon's runs and
+// returns the run; engines in not are passed over. It returns false where there
+// is none.
+func (v *View) PlacePrefill(id string, not map[string]bool, now clock.Millis) (Run, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, r, ok := v.ownLocked(id)
+	if !ok {
+		return Run{}, false
+	}
+	p := v.choosePrefillerLocked(e.DataCentre, not, now)
+	if p == nil {
+		return Run{}, false
+	}
+	p.book(r, now)
+	r.Prefill, r.atMs = p.ID, now
+	e.runs[own][id] = r
+	return r, true
+}
+
+// PrefillDueMs is how long the prefill of one of this daemon's runs is thought to
+// take from now on, with the way there and back.
+func (v *View) PrefillDueMs(r Run, now clock.Millis) clock.Millis {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p, ok := v.prefillers[r.Prefill]
+	if !ok {
+		return 0
+	}
+	return clock.Millis(max(0, p.booked[r.ID].endMs-float64(now)) + p.DistanceMs)
+}
+
+// PrefillDone takes in that the prefill of one of this daemon's runs has ended,
+// and whether it was read.
+func (v *View) PrefillDone(id string, read bool, now clock.Millis) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e, r, ok := v.ownLocked(id)
+	if !ok {
+		return
+	}
+	if p, there := v.prefillers[r.Prefill]; there && read {
+		p.learn(r, now)
+	}
+	r.Prefill = ""
+	e.runs[own][id] = r
+}
+
+// learn corrects what is known of the engine by when a prompt was read.
+func (p *prefiller) learn(r Run, now clock.Millis) {
+	b, ok := p.booked[r.ID]
+	if !ok {
+		return
+	}
+	ended := float64(now) - p.DistanceMs/2
+	if !b.waited && r.Prompt > 0 {
+		pace := max(0, ended-b.startMs) / float64(r.Prompt)
+		p.readMsPerToken += readPaceWeight * (pace - p.readMsPerToken)
+	}
+	p.freeMs = max(float64(now), p.freeMs+correction*(ended-b.endMs))
+}
+
+// PrefillUse returns the part of the prefill engines that has work.
+func (v *View) PrefillUse(now clock.Millis) float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	busy := 0
+	for _, p := range v.prefillers {
+		if p.backlog(now) > 0 {
+			busy++
+		}
+	}
+	return float64(busy) / float64(max(1, len(v.prefillers)))
+}
--- a/hemlockd/internal/capacity/queue.go
+++ b/hemlockd/internal/capacity/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"hemlockmux.example/common/clock"
 )
@@ -19,39 +20,51 @@
 
 type waiter struct {
 	run    Run
+	read   bool
 	not    map[string]bool
-	placed chan string // receives at most one engine
+	placed chan Run // receives the run at most once
 }
 
+// recheck is the time between two looks for room while some wait: a prefill
+// engine gets free without news.
+const recheck = 20 * clock.Millisecond
+
 // NewQueue returns an empty queue for the engines of a view.
 func NewQueue(clk clock.Clock, view *View) *Queue { return &Queue{clk: clk, view: view} }
 
-// Place books a place for the run, waiting for one until ctx ends.
-func (q *Queue) Place(ctx context.Context, r Run, not map[string]bool) (string, bool) {
-	w := &waiter{run: r, not: not, placed: make(chan string, 1)}
+// Place books a place for the run, waiting for one until ctx ends. read says that
+// its prompt needs no prefill.
+func (q *Queue) Place(ctx context.Context, r Run, read bool, not map[string]bool) (Run, bool) {
+	w := &waiter{run: r, read: read, not: not, placed: make(chan Run, 1)}
 	q.mu.Lock()
-	if engine, ok := q.view.Place(r, not, q.clk.Now()); ok {
+	if placed, ok := q.view.Place(r, read, not, q.clk.Now()); ok {
 		q.mu.Unlock()
-		return engine, true
+		return placed, true
 	}
 	q.waiting = append(q.waiting, w)
 	q.mu.Unlock()
-	select {
-	case engine := <-w.placed:
-		return engine, true
-	case <-ctx.Done():
-		return q.giveUp(w)
+	ticker := time.NewTicker(recheck.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case placed := <-w.placed:
+			return placed, true
+		case <-ctx.Done():
+			return q.giveUp(w)
+		case <-ticker.C:
+			q.Wake()
+		}
 	}
 }
 
 // giveUp takes a waiter out of the queue. It may have been placed meanwhile.
-func (q *Queue) giveUp(w *waiter) (string, bool) {
+func (q *Queue) giveUp(w *waiter) (Run, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for i, other := range q.waiting {
 		if other == w {
 			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return "", false
+			return w.run, false
 		}
 	}
 	return <-w.placed, true
@@ -68,8 +81,8 @@
 	now := q.clk.Now()
 	still := q.waiting[:0]
 	for _, w := range q.waiting {
-		if engine, ok := q.view.Place(w.run, w.not, now); ok {
-			w.placed <- engine
+		if placed, ok := q.view.Place(w.run, w.read, w.not, now); ok {
+			w.placed <- placed
 			continue
 		}
 		still = append(still, w)
--- a/hemlockd/internal/capacity/run.go
+++ b/hemlockd/internal/capacity/run.go
@@ -33,10 +33,17 @@
 	// OverrunMargin is how much longer than it is already an answer is thought
 	// to become once it has outgrown what was expected.
 	OverrunMargin float64
+	// MostMemory is the part of an engine's memory that is planned with.
+	MostMemory float64
+	// MostBacklogMs is the work ahead of a prefill engine up to which it is
+	// given more.
+	MostBacklogMs float64
 }
 
 // DefaultForecast returns the figures that daemons run with.
-func DefaultForecast() Forecast { return Forecast{OutputMargin: 1.05, OverrunMargin: 1.25} }
+func DefaultForecast() Forecast {
+	return Forecast{OutputMargin: 1.05, OverrunMargin: 1.25, MostMemory: 0.86, MostBacklogMs: 250}
+}
 
 // output is the predicted length of an answer that has made tokens so far.
 func (f Forecast) output(r Run, made int) int {
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -35,6 +35,7 @@
 // Engine is a decode engine as the view needs to know it.
 type Engine struct {
 	ID           string
+	DataCentre   string
 	MemoryTokens int
 	Slots        int
 	// Cost is added to the fraction of the engine's memory in use when engines
@@ -54,13 +55,15 @@
 	mu       sync.Mutex
 	forecast Forecast
 	engines  map[string]*engine
+	// prefillers holds the prefill engines.
+	prefillers map[string]*prefiller
 	// where holds the engine of each of this daemon's runs.
 	where map[string]string
 }
 
 // NewView returns a view without engines.
 func NewView(f Forecast) *View {
-	return &View{forecast: f, engines: map[string]*engine{}, where: map[string]string{}}
+	return &View{forecast: f, engines: map[string]*engine{}, prefillers: map[string]*prefiller{}, where: map[string]string{}}
 }
 
 // SetEngines takes over which engines there are. Runs at engines that stay are
@@ -92,9 +95,10 @@
 	return e
 }
 
-// Place chooses an engine that will have room for the run and books it there.
-// Engines in not are passed over.
-func (v *View) Place(r Run, not map[string]bool, now clock.Millis) (string, bool) {
+// Place chooses a decode engine that will have room for the run, and a prefill
+// engine that can read its prompt soon unless it has been read, and books both.
+// It returns the run with its engines. Engines in not are passed over.
+func (v *View) Place(r Run, read bool, not map[string]bool, now clock.Millis) (Run, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var best *engine
@@ -104,7 +108,7 @@
 			continue
 		}
 		need := v.peakLocked(e, &r, now)
-		if float64(need) > 0.86*float64(e.MemoryTokens) {
+		if float64(need) > v.forecast.MostMemory*float64(e.MemoryTokens) {
 			continue
 		}
 		cost := float64(need)/float64(e.MemoryTokens) + e.Cost
@@ -113,12 +117,20 @@
 		}
 	}
 	if best == nil {
-		return "", false
+		return r, false
+	}
+	r.Engine, r.atMs, r.Prefill = best.ID, now, ""
+	if !read {
+		p := v.choosePrefillerLocked(best.DataCentre, not, now)
+		if p == nil {
+			return r, false
+		}
+		p.book(r, now)
+		r.Prefill = p.ID
 	}
-	r.Engine, r.atMs = best.ID, now
 	best.runs[own][r.ID] = r
 	v.where[r.ID] = best.ID
-	return best.ID, true
+	return r, true
 }
 
 // Fits tells whether any engine could ever hold the run alone.
@@ -204,38 +216,6 @@
 	delete(v.where, id)
 }
 
-// SetPrefill takes in which engine reads the prompt of one of this daemon's runs
-// ("" once it has been read) and returns the run.
-func (v *View) SetPrefill(id, prefill string) Run {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	e, r, ok := v.ownLocked(id)
-	if !ok {
-		return Run{}
-	}
-	r.Prefill = prefill
-	e.runs[own][id] = r
-	return r
-}
-
-// PrefillLoad returns the prompt tokens that each prefill engine is known to
-// have been given and not yet read.
-func (v *View) PrefillLoad() map[string]int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	tokens := map[string]int{}
-	for _, e := range v.engines {
-		for _, runs := range e.runs {
-			for _, r := range runs {
-				if r.Prefill != "" {
-					tokens[r.Prefill] += r.Prompt
-				}
-			}
-		}
-	}
-	return tokens
-}
-
 // Own returns this daemon's runs, for the other daemons.
 func (v *View) Own(now clock.Millis) []Run {
 	v.mu.Lock()
@@ -277,6 +257,10 @@
 	}
 	r.atMs = now
 	e.runs[owner][r.ID] = r
+	if p, ok := v.prefillers[r.Prefill]; ok {
+		p.expire(now)
+		p.book(r, now)
+	}
 }
 
 // Remove takes in that runs of another daemon have ended.
@@ -290,6 +274,19 @@
 	}
 }
 
+// Use returns the part of each decode engine's memory that its runs need.
+func (v *View) Use(now clock.Millis) map[string]float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	use := map[string]float64{}
+	for id, e := range v.engines {
+		if e.MemoryTokens > 0 {
+			use[id] = float64(v.peakLocked(e, nil, now)) / float64(e.MemoryTokens)
+		}
+	}
+	return use
+}
+
 // Status is one engine as operators see it.
 type Status struct {
 	Engine
--- a/hemlockd/internal/capacity/view_test.go
+++ b/hemlockd/internal/capacity/view_test.go
@@ -6,7 +6,9 @@
 	"hemlockmux.example/common/clock"
 )
 
-func exact() Forecast { return Forecast{OutputMargin: 1, OverrunMargin: 1.25} }
+func exact() Forecast {
+	return Forecast{OutputMargin: 1, OverrunMargin: 1.25, MostMemory: 1, MostBacklogMs: 250}
+}
 
 func TestPeakIsJustBeforeARunEnds(t *testing.T) {
 	for _, c := range []struct {
@@ -32,11 +34,11 @@
 	v.Add("other", Run{ID: "x", Engine: "a", Prompt: 300, Likely: 100, Most: 200}, 0)
 	var got []string
 	for _, id := range []string{"1", "2", "3", "4", "5"} {
-		engine, ok := v.Place(run(id), nil, 0)
+		placed, ok := v.Place(run(id), true, nil, 0)
 		if !ok {
-			engine = "none"
+			placed.Engine = "none"
 		}
-		got = append(got, engine)
+		got = append(got, placed.Engine)
 	}
 	want := []string{"b", "a", "b", "none", "none"}
 	for i := range want {
@@ -45,11 +47,11 @@
 		}
 	}
 	v.End("2")
-	if _, ok := v.Place(run("6"), nil, 0); !ok {
+	if _, ok := v.Place(run("6"), true, nil, 0); !ok {
 		t.Error("no room after a run has ended")
 	}
 	v.Remove("other", []string{"x"})
-	if _, ok := v.Place(run("7"), nil, 0); !ok {
+	if _, ok := v.Place(run("7"), true, nil, 0); !ok {
 		t.Error("no room after another daemon's run has ended")
 	}
 }
@@ -78,7 +80,60 @@
 	v := NewView(exact())
 	v.SetEngines([]Engine{{ID: "a", MemoryTokens: 1000, Slots: 9}})
 	v.SetEngines(nil)
-	if _, ok := v.Place(Run{ID: "1", Prompt: 1, Likely: 1, Most: 1}, nil, 0); ok {
+	if _, ok := v.Place(Run{ID: "1", Prompt: 1, Likely: 1, Most: 1}, true, nil, 0); ok {
 		t.Error("placed at an engine that is gone")
 	}
 }
+
+// TestPrefillBacklogHoldsRunsBack: a crest of long prompts must not pile up at
+// the prefill engines, where they would time out and be read in vain.
+func TestPrefillBacklogHoldsRunsBack(t *testing.T) {
+	v := NewView(exact())
+	v.SetEngines([]Engine{{ID: "a", MemoryTokens: 1 << 20, Slots: 99}})
+	v.SetPrefillers([]Prefiller{{ID: "p"}, {ID: "q"}})
+	run := func(id string) Run { return Run{ID: id, Prompt: 10000, Likely: 100, Most: 200} }
+	placed := 0
+	for _, id := range []string{"1", "2", "3", "4", "5", "6", "7"} {
+		if _, ok := v.Place(run(id), false, nil, 0); ok {
+			placed++
+		}
+	}
+	if placed != 4 {
+		t.Errorf("%d placed; two engines with 250 ms of work ahead each take 4 prompts of 200 ms", placed)
+	}
+	if _, ok := v.Place(run("8"), false, nil, 300); !ok {
+		t.Error("not placed after the prompts ahead have been read")
+	}
+}
+
+// TestSlowPrefillEngineGetsLess: engines differ in speed, and only their answers
+// tell.
+func TestSlowPrefillEngineGetsLess(t *testing.T) {
+	v := NewView(exact())
+	v.SetEngines([]Engine{{ID: "a", MemoryTokens: 1 << 30, Slots: 1 << 20}})
+	v.SetPrefillers([]Prefiller{{ID: "fast"}, {ID: "slow"}})
+	pace := map[string]float64{"fast": 0.01, "slow": 0.04}
+	given := map[string]int{}
+	now := clock.Millis(0)
+	for i := range 200 {
+		id := string(rune('a'+i%26)) + string(rune('a'+i/26))
+		r, ok := v.Place(Run{ID: id, Prompt: 5000, Likely: 1, Most: 1}, false, nil, now)
+		if !ok {
+			t.Fatal("no place")
+		}
+		given[r.Prefill]++
+		now += clock.Millis(5000 * pace[r.Prefill])
+		v.PrefillDone(id, true, now)
+		v.End(id)
+		now += 10
+		if i%20 == 19 { // two at once, so that both engines are heard of
+			other, _ := v.Place(Run{ID: "x" + id, Prompt: 5000, Likely: 1, Most: 1}, false, map[string]bool{r.Prefill: true}, now)
+			v.PrefillDone("x"+id, true, now+clock.Millis(5000*pace[other.Prefill]))
+			v.End("x" + id)
+			now += 300
+		}
+	}
+	if v.prefillers["slow"].readMsPerToken < 2*v.prefillers["fast"].readMsPerToken {
+		t.Errorf("paces learned: fast %.3f, slow %.3f ms a token", v.prefillers["fast"].readMsPerToken, v.prefillers["slow"].readMsPerToken)
+	}
+}
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"go.uber.org/zap"
@@ -93,21 +94,32 @@
 		return
 	}
 	var engines []capacity.Engine
+	var prefillers []capacity.Prefiller
 	for name, service := range table.Config.Services {
 		if service.Engine == nil {
 			continue
 		}
 		for _, u := range d.o.Directory.Upstreams(name) {
-			if u.Role != routing.RoleDecode || d.health.down(u.ID) {
+			if !d.health.usable(u) {
+				continue
+			}
+			if u.Role == routing.RolePrefill {
+				_, failureRate := d.health.state(u.ID)
+				prefillers = append(prefillers, capacity.Prefiller{
+					ID: u.ID, DataCentre: u.DataCentre, DistanceMs: d.distance(u.DataCentre), FailureRate: failureRate,
+				})
+			}
+			if u.Role != routing.RoleDecode {
 				continue
 			}
 			engines = append(engines, capacity.Engine{
-				ID: u.ID, MemoryTokens: service.Engine.MemoryTokens, Slots: service.Engine.Slots,
+				ID: u.ID, DataCentre: u.DataCentre, MemoryTokens: service.Engine.MemoryTokens, Slots: service.Engine.Slots,
 				Cost: engineDistanceCost * d.distance(u.DataCentre),
 			})
 		}
 	}
 	d.o.View.SetEngines(engines)
+	d.o.View.SetPrefillers(prefillers)
 	d.o.Queue.Wake()
 }
 
@@ -168,6 +180,38 @@
 	p.d.Refresh()
 }
 
+// SetChanging takes an engine out of use that is changing its role, and tells the
+// other daemons.
+func (d *Dispatcher) SetChanging(id string) {
+	if d.HearChanging([]string{id}) {
+		d.o.Peers.Tell(peers.News{Changing: []string{id}})
+	}
+}
+
+// roleChangeReserve is added to the time that a change of role takes, for work
+// that ends first and for the list to tell of it.
+const roleChangeReserve = 6 * clock.Second
+
+// HearChanging takes in that engines are changing their roles. Each is back once
+// it is listed in its new role. It tells whether any of that is news.
+func (d *Dispatcher) HearChanging(ids []string) bool {
+	table := d.o.Directory.Table()
+	if table == nil {
+		return false
+	}
+	news := false
+	for name, service := range table.Config.Services {
+		for _, u := range d.o.Directory.Upstreams(name) {
+			if service.Engine != nil && slices.Contains(ids, u.ID) {
+				until := d.o.Clock.Now() + service.Engine.RoleChangeMs + roleChangeReserve
+				news = d.health.setChanging(u.ID, u.Role, until) || news
+			}
+		}
+	}
+	d.Refresh()
+	return news
+}
+
 // engineDistanceCost weighs a millisecond on the way to an engine against the
 // fraction of its memory in use.
 const engineDistanceCost = 0.002
--- a/hemlockd/internal/dispatch/health.go
+++ b/hemlockd/internal/dispatch/health.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/routing"
 )
 
 const (
@@ -33,6 +34,10 @@
 	// down is set when the upstream could not be reached or broke off, until a
 	// probe is answered.
 	down bool
+	// leavingRole is the role that the engine is about to give up; it gets no
+	// work in that role until changedByMs.
+	leavingRole routing.Role
+	changedByMs clock.Millis
 }
 
 func newHealth(clk clock.Clock) *health {
@@ -92,6 +97,30 @@
 	h.getLocked(id).down = false
 }
 
+// setChanging takes in that an engine is giving its role up. It tells whether
+// that is news.
+func (h *health) setChanging(id string, role routing.Role, untilMs clock.Millis) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u := h.getLocked(id)
+	news := u.leavingRole != role || u.changedByMs < h.clk.Now()
+	u.leavingRole, u.changedByMs = role, untilMs
+	return news
+}
+
+// usable tells whether an upstream is thought to take work in the role that it
+// is listed with.
+func (h *health) usable(u routing.Upstream) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.upstreams[u.ID]
+	if !ok {
+		return true
+	}
+	changing := s.leavingRole != "" && s.leavingRole == u.Role && h.clk.Now() < s.changedByMs
+	return !s.down && !changing
+}
+
 func (h *health) down(id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -23,20 +23,15 @@
 	// maxPlacements bounds the engines that one run is sent to, also where they
 	// do not take it.
 	maxPlacements = 4
-	// minPrefillTimeout and prefillTimeoutMsPerKiloToken bound the wait for a
-	// prefill.
-	minPrefillTimeout            = 700 * clock.Millisecond
-	prefillTimeoutMsPerKiloToken = 60
+	// prefillReserve and prefillPatience times the predicted time bound the wait
+	// for a prefill.
+	prefillReserve  = 600 * clock.Millisecond
+	prefillPatience = 2
 	// resultReserve is the time before a result lapses in which it is no longer
 	// sent for.
 	resultReserve = 120 * clock.Millisecond
 	// freeTimeout bounds the call that frees a prefill's result.
 	freeTimeout = clock.Second
-	// prefillFailureTokens is what a prefill engine that always fails costs in
-	// the choice, as tokens to read.
-	prefillFailureTokens = 60000
-	// distanceTokensPerMs weighs the way between prefill and decode.
-	distanceTokensPerMs = 30
 	// roomRetry is the least and the spread of the time after which a request
 	// that found no room may come back.
 	roomRetry = 1500 * clock.Millisecond
@@ -146,10 +141,14 @@
 	start := m.now()
 	ctx, cancel := context.WithTimeout(m.ctx, max(0, wait).Duration())
 	defer cancel()
-	engine, ok := m.d.o.Queue.Place(ctx, m.run, m.not)
+	run, ok := m.d.o.Queue.Place(ctx, m.run, m.source != nil, m.not)
 	m.waitedMs += m.now() - start
-	m.run.Engine = engine
-	return ok
+	if !ok {
+		return false
+	}
+	m.run = run
+	m.d.o.Peers.Tell(peers.News{Runs: []capacity.Run{run}})
+	return true
 }
 
 // placeAgain moves the run to another engine after one has not taken it. It
@@ -173,7 +172,7 @@
 		return
 	}
 	m.d.o.View.End(m.run.ID)
-	m.run.Engine = ""
+	m.run.Engine, m.run.Prefill = "", ""
 	m.d.o.Peers.Tell(peers.News{Ended: []string{m.run.ID}})
 	m.d.o.Queue.Wake()
 }
@@ -214,16 +213,21 @@
 	}
 	tried := map[string]bool{}
 	for m.prefills < maxPlacements && m.leftMs() > 0 && !m.callerGone() {
-		u, ok := m.choosePrefill(tried)
-		if !ok || m.prefills > 0 && !m.d.o.Retries.Take(m.service, m.now()) {
+		if m.run.Prefill == "" && !m.placePrefill(tried) {
 			return false
 		}
-		tried[u.ID] = true
-		m.d.o.Peers.Tell(peers.News{Runs: []capacity.Run{m.d.o.View.SetPrefill(m.run.ID, u.ID)}})
+		id := m.run.Prefill
+		tried[id] = true
+		u, ok := m.upstream(id)
+		if !ok {
+			m.endPrefill(false)
+			continue
+		}
 		start := m.now()
 		source, err := m.sendPrefill(u)
 		failed := m.record(u.ID, calls.PhasePrefill, start, err)
-		m.d.o.View.SetPrefill(m.run.ID, "")
+		m.endPrefill(failed == nil)
+		m.noteResult(u, err)
 		if failed == nil {
 			m.prefills++
 			m.source = &source
@@ -233,44 +237,35 @@
 		if failed.Cause != calls.CauseUnreachable {
 			m.prefills++
 		}
-		m.noteResult(u, err)
 	}
 	return false
 }
 
+// placePrefill books another prefill engine.
+func (m *modelRun) placePrefill(tried map[string]bool) bool {
+	run, ok := m.d.o.View.PlacePrefill(m.run.ID, tried, m.now())
+	if !ok || m.prefills > 0 && !m.d.o.Retries.Take(m.service, m.now()) {
+		return false
+	}
+	m.run.Prefill = run.Prefill
+	m.d.o.Peers.Tell(peers.News{Runs: []capacity.Run{run}})
+	return true
+}
+
+func (m *modelRun) endPrefill(read bool) {
+	m.d.o.View.PrefillDone(m.run.ID, read, m.now())
+	m.run.Prefill = ""
+	m.d.o.Queue.Wake()
+}
+
 func (m *modelRun) sendPrefill(u routing.Upstream) (calls.KVSource, error) {
 	defer m.d.health.begin(u.ID)()
-	timeout := minPrefillTimeout + clock.Millis(m.run.Prompt*prefillTimeoutMsPerKiloToken/1000)
+	timeout := prefillReserve + prefillPatience*m.d.o.View.PrefillDueMs(m.run, m.now())
 	ctx, cancel := context.WithTimeout(m.ctx, timeout.Duration())
 	defer cancel()
 	return m.d.o.Upstreams.Prefill(ctx, m.call, u, calls.Delivery{LeftMs: max(1, m.leftMs()), ResumeAfter: m.stream.resumeAfter()})
 }
 
-// choosePrefill returns the prefill engine that is thought to end first.
-func (m *modelRun) choosePrefill(tried map[string]bool) (routing.Upstream, bool) {
-	load := m.d.o.View.PrefillLoad()
-	decoder, _ := m.upstream(m.run.Engine)
-	var best routing.Upstream
-	bestCost, found := 0.0, false
-	for _, u := range m.d.o.Directory.Upstreams(m.service) {
-		if u.Role != routing.RolePrefill || tried[u.ID] {
-			continue
-		}
-		_, failureRate := m.d.health.state(u.ID)
-		cost := float64(load[u.ID]) + prefillFailureTokens*failureRate + distanceTokensPerMs*m.d.distance(u.DataCentre)
-		if u.DataCentre != decoder.DataCentre {
-			cost += distanceTokensPerMs * ownRegionMs
-		}
-		if m.d.health.down(u.ID) {
-			cost += prefillFailureTokens
-		}
-		if !found || cost < bestCost {
-			best, bestCost, found = u, cost, true
-		}
-	}
-	return best, found
-}
-
 func (m *modelRun) upstream(id string) (routing.Upstream, bool) {
 	for _, u := range m.d.o.Directory.Upstreams(m.service) {
 		if u.ID == id {
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -34,6 +34,8 @@
 	Ended []string       `json:"ended,omitempty"`
 	// Down are upstreams that the sender has just found unreachable.
 	Down []string `json:"down,omitempty"`
+	// Changing are engines that have just been ordered to change their role.
+	Changing []string `json:"changing,omitempty"`
 	// Daemons are addresses of others that the sender has heard of lately.
 	Daemons  []string         `json:"daemons,omitempty"`
 	Suspects []suspects.Entry `json:"suspects,omitempty"`
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -74,6 +74,9 @@
 	RoomChanged func()
 	// Down is called with upstreams that another daemon found unreachable.
 	Down func(ids []string)
+	// Changing is called with engines that another daemon has told to change
+	// their role.
+	Changing func(ids []string)
 	// NewerVersion is called when the daemon at the control address has a newer
 	// configuration.
 	NewerVersion func(control string, version int64)
@@ -83,9 +86,10 @@
 
 // News is what has changed.
 type News struct {
-	Runs  []capacity.Run
-	Ended []string
-	Down  []string
+	Runs     []capacity.Run
+	Ended    []string
+	Down     []string
+	Changing []string
 }
 
 // Daemon is another daemon as this one knows it.
@@ -184,7 +188,7 @@
 
 // Tell sends news at once to the daemons that are alive.
 func (p *Peers) Tell(n News) {
-	p.send(State{Runs: n.Runs, Ended: n.Ended, Down: n.Down}, p.alive())
+	p.send(State{Runs: n.Runs, Ended: n.Ended, Down: n.Down, Changing: n.Changing}, p.alive())
 }
 
 // Alive returns the daemons heard of lately, without this one.
@@ -382,6 +386,9 @@
 	if len(s.Down) > 0 {
 		p.handlers.Down(s.Down)
 	}
+	if len(s.Changing) > 0 {
+		p.handlers.Changing(s.Changing)
+	}
 	for _, at := range s.Daemons {
 		p.Meet(at)
 	}
--- /dev/null
+++ b/hemlockd/internal/roles/lease_test.go
@@ -0,0 +1,83 @@
+package roles
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
+)
+
+// fakeStore holds one entry. Writes may be lost, done without an answer, or done
+// later if their condition still holds.
+type fakeStore struct {
+	t       *rapid.T
+	version int64
+	late    []int64 // versions that late writes expect
+}
+
+func (s *fakeStore) Swap(_ context.Context, _ directory.Topic, key string, _ []byte, expected int64) (int64, error) {
+	switch rapid.IntRange(0, 5).Draw(s.t, "fate") {
+	case 0:
+		return 0, errors.New("lost")
+	case 1:
+		s.late = append(s.late, expected)
+		return 0, errors.New("no answer yet")
+	case 2:
+		s.apply(expected)
+		return 0, errors.New("answer lost")
+	}
+	if !s.apply(expected) {
+		return 0, &directory.ConflictError{Current: directory.Entry{Key: key, Version: s.version}}
+	}
+	return s.version, nil
+}
+
+func (s *fakeStore) apply(expected int64) bool {
+	if expected != s.version {
+		return false
+	}
+	s.version++
+	return true
+}
+
+// TestOrdersOfTwoHoldersNeverComeClose lets daemons that pause and restart ask
+// for the right to give orders.
+func TestOrdersOfTwoHoldersNeverComeClose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = 3 * clock.Second
+		store := &fakeStore{t: t}
+		names := []string{"a", "b", "c"}
+		leases := map[string]*Lease{}
+		for _, n := range names {
+			leases[n] = NewLease(store, "dc", n, span)
+		}
+		lastHolder, lastAt, lastFence := "", clock.Millis(-1), int64(0)
+		now := clock.Millis(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(1, 4000).Draw(t, "pause"))
+			if len(store.late) > 0 && rapid.Bool().Draw(t, "late write") {
+				store.apply(store.late[0])
+				store.late = store.late[1:]
+			}
+			n := rapid.SampledFrom(names).Draw(t, "daemon")
+			if rapid.IntRange(0, 20).Draw(t, "restart") == 0 {
+				leases[n] = NewLease(store, "dc", n, span)
+			}
+			fence, _ := leases[n].Renew(context.Background(), func() clock.Millis { return now })
+			if fence == 0 {
+				continue
+			}
+			if fence <= lastFence {
+				t.Fatalf("fence %d after %d", fence, lastFence)
+			}
+			if lastHolder != "" && lastHolder != n && now-lastAt < span {
+				t.Fatalf("%s orders %d ms after %s", n, now-lastAt, lastHolder)
+			}
+			lastHolder, lastAt, lastFence = n, now, fence
+		}
+	})
+}
