--- a/hemlockd/internal/capacity/prefill.go
+++ b/hemlockd/internal/capacity/prefill.go
@@ -11,11 +11,11 @@
 	// initialReadMsPerToken is the pace at which a prefill engine reads where
 	// nothing is known of it yet.
 	initialReadMsPerToken = 0.02
-	// readPaceWeight is the weight of a new observation of that pace.
-	readPaceWeight = 0.2
-	// correction is the part of the error of a prediction by which an engine's
-	// backlog is corrected.
-	correction = 0.5
+	// fasterWeight and slowerWeight are the weights of an observation of that
+	// pace. A prompt that took long may have waited behind one that this daemon
+	// did not know of, so slowness is believed late.
+	fasterWeight = 0.3
+	slowerWeight = 0.03
 	// farDecodePenaltyMs is what a prefill in another data centre than the
 	// decode engine's costs in the choice.
 	farDecodePenaltyMs = 5
@@ -171,9 +171,22 @@
 	ended := float64(now) - p.DistanceMs/2
 	if !b.waited && r.Prompt > 0 {
 		pace := max(0, ended-b.startMs) / float64(r.Prompt)
-		p.readMsPerToken += readPaceWeight * (pace - p.readMsPerToken)
+		weight := slowerWeight
+		if pace < p.readMsPerToken {
+			weight = fasterWeight
+		}
+		p.readMsPerToken += weight * (pace - p.readMsPerToken)
+	}
+	// What is late or early shifts all that comes after it.
+	late := ended - b.endMs
+	delete(p.booked, r.ID)
+	for id, other := range p.booked {
+		if other.endMs > b.endMs {
+			other.startMs, other.endMs = other.startMs+late, other.endMs+late
+			p.booked[id] = other
+		}
 	}
-	p.freeMs = max(float64(now), p.freeMs+correction*(ended-b.endMs))
+	p.freeMs = max(float64(now), p.freeMs+late)
 }
 
 // PrefillUse returns the part of the prefill engines that has work.
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -38,6 +38,9 @@
 	DataCentre   string
 	MemoryTokens int
 	Slots        int
+	// Margin is the part of the memory that is left free: news of runs that other
+	// daemons place at an engine far away comes late.
+	Margin float64
 	// Cost is added to the fraction of the engine's memory in use when engines
 	// are compared: for distance, for doubt.
 	Cost float64
@@ -54,6 +57,7 @@
 type View struct {
 	mu       sync.Mutex
 	forecast Forecast
+	lengths  lengths
 	engines  map[string]*engine
 	// prefillers holds the prefill engines.
 	prefillers map[string]*prefiller
@@ -63,7 +67,7 @@
 
 // NewView returns a view without engines.
 func NewView(f Forecast) *View {
-	return &View{forecast: f, engines: map[string]*engine{}, prefillers: map[string]*prefiller{}, where: map[string]string{}}
+	return &View{forecast: f, lengths: newLengths(), engines: map[string]*engine{}, prefillers: map[string]*prefiller{}, where: map[string]string{}}
 }
 
 // SetEngines takes over which engines there are. Runs at engines that stay are
@@ -108,7 +112,7 @@
 			continue
 		}
 		need := v.peakLocked(e, &r, now)
-		if float64(need) > v.forecast.MostMemory*float64(e.MemoryTokens) {
+		if float64(need) > (v.forecast.MostMemory-e.Margin)*float64(e.MemoryTokens) {
 			continue
 		}
 		cost := float64(need)/float64(e.MemoryTokens) + e.Cost
@@ -167,7 +171,7 @@
 	loads := make([]load, 0, e.count()+1)
 	add := func(r Run) {
 		made := r.madeBy(now, e.msPerToken)
-		loads = append(loads, load{held: r.Prompt + made + blockTokens, left: v.forecast.output(r, made) - made})
+		loads = append(loads, load{held: r.Prompt + made + blockTokens, left: v.lengths.expect(r.Likely, made, r.Most) - made})
 	}
 	for _, runs := range e.runs {
 		for _, r := range runs {
@@ -216,6 +220,14 @@
 	delete(v.where, id)
 }
 
+// Learn takes in the length of an answer that has ended and that its caller had
+// guessed.
+func (v *View) Learn(guess, length int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lengths.learn(guess, length)
+}
+
 // Own returns this daemon's runs, for the other daemons.
 func (v *View) Own(now clock.Millis) []Run {
 	v.mu.Lock()
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -114,7 +114,7 @@
 			}
 			engines = append(engines, capacity.Engine{
 				ID: u.ID, DataCentre: u.DataCentre, MemoryTokens: service.Engine.MemoryTokens, Slots: service.Engine.Slots,
-				Cost: engineDistanceCost * d.distance(u.DataCentre),
+				Cost: engineDistanceCost * d.distance(u.DataCentre), Margin: marginForMs * d.distance(u.DataCentre),
 			})
 		}
 	}
@@ -216,6 +216,10 @@
 // fraction of its memory in use.
 const engineDistanceCost = 0.002
 
+// marginForMs is the part of an engine's memory that is left free for each
+// millisecond on the way to it.
+const marginForMs = 0.001
+
 // Times on the way to an upstream and back, in ms.
 const (
 	ownDataCentreMs = 0.5
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -67,6 +67,9 @@
 	u, _ := m.upstream(m.run.Engine)
 	if err == nil {
 		m.d.health.result(u.ID, true)
+		if m.runs == 1 && m.call.ResumeAfter == "" {
+			m.d.o.View.Learn(m.run.Likely, m.run.Made)
+		}
 		return false
 	}
 	if m.callerGone() {
--- a/hemlockd/internal/roles/lease.go
+++ b/hemlockd/internal/roles/lease.go
@@ -44,6 +44,12 @@
 	return &Lease{store: store, key: key, holder: holder, spanMs: span}
 }
 
+// wrote tells whether an entry names this daemon.
+func (l *Lease) wrote(value []byte) bool {
+	var e entry
+	return json.Unmarshal(value, &e) == nil && e.Holder == l.holder
+}
+
 // Renew tries to take or renew the right. It returns the fencing number for one
 // order, to be sent at once, or 0 where no order may be sent now.
 //
@@ -59,7 +65,9 @@
 	version, err := l.store.Swap(ctx, directory.Roles, l.key, value, l.version)
 	var conflict *directory.ConflictError
 	if errors.As(err, &conflict) {
-		l.mine, l.version, l.seenMs = false, conflict.Current.Version, now()
+		l.version, l.seenMs = conflict.Current.Version, now()
+		// What an earlier run of this daemon wrote is as good as its own.
+		l.mine = l.wrote(conflict.Current.Value)
 		return 0, nil
 	}
 	if err != nil {
