--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -15,6 +15,7 @@
 	"net/http"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/verdict"
 )
 
 // Call is one attempt of a caller.
@@ -95,13 +96,13 @@
 }
 
 // Outcome is what is known of a call at an upstream.
-type Outcome string
+type Outcome = verdict.AttemptResult
 
 // The outcomes. Only NotRun may be told to a caller as not run.
 const (
-	NotRun  Outcome = "notRun"
-	Ran     Outcome = "ran"
-	Unknown Outcome = "unknown"
+	NotRun  = verdict.AttemptNotRun
+	Ran     = verdict.AttemptRan
+	Unknown = verdict.AttemptUnknown
 )
 
 // Cause says why a call failed at an upstream.
--- a/common/verdict/verdict.go
+++ b/common/verdict/verdict.go
@@ -12,12 +12,16 @@
 package verdict
 
 import (
+	"bytes"
+	"compress/gzip"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 
@@ -139,3 +143,21 @@
 func Verify(key []byte, v Verdict, receipt string) bool {
 	return hmac.Equal([]byte(Sign(key, v)), []byte(receipt))
 }
+
+// DecodeBatch reads verdicts from compressed JSON lines.
+func DecodeBatch(data []byte) ([]Verdict, error) {
+	z, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("read verdicts: %w", err)
+	}
+	var all []Verdict
+	for decoder := json.NewDecoder(z); ; {
+		var v Verdict
+		if err := decoder.Decode(&v); err == io.EOF {
+			return all, nil
+		} else if err != nil {
+			return nil, fmt.Errorf("read verdicts: %w", err)
+		}
+		all = append(all, v)
+	}
+}
--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"hemlockmux.example/hemlockd/internal/logs"
 	"hemlockmux.example/hemlockd/internal/shared"
 	"hemlockmux.example/platform"
 )
@@ -59,11 +60,8 @@
 			if err != nil || c.Bool("check") {
 				return err
 			}
-			log, err := zap.NewProduction(zap.Fields(zap.String("daemon", own.Name)))
-			if err != nil {
-				return err
-			}
-			defer func() { _ = log.Sync() }()
+			log, closeLog := logs.New(os.Stdout, own.Name)
+			defer closeLog()
 			soft, hard := stopContexts()
 			return RunOnPlatform(soft, hard, path, own, log)
 		},
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -16,6 +16,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/directory"
 	"hemlockmux.example/common/routing"
+	"hemlockmux.example/hemlockd/internal/archive"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	inforce "hemlockmux.example/hemlockd/internal/directory"
 	"hemlockmux.example/hemlockd/internal/dispatch"
@@ -128,9 +129,13 @@
 	}
 	d.onClose(closePeers)
 	d.retries = retries.NewWindows(retryBound(d.own), started, d.peers.Count)
+	verdicts, closeVerdicts := archive.New(archive.Options{
+		Log: d.log, Clock: d.clk, Objects: store, Daemon: d.own.Name, StartedMs: started,
+	})
+	d.onClose(closeVerdicts)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Log: d.log, Clock: d.clk, Directory: d.directory, Upstreams: servers, View: view, Queue: queue, Peers: d.peers,
-		Retries: d.retries, Suspects: sus,
+		Retries: d.retries, Suspects: sus, Verdicts: verdicts, Name: d.own.Name,
 		ReadCall: platform.ReadCall, DataCentre: d.own.DataCentre, Regions: d.own.Regions,
 	})
 	boot := clock.Boot()
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -13,8 +13,10 @@
 package capacity
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 
 	"hemlockmux.example/common/clock"
@@ -299,6 +301,24 @@
 	return use
 }
 
+// Summary says in a few words on what a decision for want of room rests: the
+// decode engines with their runs and the memory forecast for them, and the
+// prefill engines with the work ahead of them.
+func (v *View) Summary(now clock.Millis) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var b strings.Builder
+	for _, e := range v.sortedLocked() {
+		if e.MemoryTokens > 0 {
+			fmt.Fprintf(&b, "%s: %d runs, %d %%; ", e.ID, e.count(), 100*v.peakLocked(e, nil, now)/e.MemoryTokens)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(v.prefillers)) {
+		fmt.Fprintf(&b, "%s: %.0f ms ahead; ", id, v.prefillers[id].backlog(now))
+	}
+	return strings.TrimSuffix(b.String(), "; ")
+}
+
 // Status is one engine as operators see it.
 type Status struct {
 	Engine
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -24,8 +24,8 @@
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/routing"
+	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/capacity"
-	"hemlockmux.example/hemlockd/internal/directory"
 	"hemlockmux.example/hemlockd/internal/peers"
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/suspects"
@@ -40,19 +40,38 @@
 	Probe(ctx context.Context, to routing.Upstream, path string) error
 }
 
+// Directory is what is in force.
+type Directory interface {
+	Table() *routing.Table
+	Upstreams(service string) []routing.Upstream
+	Ready() bool
+}
+
+// Peers tells the other daemons.
+type Peers interface {
+	Tell(n peers.News)
+}
+
+// Verdicts keeps what became of requests.
+type Verdicts interface {
+	Record(v verdict.Verdict)
+}
+
 // Options is what a dispatcher works with.
 type Options struct {
 	Log       *zap.Logger
 	Clock     clock.Clock
-	Directory *directory.Directory
+	Directory Directory
 	Upstreams Upstreams
 	View      *capacity.View
 	Queue     *capacity.Queue
-	Peers     *peers.Peers
+	Peers     Peers
+	Verdicts  Verdicts
 	Retries   *retries.Windows
 	Suspects  *suspects.Suspects
 	// ReadCall reads a caller's request, without its body.
 	ReadCall func(*http.Request) *calls.Call
+	Name     string
 	// DataCentre is this daemon's, Regions the region of each.
 	DataCentre string
 	Regions    map[string]string
@@ -60,15 +79,19 @@
 
 // Dispatcher serves callers. It implements [http.Handler].
 type Dispatcher struct {
-	o      Options
-	health *health
+	o         Options
+	health    *health
+	lines     *lineLimits
+	latencies *latencies
 	// drainingSinceMs is set once the daemon shuts down.
 	drainingSinceMs atomic.Int64
 	open            atomic.Int64
 }
 
 // New returns a dispatcher.
-func New(o Options) *Dispatcher { return &Dispatcher{o: o, health: newHealth(o.Clock)} }
+func New(o Options) *Dispatcher {
+	return &Dispatcher{o: o, health: newHealth(o.Clock), lines: newLineLimits(), latencies: newLatencies()}
+}
 
 // Drain makes answers ask callers to come over new connections, so that they
 // come to other daemons.
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -16,6 +16,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/routing"
+	"hemlockmux.example/common/verdict"
 )
 
 // Reasons of refusals and failures that this package gives.
@@ -63,21 +64,13 @@
 	digest    string
 	// outcome is what is known of the call at upstreams so far.
 	outcome  calls.Outcome
-	attempts []attempt
+	attempts []verdict.Attempt
 	answered bool // the head of an answer has been written
 	status   int
 	reason   string
 	waitedMs clock.Millis
-}
-
-// attempt is one try at an upstream, for the log.
-type attempt struct {
-	Upstream string        `json:"upstream"`
-	Phase    calls.Phase   `json:"phase"`
-	Outcome  calls.Outcome `json:"outcome"`
-	Cause    calls.Cause   `json:"cause,omitempty"`
-	StartMs  clock.Millis  `json:"startMs"` // since arrival
-	TookMs   clock.Millis  `json:"tookMs"`
+	// basis says on what a refusal for want of room was decided.
+	basis string
 }
 
 func (x *exchange) now() clock.Millis { return x.d.o.Clock.Now() }
@@ -246,27 +239,42 @@
 
 // record takes in how an attempt ended.
 func (x *exchange) record(upstream string, phase calls.Phase, startMs clock.Millis, err error) *calls.Error {
-	a := attempt{Upstream: upstream, Phase: phase, Outcome: calls.Ran, StartMs: startMs - x.arrivedMs, TookMs: x.now() - startMs}
+	a := verdict.Attempt{Upstream: upstream, Phase: string(phase), Result: calls.Ran, StartMs: startMs, EndMs: x.now()}
 	var failed *calls.Error
 	if errors.As(err, &failed) {
-		a.Outcome, a.Cause = failed.Outcome, failed.Cause
+		a.Result, a.Cause = failed.Outcome, string(failed.Cause)
 	}
-	x.attempts = append(x.attempts, a)
-	if phase == calls.PhasePrefill || a.Outcome == calls.NotRun {
-		return failed
+	if phase == calls.PhasePrefill {
+		a.Result = calls.NotRun // reading a prompt does not run it
 	}
-	if x.outcome != calls.Ran {
-		x.outcome = a.Outcome
+	x.attempts = append(x.attempts, a)
+	if a.Result != calls.NotRun && x.outcome != calls.Ran {
+		x.outcome = a.Result
 	}
 	return failed
 }
 
-// conclude writes the one line that tells what became of the request.
+// conclude records what became of the request: its verdict, one line of the log
+// and the latency.
 func (x *exchange) conclude() {
+	end := x.now()
+	v := verdict.Verdict{
+		RequestID: x.call.ID, Target: x.service, Outcome: x.verdictOutcome(), Ran: x.ran(), Reason: problem.Reason(x.reason),
+		Status: x.status, SettingsVersion: x.version, Daemon: x.d.o.Name, DataCentre: x.d.o.DataCentre,
+		StartMs: x.arrivedMs, EndMs: end, Attempts: x.attempts,
+	}
+	x.d.o.Verdicts.Record(v)
+	metrics.Add("request "+x.reason, 1)
+	x.d.latencies.record(x, end)
+	served := x.reason == reasonServed && x.status < http.StatusInternalServerError
+	if !x.d.lines.allow(served) {
+		metrics.Add("linesLeftOut", 1)
+		return
+	}
 	fields := []zap.Field{
 		zap.String("request", x.call.ID), zap.String("reason", x.reason), zap.Int("status", x.status),
-		zap.String("ran", string(x.ran())), zap.Int64("version", x.version),
-		zap.Int64("tookMs", int64(x.now()-x.arrivedMs)),
+		zap.String("ran", string(v.Ran)), zap.Int64("version", x.version), zap.Int64("startMs", int64(x.arrivedMs)),
+		zap.Int64("tookMs", int64(end-x.arrivedMs)),
 	}
 	if x.route != nil {
 		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service))
@@ -274,8 +282,21 @@
 	if x.waitedMs > 0 {
 		fields = append(fields, zap.Int64("waitedMs", int64(x.waitedMs)))
 	}
+	if x.basis != "" {
+		fields = append(fields, zap.String("basis", x.basis))
+	}
 	if len(x.attempts) > 0 {
 		fields = append(fields, zap.Any("attempts", x.attempts))
 	}
 	x.d.o.Log.Info("request", fields...)
 }
+
+func (x *exchange) verdictOutcome() verdict.Outcome {
+	switch x.outcome {
+	case calls.NotRun:
+		return verdict.Refused
+	case calls.Ran:
+		return verdict.Run
+	}
+	return verdict.Unknown
+}
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -93,6 +93,7 @@
 // returns true where the stream may go on at another engine.
 func (m *modelRun) attempt(wait clock.Millis) bool {
 	if !m.place(wait) {
+		m.basis = m.d.o.View.Summary(m.now())
 		m.giveUp(reasonNoRoom)
 		return false
 	}
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -140,6 +140,9 @@
 	if id != "" {
 		m.stream.after = id
 	}
+	if m.stream.events == 0 {
+		m.d.latencies.note(latencyFirstEvent, m.now()-m.arrivedMs)
+	}
 	m.stream.events++
 	m.run.Made += m.spec.EventTokens
 	m.d.o.View.Progress(m.run.ID, m.run.Made, m.now())
--- a/standin/internal/app/command.go
+++ b/standin/internal/app/command.go
@@ -10,6 +10,7 @@
 	"hemlockmux.example/standin/internal/load"
 	"hemlockmux.example/standin/internal/measure"
 	"hemlockmux.example/standin/internal/scale"
+	"hemlockmux.example/standin/internal/usersplatform"
 )
 
 // Command is the command line of the stand-ins.
@@ -45,6 +46,11 @@
 				},
 				Action: runMeasure,
 			},
+			{
+				Name:   "users-platform",
+				Usage:  "stand in for the users' platform; prints its addresses as JSON",
+				Action: func(context.Context, *cli.Command) error { return usersplatform.Run() },
+			},
 			scale.Command(),
 			load.Command(),
 		},
--- /dev/null
+++ b/standin/internal/usersplatform/admin.go
@@ -0,0 +1,159 @@
+package usersplatform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Platform is the whole stand-in.
+type Platform struct {
+	store *Store
+
+	mu      sync.Mutex
+	servers map[string]*Server
+	runs    []Arrival
+}
+
+// NewPlatform returns a platform without servers.
+func NewPlatform() *Platform { return &Platform{store: NewStore(), servers: map[string]*Server{}} }
+
+func (p *Platform) record(r Arrival) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs = append(p.runs, r)
+}
+
+func (p *Platform) serverAt(address string) *Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.address == address {
+			return s
+		}
+	}
+	return nil
+}
+
+func (p *Platform) server(id string) *Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.servers[id]
+}
+
+// Admin takes the orders of tests:
+//
+//	PUT  /config              the operator's configuration
+//	POST /servers             start a server (ServerSpec)
+//	POST /servers/ID/fault    ServerFault
+//	POST /servers/ID/drain    announce that it leaves
+//	POST /servers/ID/crash    end it; ?gone=1 removes its entry too
+//	POST /store/fault         StoreFault
+//	POST /store/forget        drop the history
+//	GET  /runs                all requests that reached servers ([]Arrival)
+//	GET  /objects             the names of the objects stored
+func (p *Platform) Admin() http.Handler {
+	r := chi.NewRouter()
+	r.Put("/config", func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.store.Set("op", "config", body)
+	})
+	r.Post("/servers", func(w http.ResponseWriter, r *http.Request) {
+		var spec ServerSpec
+		if !decode(w, r, &spec) {
+			return
+		}
+		s, err := p.startServer(spec)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.servers[spec.ID] = s
+	})
+	r.Post("/servers/{id}/{what}", p.orderServer)
+	r.Post("/store/fault", func(w http.ResponseWriter, r *http.Request) {
+		var f StoreFault
+		if decode(w, r, &f) {
+			p.store.SetFault(f)
+		}
+	})
+	r.Post("/store/forget", func(http.ResponseWriter, *http.Request) { p.store.Forget() })
+	r.Get("/runs", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		runs := append([]Arrival{}, p.runs...)
+		p.mu.Unlock()
+		reply(w, http.StatusOK, runs)
+	})
+	return r
+}
+
+func (p *Platform) orderServer(w http.ResponseWriter, r *http.Request) {
+	s := p.server(chi.URLParam(r, "id"))
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	switch chi.URLParam(r, "what") {
+	case "fault":
+		var f ServerFault
+		if decode(w, r, &f) {
+			s.setFault(f)
+		}
+	case "drain":
+		s.enter("draining")
+	case "crash":
+		p.mu.Lock()
+		delete(p.servers, s.spec.ID)
+		p.mu.Unlock()
+		s.crash(r.FormValue("gone") != "")
+	}
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// Addresses is what the command prints.
+type Addresses struct {
+	Store string `json:"store"`
+	Admin string `json:"admin"`
+}
+
+// Run serves until the process ends.
+func Run() error {
+	p := NewPlatform()
+	var a Addresses
+	for _, port := range []struct {
+		address *string
+		handler http.Handler
+	}{{&a.Store, p.store}, {&a.Admin, p.Admin()}} {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		*port.address = listener.Addr().String()
+		server := &http.Server{Handler: port.handler, ReadHeaderTimeout: 10 * time.Second}
+		go func() { _ = server.Serve(listener) }()
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(a); err != nil {
+		return fmt.Errorf("print the addresses: %w", err)
+	}
+	select {}
+}
--- /dev/null
+++ b/standin/internal/usersplatform/store.go
@@ -0,0 +1,276 @@
+// Package usersplatform is a small stand-in of the users' platform: its store of
+// rows and objects and its servers, which read prompts, generate or answer plain
+// calls. Each fails when it is told to. It keeps a record of all that ran, which
+// process tests compare with what callers were told.
+//
+// # Usage
+//
+//	standin users-platform
+//
+// prints its addresses as one line of JSON; see [Admin] for what it takes.
+package usersplatform
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Row is one row of the store.
+type Row struct {
+	Table   string
+	Part    string `json:"part"`
+	Key     string
+	Value   []byte
+	Ver     int64
+	Removed bool `json:",omitempty"`
+}
+
+type rowID struct{ table, part, key string }
+
+// Store is the store of rows and objects.
+type Store struct {
+	mu      sync.Mutex
+	version int64
+	rows    map[rowID]Row
+	history []Row // ascending by version
+	forgot  int64 // changes up to this version are no longer known
+	objects map[string][]byte
+	changed chan struct{} // closed at the next change
+	started time.Time
+	fault   StoreFault
+}
+
+// StoreFault is how the store fails.
+type StoreFault struct {
+	// Mode is "", "busy" (503), "reset" or "silent".
+	Mode string `json:"mode"`
+	// From limits the fault to callers at these IPs; none: all.
+	From []string `json:"from"`
+	// LoseWrites makes writes that are done go unanswered.
+	LoseWrites bool `json:"loseWrites"`
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{rows: map[rowID]Row{}, objects: map[string][]byte{}, changed: make(chan struct{}), started: time.Now()}
+}
+
+// SetFault replaces how the store fails.
+func (s *Store) SetFault(f StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgot = nil, s.version
+}
+
+// Set writes a row, or removes it where value is nil.
+func (s *Store) Set(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setLocked(Row{Table: table, Key: key, Value: value, Removed: value == nil})
+	s.announceLocked()
+}
+
+func (s *Store) setLocked(r Row) {
+	s.version++
+	r.Ver = s.version
+	id := rowID{r.Table, r.Part, r.Key}
+	if r.Removed {
+		delete(s.rows, id)
+	} else {
+		s.rows[id] = r
+	}
+	s.history = append(s.history, r)
+}
+
+func (s *Store) announceLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements [http.Handler].
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	fault := s.fault
+	s.mu.Unlock()
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && (len(fault.From) == 0 || slices.Contains(fault.From, host)) {
+		switch fault.Mode {
+		case "busy":
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case "reset":
+			panic(http.ErrAbortHandler)
+		case "silent":
+			<-r.Context().Done()
+			return
+		}
+	}
+	switch path := r.URL.Path; {
+	case path == "/hemlockmux/rows-get":
+		s.get(w, r)
+	case path == "/hemlockmux/rows-feed":
+		s.feed(w, r)
+	case path == "/hemlockmux/rows-tx":
+		s.transact(w, r, fault.LoseWrites)
+	case strings.HasPrefix(path, "/hemlockmux/blob-"):
+		s.blob(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+type page struct {
+	Rows    []Row
+	HasMore bool
+	Ver     int64
+	NowMs   int64
+}
+
+func (s *Store) pageLocked(rows []Row) page {
+	return page{Rows: rows, Ver: s.version, NowMs: time.Since(s.started).Milliseconds()}
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	rows := []Row{}
+	for id, row := range s.rows {
+		if id.table == r.FormValue("Table") && id.part == r.FormValue("part") && id.key >= r.FormValue("From") {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	answer := s.pageLocked(rows)
+	s.mu.Unlock()
+	reply(w, http.StatusOK, answer)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.FormValue("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.FormValue("WaitMs"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.forgot {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		var rows []Row
+		for _, row := range s.history {
+			if row.Ver > after && row.Table == r.FormValue("Table") {
+				rows = append(rows, row)
+			}
+		}
+		answer, changed := s.pageLocked(rows), s.changed
+		s.mu.Unlock()
+		if len(rows) > 0 {
+			reply(w, http.StatusOK, answer)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			reply(w, http.StatusOK, answer)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request, lose bool) {
+	var tx struct{ Expected, SetKeys, Remove []Row }
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	var current []Row
+	conflict := false
+	for _, want := range tx.Expected {
+		row, ok := s.rows[rowID{want.Table, want.Part, want.Key}]
+		if ok {
+			current = append(current, row)
+		}
+		conflict = conflict || row.Ver != want.Ver
+	}
+	status, rows := http.StatusOK, []Row(nil)
+	if conflict {
+		status, rows = http.StatusPreconditionFailed, current
+	} else {
+		// All rows of a transaction bear one version.
+		for _, row := range tx.SetKeys {
+			s.setLocked(row)
+		}
+		for _, row := range tx.Remove {
+			row.Removed = true
+			s.setLocked(row)
+		}
+		s.announceLocked()
+	}
+	answer := s.pageLocked(rows)
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, status, answer)
+}
+
+// blob serves raw objects: put, get, drop, list.
+func (s *Store) blob(w http.ResponseWriter, r *http.Request) {
+	name := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch r.Method {
+	case http.MethodPut:
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.objects[name] = data
+	case http.MethodDelete:
+		delete(s.objects, name)
+	case http.MethodGet:
+		if strings.HasSuffix(r.URL.Path, "/blob-list") {
+			s.listLocked(w, r)
+			return
+		}
+		data, ok := s.objects[name]
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write(data)
+	}
+}
+
+func (s *Store) listLocked(w http.ResponseWriter, r *http.Request) {
+	names := []string{}
+	for name := range s.objects {
+		if strings.HasPrefix(name, r.FormValue("Prefix")) && name > r.FormValue("after") {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	reply(w, http.StatusOK, map[string]any{"names": names, "HasMore": false})
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
