--- a/common/operatorapi/operatorapi.go
+++ b/common/operatorapi/operatorapi.go
@@ -77,3 +77,53 @@
 	Verdict verdict.Verdict `json:"verdict"`
 	Source  string          `json:"source"` // "daemon", "copy" or "store"
 }
+
+// MethodBeliefs asks a daemon, over JSON-RPC at its port for other daemons,
+// for a [Beliefs].
+const MethodBeliefs = "daemon.beliefs"
+
+// Beliefs is what a daemon on the users' platform believes.
+type Beliefs struct {
+	Daemon     string `json:"daemon"`
+	DataCentre string `json:"dataCentre"`
+	// Version is the version of the configuration in force.
+	Version      int64 `json:"version"`
+	Ready        bool  `json:"ready"`
+	OpenRequests int   `json:"openRequests"`
+	// StoreTroubleAgoMs is how long ago the store last failed to answer; -1: never.
+	StoreTroubleAgoMs clock.Millis     `json:"storeTroubleAgoMs"`
+	Upstreams         []UpstreamBelief `json:"upstreams"`
+	Engines           []EngineBelief   `json:"engines"`
+	Daemons           []PeerBelief     `json:"daemons"`
+}
+
+// UpstreamBelief is one upstream as a daemon knows it.
+type UpstreamBelief struct {
+	Upstream string `json:"upstream"`
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Role     string `json:"role,omitempty"`
+	Leaving  bool   `json:"leaving"`
+	// Down says that it is out of use until it answers a probe.
+	Down bool `json:"down"`
+}
+
+// EngineBelief is one decode engine as a daemon knows it.
+type EngineBelief struct {
+	Engine string `json:"engine"`
+	Runs   int    `json:"runs"`
+	// ForecastTokens is the most memory that its runs are thought to need.
+	ForecastTokens int     `json:"forecastTokens"`
+	MemoryTokens   int     `json:"memoryTokens"`
+	MsPerToken     float64 `json:"msPerToken"`
+}
+
+// PeerBelief is another daemon as a daemon knows it.
+type PeerBelief struct {
+	Daemon     string       `json:"daemon"`
+	DataCentre string       `json:"dataCentre"`
+	Address    string       `json:"address"`
+	Version    int64        `json:"version"`
+	HeardAgoMs clock.Millis `json:"heardAgoMs"`
+	Leaving    bool         `json:"leaving"`
+}
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/directory"
+	"hemlockmux.example/common/operatorapi"
 	"hemlockmux.example/common/routing"
 	"hemlockmux.example/hemlockd/internal/archive"
 	"hemlockmux.example/hemlockd/internal/capacity"
@@ -46,33 +48,44 @@
 
 // platformDaemon is the daemon on the users' platform.
 type platformDaemon struct {
-	log        *zap.Logger
-	own        platform.Settings
-	clk        clock.Clock
-	directory  *inforce.Directory
-	peers      *peers.Peers
-	dispatcher *dispatch.Dispatcher
-	store      *platform.Store
-	callers    *http.Server
-	ready      *http.Server
-	failed     chan error
-	retries    *retries.Windows
-	stopping   chan struct{} // closed when the shutdown begins
-	cleanup    []func()      // run in reverse
+	log         *zap.Logger
+	own         platform.Settings
+	metricsPort int
+	view        *capacity.View
+	clk         clock.Clock
+	directory   *inforce.Directory
+	peers       *peers.Peers
+	dispatcher  *dispatch.Dispatcher
+	store       *platform.Store
+	callers     *http.Server
+	ready       *http.Server
+	failed      chan error
+	retries     *retries.Windows
+	stopping    chan struct{} // closed when the shutdown begins
+	cleanup     []func()      // run in reverse
+}
+
+// PlatformOptions is what a daemon on the users' platform is told.
+type PlatformOptions struct {
+	SettingsPath string
+	Settings     platform.Settings
+	// MetricsPort is the port for metrics; 0: none.
+	MetricsPort int
 }
 
 // RunOnPlatform runs the daemon on the users' platform until ctx ends, then
 // shuts it down gracefully; a second context, hard, ends the wait for requests
 // in flight.
 //
-// The settings at path are read again when they change.
-func RunOnPlatform(ctx, hard context.Context, path string, own platform.Settings, log *zap.Logger) error {
-	d := &platformDaemon{log: log, own: own, clk: clock.System(), failed: make(chan error, 2), stopping: make(chan struct{})}
+// The settings are read again when their file changes.
+func RunOnPlatform(ctx, hard context.Context, o PlatformOptions, log *zap.Logger) error {
+	own := o.Settings
+	d := &platformDaemon{log: log, own: own, metricsPort: o.MetricsPort, clk: clock.System(), failed: make(chan error, 2), stopping: make(chan struct{})}
 	defer d.close()
 	if err := d.wire(); err != nil {
 		return err
 	}
-	d.onClose(watchSettings(log, path, d.reload))
+	d.onClose(watchSettings(log, o.SettingsPath, d.reload))
 	log.Info("daemon is serving", zap.String("callers", own.Callers), zap.String("dataCentre", own.DataCentre),
 		zap.String("daemons", own.Daemons))
 	var err error
@@ -107,6 +120,7 @@
 	d.onClose(closeServers)
 	started := d.clk.Now()
 	view := capacity.NewView(capacity.DefaultForecast())
+	d.view = view
 	queue := capacity.NewQueue(d.clk, view)
 	sus := suspects.New()
 	d.directory = inforce.New(inforce.Options{
@@ -122,7 +136,7 @@
 	}, peers.Handlers{
 		Version: d.directory.Version, View: view, Suspects: sus, RoomChanged: queue.Wake, Down: d.hearDown, Changing: d.hearChanging,
 		NewerVersion: func(control string, _ int64) { d.directory.AskPeer(control) },
-		Snapshot:     d.directory.Snapshot,
+		Snapshot:     d.directory.Snapshot, Beliefs: d.beliefs,
 	})
 	if err != nil {
 		return err
@@ -158,6 +172,13 @@
 	if d.ready, err = d.listen("ready", d.own.Ready, http.HandlerFunc(d.serveReady)); err != nil {
 		return err
 	}
+	if d.metricsPort != 0 {
+		metrics := http.NewServeMux()
+		metrics.Handle("/metrics", expvar.Handler())
+		if _, err = d.listen("metrics", net.JoinHostPort(d.own.IP, strconv.Itoa(d.metricsPort)), metrics); err != nil {
+			return err
+		}
+	}
 	d.callers, err = d.listen("callers", d.own.Callers, d.dispatcher)
 	return err
 }
@@ -260,6 +281,31 @@
 	return true
 }
 
+// beliefs is what this daemon believes, for operators.
+func (d *platformDaemon) beliefs() operatorapi.Beliefs {
+	now := d.clk.Now()
+	s := operatorapi.Beliefs{
+		Daemon: d.own.Name, DataCentre: d.own.DataCentre, Version: d.directory.Version(), Ready: d.directory.Ready(),
+		OpenRequests: d.dispatcher.Open(), StoreTroubleAgoMs: d.directory.TroubleAgo(),
+	}
+	for _, e := range d.view.Engines(now) {
+		s.Engines = append(s.Engines, operatorapi.EngineBelief{
+			Engine: e.ID, Runs: e.Runs, ForecastTokens: e.Peak, MemoryTokens: e.MemoryTokens, MsPerToken: e.MsPerToken,
+		})
+	}
+	for _, u := range d.directory.All() {
+		s.Upstreams = append(s.Upstreams, operatorapi.UpstreamBelief{
+			Upstream: u.ID, Service: u.Service, Address: u.Address, Role: string(u.Role), Leaving: u.Leaving, Down: d.dispatcher.Down(u.ID),
+		})
+	}
+	for _, p := range d.peers.All() {
+		s.Daemons = append(s.Daemons, operatorapi.PeerBelief{
+			Daemon: p.Name, DataCentre: p.DataCentre, Address: p.Address, Version: p.Version, HeardAgoMs: now - p.HeardMs, Leaving: p.Leaving,
+		})
+	}
+	return s
+}
+
 // meetSeeds meets the daemons that the settings name.
 func (d *platformDaemon) meetSeeds(seeds []string) {
 	for _, seed := range seeds {
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -247,6 +247,24 @@
 	d.takeUpstreams(entries, true)
 }
 
+// All returns all upstreams known, also those that leave.
+func (d *Directory) All() []routing.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.upstreams.all()
+}
+
+// TroubleAgo is how long ago the store last failed to answer, -1 where it never
+// did.
+func (d *Directory) TroubleAgo() clock.Millis {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.upstreams.troubleMs < 0 {
+		return -1
+	}
+	return d.o.Clock.Now() - d.upstreams.troubleMs
+}
+
 // storeTrouble takes in that a call to the store has failed.
 func (d *Directory) storeTrouble() {
 	d.mu.Lock()
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -92,6 +92,14 @@
 	return services
 }
 
+func (l *upstreamList) all() []routing.Upstream {
+	var all []routing.Upstream
+	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
+		all = append(all, l.entries[id].upstream)
+	}
+	return all
+}
+
 // raw returns the entries in the platform's form, for other daemons.
 func (l *upstreamList) raw() map[string][]byte {
 	all := map[string][]byte{}
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -97,6 +97,9 @@
 // come to other daemons.
 func (d *Dispatcher) Drain() { d.drainingSinceMs.Store(int64(d.o.Clock.Now())) }
 
+// Down tells whether an upstream is out of use until it answers a probe.
+func (d *Dispatcher) Down(id string) bool { return d.health.down(id) }
+
 // Open is the number of requests in flight.
 func (d *Dispatcher) Open() int { return int(d.open.Load()) }
 
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -27,6 +27,7 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/operatorapi"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
@@ -82,6 +83,8 @@
 	NewerVersion func(control string, version int64)
 	// Snapshot answers other daemons.
 	Snapshot func(SnapshotRequest) Snapshot
+	// Beliefs answers operators.
+	Beliefs func() operatorapi.Beliefs
 }
 
 // News is what has changed.
@@ -205,6 +208,17 @@
 	return alive
 }
 
+// All returns all daemons known, without this one.
+func (p *Peers) All() []Daemon {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []Daemon
+	for _, name := range slices.Sorted(maps.Keys(p.daemons)) {
+		all = append(all, *p.daemons[name])
+	}
+	return all
+}
+
 // Count is the number of daemons known, with this one.
 func (p *Peers) Count() int {
 	p.mu.Lock()
@@ -432,6 +446,9 @@
 }
 
 func (p *Peers) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	if req.Method == operatorapi.MethodBeliefs {
+		return p.handlers.Beliefs(), nil
+	}
 	if req.Method != methodSnapshot || req.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + req.Method}
 	}
