--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -121,12 +121,13 @@
 	started := d.clk.Now()
 	view := capacity.NewView(capacity.DefaultForecast())
 	d.view = view
-	queue := capacity.NewQueue(d.clk, view)
+	queue := capacity.NewQueue(d.clk, view, func() int { return d.peers.Count() })
 	sus := suspects.New()
 	d.directory = inforce.New(inforce.Options{
 		Log: d.log, Clock: d.clk, Store: store,
 		Decoder:  inforce.Decoder{Config: platform.DecodeConfig, Upstream: platform.DecodeUpstream},
-		OnConfig: d.refresh, OnUpstreams: d.refresh, OnDaemon: d.meetListed,
+		OnConfig: d.changed, OnUpstreams: d.changed, OnDaemon: d.meetListed,
+		ShouldFollow: func() bool { return d.peers.ShouldFollow() },
 	})
 	var err error
 	var closePeers func()
@@ -134,9 +135,9 @@
 		Log: d.log, Clock: d.clk, Name: d.own.Name, DataCentre: d.own.DataCentre,
 		Address: d.datagramAddress(), Control: d.own.Daemons, StartedMs: started,
 	}, peers.Handlers{
-		Version: d.directory.Version, View: view, Suspects: sus, RoomChanged: queue.Wake, Down: d.hearDown, Changing: d.hearChanging,
-		NewerVersion: func(control string, _ int64) { d.directory.AskPeer(control) },
-		Snapshot:     d.directory.Snapshot, Beliefs: d.beliefs,
+		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, RoomChanged: queue.WakeSoon, Down: d.hearDown, Changing: d.hearChanging,
+		Newer:    d.directory.AskPeer,
+		Snapshot: d.directory.Snapshot, Beliefs: d.beliefs,
 	})
 	if err != nil {
 		return err
@@ -216,6 +217,13 @@
 	}
 }
 
+// changed takes in that the configuration or the list of upstreams has changed,
+// and tells the other daemons that there is news.
+func (d *platformDaemon) changed() {
+	d.refresh()
+	d.peers.Tell(peers.News{})
+}
+
 func (d *platformDaemon) refresh() {
 	if d.dispatcher != nil {
 		d.dispatcher.Refresh()
--- a/hemlockd/internal/capacity/queue.go
+++ b/hemlockd/internal/capacity/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,11 +14,23 @@
 type Queue struct {
 	clk  clock.Clock
 	view *View
+	// daemons tells how many daemons look for room at the same engines.
+	daemons func() int
 
 	mu      sync.Mutex
 	waiting []*waiter
+	soon    bool // a look for room is due
 }
 
+const (
+	// spreadForDaemon is the time over which daemons spread their looks for the
+	// same room, for each of them, so that the first one's news reaches the next
+	// in time.
+	spreadForDaemon = 600 * time.Microsecond
+	// mostSpread bounds that time.
+	mostLookSpread = 60 * time.Millisecond
+)
+
 type waiter struct {
 	run    Run
 	read   bool
@@ -29,8 +42,11 @@
 // engine gets free without news.
 const recheck = 20 * clock.Millisecond
 
-// NewQueue returns an empty queue for the engines of a view.
-func NewQueue(clk clock.Clock, view *View) *Queue { return &Queue{clk: clk, view: view} }
+// NewQueue returns an empty queue for the engines of a view. daemons tells how
+// many daemons look for room at the same engines.
+func NewQueue(clk clock.Clock, view *View, daemons func() int) *Queue {
+	return &Queue{clk: clk, view: view, daemons: daemons}
+}
 
 // Place books a place for the run, waiting for one until ctx ends. read says that
 // its prompt needs no prefill.
@@ -43,7 +59,7 @@
 	}
 	q.waiting = append(q.waiting, w)
 	q.mu.Unlock()
-	ticker := time.NewTicker(recheck.Duration())
+	ticker := time.NewTicker(recheck.Duration() + q.spread())
 	defer ticker.Stop()
 	for {
 		select {
@@ -70,8 +86,33 @@
 	return <-w.placed, true
 }
 
-// Wake looks for room for those that wait; it is called when some run ends or
-// an engine comes.
+// spread is a random part of the time over which daemons spread their looks.
+func (q *Queue) spread() time.Duration {
+	most := min(mostLookSpread, time.Duration(q.daemons()-1)*spreadForDaemon)
+	return time.Duration(rand.Int64N(int64(max(0, most)) + 1))
+}
+
+// WakeSoon looks for room at a random time soon: other daemons heard of the same
+// room at the same time.
+func (q *Queue) WakeSoon() {
+	q.mu.Lock()
+	due := !q.soon && len(q.waiting) > 0
+	q.soon = q.soon || due
+	q.mu.Unlock()
+	if due {
+		time.AfterFunc(q.spread(), q.wakeDue)
+	}
+}
+
+func (q *Queue) wakeDue() {
+	q.mu.Lock()
+	q.soon = false
+	q.mu.Unlock()
+	q.Wake()
+}
+
+// Wake looks for room for those that wait; it is called when one of this
+// daemon's runs ends or an engine comes.
 func (q *Queue) Wake() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -95,12 +95,24 @@
 func (v *View) engineLocked(id string) *engine {
 	e, ok := v.engines[id]
 	if !ok {
-		e = &engine{Engine: Engine{ID: id}, msPerToken: initialMsPerToken, runs: map[string]map[string]Run{own: {}}}
+		e = &engine{Engine: Engine{ID: id}, msPerToken: v.usualPaceLocked(), runs: map[string]map[string]Run{own: {}}}
 		v.engines[id] = e
 	}
 	return e
 }
 
+// usualPaceLocked is the mean pace of the engines known.
+func (v *View) usualPaceLocked() float64 {
+	total := 0.0
+	for _, e := range v.engines {
+		total += e.msPerToken
+	}
+	if len(v.engines) == 0 {
+		return initialMsPerToken
+	}
+	return total / float64(len(v.engines))
+}
+
 // Place chooses a decode engine that will have room for the run, and a prefill
 // engine that can read its prompt soon unless it has been read, and books both.
 // It returns the run with its engines. Engines in not are passed over.
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -35,6 +35,9 @@
 	// daemonsWait is the wait for changes of the list of daemons, which is
 	// needed only where nobody is heard.
 	daemonsWait = 10 * clock.Second
+	// standbyPause is the time between two looks whether this daemon should follow
+	// the store.
+	standbyPause = 200 * clock.Millisecond
 	// firstPause and maxPause bound the pause after a failed call.
 	firstPause = 50 * clock.Millisecond
 	maxPause   = 800 * clock.Millisecond
@@ -55,6 +58,9 @@
 	// OnConfig and OnUpstreams are called after a change.
 	OnConfig    func()
 	OnUpstreams func()
+	// ShouldFollow tells whether this daemon follows the store itself; otherwise
+	// another daemon of its data centre tells it of changes.
+	ShouldFollow func() bool
 	// OnDaemon is called with each entry of the list of daemons.
 	OnDaemon func(name string, raw []byte)
 }
@@ -65,7 +71,11 @@
 	table     atomic.Pointer[routing.Table]
 	published atomic.Pointer[map[string][]routing.Upstream]
 	listed    atomic.Bool // the list of upstreams has been read once
-	mu        sync.Mutex  // serializes changes
+	// listVersion is the store's version of the list of upstreams.
+	listVersion atomic.Int64
+	// following is set while the store tells this daemon of changes.
+	following atomic.Bool
+	mu        sync.Mutex // serializes changes
 	upstreams *upstreamList
 	asking    atomic.Bool
 	ctx       context.Context
@@ -83,7 +93,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.ctx = ctx
 	var running sync.WaitGroup
-	follow := func(topic directory.Topic, wait clock.Millis, take func([]directory.Entry, bool)) {
+	follow := func(topic directory.Topic, wait clock.Millis, take func(directory.Page, bool)) {
 		f := &follower{d: d, topic: topic, wait: wait, take: take}
 		running.Go(func() { f.run(ctx) })
 	}
@@ -135,8 +145,14 @@
 	d.published.Store(&byService)
 }
 
-func (d *Directory) takeRoutes(entries []directory.Entry, _ bool) {
-	for _, e := range entries {
+// ListVersion is the store's version of the list of upstreams in force.
+func (d *Directory) ListVersion() int64 { return d.listVersion.Load() }
+
+// FollowsStore tells whether the store tells this daemon of changes.
+func (d *Directory) FollowsStore() bool { return d.following.Load() }
+
+func (d *Directory) takeRoutes(page directory.Page, _ bool) {
+	for _, e := range page.Entries {
 		if !e.Removed {
 			d.takeConfig(e.Value, "store")
 		}
@@ -165,10 +181,11 @@
 	d.o.OnConfig()
 }
 
-func (d *Directory) takeUpstreams(entries []directory.Entry, whole bool) {
+func (d *Directory) takeUpstreams(page directory.Page, whole bool) {
 	now := d.o.Clock.Now()
 	d.mu.Lock()
-	for _, e := range entries {
+	d.listVersion.Store(max(d.listVersion.Load(), page.Version))
+	for _, e := range page.Entries {
 		if e.Removed {
 			d.upstreams.remove(e.Key, now)
 			d.o.Log.Info("upstream is gone from the list", zap.String("upstream", e.Key))
@@ -186,7 +203,7 @@
 		}
 	}
 	if whole {
-		d.upstreams.keepOnly(entries, now)
+		d.upstreams.keepOnly(page.Entries, now)
 		d.listed.Store(true)
 	}
 	d.publishLocked()
@@ -194,8 +211,8 @@
 	d.o.OnUpstreams()
 }
 
-func (d *Directory) takeDaemons(entries []directory.Entry, _ bool) {
-	for _, e := range entries {
+func (d *Directory) takeDaemons(page directory.Page, _ bool) {
+	for _, e := range page.Entries {
 		if !e.Removed {
 			d.o.OnDaemon(e.Key, e.Value)
 		}
@@ -208,16 +225,17 @@
 	if t := d.table.Load(); t != nil && s.Version > ask.HaveVersion {
 		s.Config = t.Config.Raw
 	}
-	if ask.WantUpstreams && d.listed.Load() {
-		d.mu.Lock()
-		s.Upstreams = d.upstreams.raw()
-		d.mu.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.ListVersion = d.listVersion.Load()
+	if s.ListVersion > ask.HaveListVersion && d.listed.Load() {
+		s.Upstreams, s.Doubtful = d.upstreams.raw()
 	}
 	return s
 }
 
 // AskPeer takes over what the daemon at a control address knows: a newer
-// configuration, and the list of upstreams where this daemon has none.
+// configuration and a newer list of upstreams.
 func (d *Directory) AskPeer(control string) {
 	if !d.asking.CompareAndSwap(false, true) {
 		return
@@ -227,7 +245,7 @@
 
 func (d *Directory) runAsk(control string) {
 	defer d.asking.Store(false)
-	s, err := peers.Ask(d.ctx, control, peers.SnapshotRequest{HaveVersion: d.Version(), WantUpstreams: !d.listed.Load()})
+	s, err := peers.Ask(d.ctx, control, peers.SnapshotRequest{HaveVersion: d.Version(), HaveListVersion: d.listVersion.Load()})
 	if err != nil {
 		if d.ctx.Err() == nil {
 			d.o.Log.Warn("another daemon did not tell what it knows", zap.String("peer", control), zap.Error(err))
@@ -237,14 +255,19 @@
 	if len(s.Config) > 0 {
 		d.takeConfig(s.Config, control)
 	}
-	if s.Upstreams == nil || d.listed.Load() {
+	if s.Upstreams == nil || s.ListVersion <= d.listVersion.Load() {
 		return
 	}
-	var entries []directory.Entry
+	page := directory.Page{Version: s.ListVersion}
 	for id, raw := range s.Upstreams {
-		entries = append(entries, directory.Entry{Key: id, Value: raw})
+		page.Entries = append(page.Entries, directory.Entry{Key: id, Value: raw})
+	}
+	d.takeUpstreams(page, true)
+	if len(s.Doubtful) > 0 {
+		d.mu.Lock()
+		d.upstreams.doubt(s.Doubtful, d.o.Clock.Now())
+		d.mu.Unlock()
 	}
-	d.takeUpstreams(entries, true)
 }
 
 // All returns all upstreams known, also those that leave.
@@ -277,8 +300,8 @@
 	d     *Directory
 	topic directory.Topic
 	wait  clock.Millis
-	// take takes entries in; whole says that they are all there are.
-	take    func(entries []directory.Entry, whole bool)
+	// take takes a page in; whole says that its entries are all there are.
+	take    func(page directory.Page, whole bool)
 	version int64
 	known   bool
 	failing bool
@@ -287,7 +310,16 @@
 func (f *follower) run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
+		if f.known && !f.d.o.ShouldFollow() {
+			f.known = false
+			f.following(false)
+		}
+		if !f.known && f.d.Ready() && !f.d.o.ShouldFollow() {
+			clock.Pause(ctx, standbyPause)
+			continue
+		}
 		err := f.step(ctx)
+		f.following(err == nil)
 		f.report(err)
 		if err == nil {
 			pause = firstPause
@@ -308,7 +340,7 @@
 			return err
 		}
 		f.version, f.known = page.Version, true
-		f.take(page.Entries, true)
+		f.take(page, true)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, (f.wait + answerReserve).Duration())
@@ -324,11 +356,19 @@
 	}
 	f.version = page.Version
 	if len(page.Entries) > 0 {
-		f.take(page.Entries, false)
+		f.take(page, false)
 	}
 	return nil
 }
 
+// following notes whether the store tells this daemon of changes to the list of
+// upstreams, which stands for all topics.
+func (f *follower) following(yes bool) {
+	if f.topic == directory.Upstreams {
+		f.d.following.Store(yes)
+	}
+}
+
 // report logs each change between a store that answers and one that does not.
 func (f *follower) report(err error) {
 	if f.d.ctx.Err() != nil {
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -100,11 +100,24 @@
 	return all
 }
 
-// raw returns the entries in the platform's form, for other daemons.
-func (l *upstreamList) raw() map[string][]byte {
-	all := map[string][]byte{}
+// raw returns the entries in the platform's form, for other daemons, and the ids
+// of those that have gone.
+func (l *upstreamList) raw() (all map[string][]byte, gone []string) {
+	all = map[string][]byte{}
 	for id, e := range l.entries {
 		all[id] = e.raw
+		if e.goneMs != 0 {
+			gone = append(gone, id)
+		}
+	}
+	return all, gone
+}
+
+// doubt takes in that entries have gone while the store was in trouble.
+func (l *upstreamList) doubt(ids []string, now clock.Millis) {
+	for _, id := range ids {
+		if e, ok := l.entries[id]; ok && e.goneMs == 0 {
+			e.goneMs = now
+		}
 	}
-	return all
 }
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -27,6 +27,10 @@
 	DataCentre string `json:"dataCentre"`
 	// Version is the version of the configuration in force.
 	Version int64 `json:"version"`
+	// ListVersion is the store's version of the list of upstreams.
+	ListVersion int64 `json:"listVersion"`
+	// FollowsStore says that the store tells the sender of changes.
+	FollowsStore bool `json:"followsStore,omitempty"`
 	// Whole says that Runs are all runs of the daemon; otherwise they are added
 	// to, or replace, those told before.
 	Whole bool           `json:"whole,omitempty"`
@@ -46,13 +50,19 @@
 // Snapshot is what a daemon knows of routes and upstreams, in the form in which
 // the platform keeps them.
 type Snapshot struct {
-	Version   int64             `json:"version"`
-	Config    []byte            `json:"config,omitempty"`
-	Upstreams map[string][]byte `json:"upstreams,omitempty"`
+	Version int64  `json:"version"`
+	Config  []byte `json:"config,omitempty"`
+	// ListVersion is the version of Upstreams, which is left out where the asking
+	// daemon has it.
+	ListVersion int64             `json:"listVersion"`
+	Upstreams   map[string][]byte `json:"upstreams,omitempty"`
+	// Doubtful are upstreams whose entries have gone while the store was in
+	// trouble; they may come back.
+	Doubtful []string `json:"doubtful,omitempty"`
 }
 
 // SnapshotRequest says what the asking daemon has already.
 type SnapshotRequest struct {
-	HaveVersion   int64 `json:"haveVersion"`
-	WantUpstreams bool  `json:"wantUpstreams,omitempty"`
+	HaveVersion     int64 `json:"haveVersion"`
+	HaveListVersion int64 `json:"haveListVersion"`
 }
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -68,9 +68,13 @@
 
 // Handlers is what the daemon does with what it hears and what it tells.
 type Handlers struct {
-	Version  func() int64
-	View     *capacity.View
-	Suspects *suspects.Suspects
+	Version func() int64
+	// ListVersion is the version of the list of upstreams, FollowsStore whether
+	// the store tells this daemon of changes.
+	ListVersion  func() int64
+	FollowsStore func() bool
+	View         *capacity.View
+	Suspects     *suspects.Suspects
 	// RoomChanged is called when runs of others have ended.
 	RoomChanged func()
 	// Down is called with upstreams that another daemon found unreachable.
@@ -78,9 +82,9 @@
 	// Changing is called with engines that another daemon has told to change
 	// their role.
 	Changing func(ids []string)
-	// NewerVersion is called when the daemon at the control address has a newer
-	// configuration.
-	NewerVersion func(control string, version int64)
+	// Newer is called when the daemon at the control address has a newer
+	// configuration or, in the same data centre, a newer list of upstreams.
+	Newer func(control string)
 	// Snapshot answers other daemons.
 	Snapshot func(SnapshotRequest) Snapshot
 	// Beliefs answers operators.
@@ -104,9 +108,11 @@
 	Version    int64        `json:"version"`
 	HeardMs    clock.Millis `json:"heardMs"`
 	Leaving    bool         `json:"leaving"`
-	startedMs  int64
-	number     int64
-	whole      int64 // number of the last message that held all runs
+	// FollowsStore says that the store tells it of changes.
+	FollowsStore bool `json:"followsStore"`
+	startedMs    int64
+	number       int64
+	whole        int64 // number of the last message that held all runs
 }
 
 // Peers is the other daemons.
@@ -194,6 +200,30 @@
 	p.send(State{Runs: n.Runs, Ended: n.Ended, Down: n.Down, Changing: n.Changing}, p.alive())
 }
 
+const (
+	// storeFollowers is the number of daemons of a data centre that follow the
+	// store for all of them.
+	storeFollowers = 2
+	// storeCandidates is the number that try to while none can.
+	storeCandidates = 6
+)
+
+// ShouldFollow tells whether this daemon should follow the store: where fewer
+// than storeFollowers daemons of its data centre that come before it by name do.
+func (p *Peers) ShouldFollow() bool {
+	followers, candidates := 0, 0
+	for _, d := range p.Alive() {
+		if d.DataCentre != p.options.DataCentre || d.Leaving || d.Name > p.options.Name {
+			continue
+		}
+		candidates++
+		if d.FollowsStore {
+			followers++
+		}
+	}
+	return followers < storeFollowers && candidates < storeCandidates
+}
+
 // Alive returns the daemons heard of lately, without this one.
 func (p *Peers) Alive() []Daemon {
 	p.mu.Lock()
@@ -269,7 +299,13 @@
 
 func (p *Peers) tellAll(all bool) {
 	now := p.options.Clock.Now()
-	p.send(State{Whole: true, Runs: p.handlers.View.Own(now), Suspects: p.handlers.Suspects.News(now)}, p.due(all))
+	// The number is taken before the runs, so that news of a run which is not
+	// among them bears a higher one.
+	p.mu.Lock()
+	p.number++
+	number := p.number
+	p.mu.Unlock()
+	p.send(State{Number: number, Whole: true, Runs: p.handlers.View.Own(now), Suspects: p.handlers.Suspects.News(now)}, p.due(all))
 }
 
 // forgetSilent drops the runs of daemons that have been silent for long.
@@ -314,10 +350,13 @@
 func (p *Peers) encode(s State) ([]byte, error) {
 	o := p.options
 	s.Name, s.StartedMs, s.Address, s.Control, s.DataCentre = o.Name, int64(o.StartedMs), o.Address, o.Control, o.DataCentre
-	s.Version = p.handlers.Version()
+	s.Version, s.ListVersion, s.FollowsStore = p.handlers.Version(), p.handlers.ListVersion(), p.handlers.FollowsStore()
 	p.mu.Lock()
-	p.number++
-	s.Number, s.Leaving = p.number, p.leaving
+	if s.Number == 0 {
+		p.number++
+		s.Number = p.number
+	}
+	s.Leaving = p.leaving
 	if s.Whole {
 		s.Daemons = p.namedLocked()
 	}
@@ -383,7 +422,7 @@
 	}
 	stale := s.StartedMs < d.startedMs || s.Number < d.whole || s.Whole && s.Number < d.number
 	if s.StartedMs == d.startedMs {
-		d.HeardMs, d.Version, d.Leaving = now, max(d.Version, s.Version), s.Leaving
+		d.HeardMs, d.Version, d.Leaving, d.FollowsStore = now, max(d.Version, s.Version), s.Leaving, s.FollowsStore
 		d.Address, d.Control, d.DataCentre = s.Address, s.Control, s.DataCentre
 		d.number = max(d.number, s.Number)
 		if s.Whole && !stale {
@@ -409,8 +448,9 @@
 	for _, e := range s.Suspects {
 		p.handlers.Suspects.Learn(e, now)
 	}
-	if s.Version > p.handlers.Version() {
-		p.handlers.NewerVersion(s.Control, s.Version)
+	newerList := s.DataCentre == p.options.DataCentre && s.ListVersion > p.handlers.ListVersion()
+	if s.Version > p.handlers.Version() || newerList {
+		p.handlers.Newer(s.Control)
 	}
 }
 
