--- a/hemlockctl/internal/app/app.go
+++ b/hemlockctl/internal/app/app.go
@@ -82,7 +82,10 @@
 	var unreachable *operator.UnreachableError
 	var bad *settings.BadSettingsError
 	var usage *UsageError
+	var notFound *NotFoundError
 	switch {
+	case errors.As(err, &notFound):
+		return ExitNotFound
 	case errors.As(err, &refused):
 		if code, ok := exitCodes[refused.Refusal.Code]; ok {
 			return code
@@ -128,6 +131,8 @@
 			{Name: "daemons", Usage: "list the daemons and the settings version in force in each", Action: c.daemons},
 			{Name: "upstreams", Usage: "list the upstreams as one daemon knows them", Action: c.upstreams},
 			c.keysCommand(),
+			c.explainCommand(),
+			c.platformCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/hemlockctl/internal/app/onplatform.go
@@ -0,0 +1,179 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"github.com/urfave/cli/v3"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/operatorapi"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockctl/internal/account"
+	"hemlockmux.example/platform"
+)
+
+// platformTimeout bounds a command's conversation with a daemon or the store.
+const platformTimeout = 10 * clock.Second
+
+// NotFoundError reports a request that nothing tells of.
+type NotFoundError struct {
+	Request, Where string
+}
+
+// Error implements error.
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("nothing tells of request %s in %s", e.Request, e.Where)
+}
+
+// explainCommand joins the logs of daemons into the account of one request.
+func (c *ctl) explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "tell from the daemons' logs what became of a request and why",
+		ArgsUsage: "REQUEST-ID [LOG ...]", Description: "Without files the log is read from standard input.",
+		Action: c.explainRequest,
+	}
+}
+
+func (c *ctl) explainRequest(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() == 0 {
+		return &UsageError{Text: "explain takes a request id and, after it, files"}
+	}
+	id, files := cmd.Args().First(), cmd.Args().Tail()
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	a, ok := account.Of(id, lines)
+	if !ok {
+		return &NotFoundError{Request: id, Where: "the logs"}
+	}
+	return c.print(cmd, a, a.Write)
+}
+
+func readLogs(files []string) ([]account.Line, error) {
+	if len(files) == 0 {
+		return account.Read(os.Stdin)
+	}
+	var all []account.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := account.Read(f)
+		_ = f.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// platformCommand holds what can be asked on the users' platform.
+func (c *ctl) platformCommand() *cli.Command {
+	return &cli.Command{
+		Name: "platform", Usage: "ask daemons and the store on the users' platform",
+		Commands: []*cli.Command{
+			{
+				Name: "beliefs", Usage: "show what a daemon believes: configuration, upstreams, memory of engines, other daemons",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "daemon", Required: true, Usage: "IP:port of the daemon's port for other daemons"}},
+				Action: c.beliefs,
+			},
+			{
+				Name: "verdict", Usage: "show what became of a request, from the store", ArgsUsage: "REQUEST-ID",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: "store", Required: true, Usage: "IP:port of the platform's store"}},
+				Action: c.storedVerdict,
+			},
+		},
+	}
+}
+
+func (c *ctl) beliefs(ctx context.Context, cmd *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout.Duration())
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", cmd.String("daemon"))
+	if err != nil {
+		return fmt.Errorf("reach the daemon: %w", err)
+	}
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls))
+	defer func() { _ = rpc.Close() }()
+	var b operatorapi.Beliefs
+	if err := rpc.Call(ctx, operatorapi.MethodBeliefs, struct{}{}, &b); err != nil {
+		return fmt.Errorf("ask the daemon: %w", err)
+	}
+	return c.print(cmd, b, func(w io.Writer) {
+		fmt.Fprintf(w, "daemon\t%s in %s\nconfiguration\tversion %d\nready\t%t\nopen requests\t%d\nstore in trouble\t%d ms ago\n",
+			b.Daemon, b.DataCentre, b.Version, b.Ready, b.OpenRequests, b.StoreTroubleAgoMs)
+		for _, u := range b.Upstreams {
+			fmt.Fprintf(w, "upstream\t%s\t%s\t%s\t%s\tleaving %t\tdown %t\n", u.Upstream, u.Service, u.Role, u.Address, u.Leaving, u.Down)
+		}
+		for _, e := range b.Engines {
+			fmt.Fprintf(w, "engine\t%s\t%d runs\tforecast %d of %d tokens\t%.2f ms a token\n", e.Engine, e.Runs, e.ForecastTokens, e.MemoryTokens, e.MsPerToken)
+		}
+		for _, p := range b.Daemons {
+			fmt.Fprintf(w, "daemon known\t%s\t%s\t%s\tversion %d\theard %d ms ago\n", p.Daemon, p.DataCentre, p.Address, p.Version, p.HeardAgoMs)
+		}
+	})
+}
+
+// refuseCalls answers a daemon that asks back.
+func refuseCalls(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only asks"}
+}
+
+// verdictsPrefix begins the names of the objects that hold verdicts.
+const verdictsPrefix = "verdicts~"
+
+func (c *ctl) storedVerdict(ctx context.Context, cmd *cli.Command) error {
+	id, err := oneArgument(cmd, "the id of the caller's attempt")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout.Duration())
+	defer cancel()
+	store, closeStore := platform.NewStore(cmd.String("store"))
+	defer closeStore()
+	v, err := findVerdict(ctx, store, id)
+	if err != nil {
+		return err
+	}
+	return c.print(cmd, v, func(w io.Writer) {
+		_ = json.NewEncoder(w).Encode(v)
+		fmt.Fprintf(w, "taken\t%s\n", v.StartMs.Time().Format(time.RFC3339Nano))
+	})
+}
+
+// findVerdict looks through the objects, the newest names first.
+func findVerdict(ctx context.Context, store *platform.Store, id string) (verdict.Verdict, error) {
+	names, err := store.Objects(ctx, verdictsPrefix)
+	if err != nil {
+		return verdict.Verdict{}, err
+	}
+	slices.Reverse(names)
+	for _, name := range names {
+		data, err := store.Object(ctx, name)
+		if err != nil {
+			return verdict.Verdict{}, err
+		}
+		all, err := verdict.DecodeBatch(data)
+		if err != nil {
+			return verdict.Verdict{}, fmt.Errorf("%s: %w", name, err)
+		}
+		for _, v := range all {
+			if v.RequestID == id {
+				return v, nil
+			}
+		}
+	}
+	return verdict.Verdict{}, &NotFoundError{Request: id, Where: "the store"}
+}
--- a/hemlockd/e2e/deployment_test.go
+++ b/hemlockd/e2e/deployment_test.go
@@ -44,7 +44,7 @@
 		os.Exit(1)
 	}
 	binaries = dir
-	for _, program := range []string{"hemlockd", "standin"} {
+	for _, program := range []string{"hemlockd", "standin", "hemlockctl"} {
 		args := []string{"build", "-o", filepath.Join(dir, program)}
 		if raceEnabled {
 			args = append(args, "-race")
--- /dev/null
+++ b/hemlockd/e2e/usersplatform_test.go
@@ -0,0 +1,610 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// usersPlatform is the stand-in of the users' platform with daemons before it,
+// all as processes. Daemons have addresses of their own in 127.0.0.0/8, with the
+// same ports, as the platform gives them.
+type usersPlatform struct {
+	t       *testing.T
+	dir     string
+	addr    struct{ Store, Admin string }
+	daemons []*platformDaemon
+	version int
+}
+
+type platformDaemon struct {
+	name, ip, file string
+	log            *lockedBuffer
+	cmd            *exec.Cmd
+	exited         chan struct{}
+}
+
+// lockedBuffer is a buffer for concurrent use.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// arrival is one request that reached a server of the stand-in.
+type arrival struct {
+	Attempt, Server, Phase, After, Target, Body string
+	Ran                                         bool
+}
+
+// testHost is the host of all routes of the test deployments.
+const testHost = "t.example"
+
+// deployUsersPlatform starts the stand-in with servers and daemons in one data
+// centre and waits until the daemons are ready.
+func deployUsersPlatform(t *testing.T, daemons int) *usersPlatform {
+	t.Helper()
+	p := &usersPlatform{t: t, dir: t.TempDir()}
+	standin := exec.Command(filepath.Join(binaries, "standin"), "users-platform")
+	standin.Stderr = os.Stderr
+	out, err := standin.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := standin.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = standin.Process.Kill()
+		_ = standin.Wait()
+	})
+	if err := json.NewDecoder(bufio.NewReader(out)).Decode(&p.addr); err != nil {
+		t.Fatal(err)
+	}
+	p.configure(nil)
+	for id, stage := range map[string]string{"i-pre1": "prefill", "i-pre2": "prefill", "i-dec1": "decode", "i-dec2": "decode"} {
+		p.server(id, "models", stage)
+	}
+	p.server("i-desk1", "desk", "")
+	p.server("i-desk2", "desk", "")
+	ports := freePorts(t, 5)
+	for i := range daemons {
+		p.addDaemon(fmt.Sprintf("front-a-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), ports)
+	}
+	for _, d := range p.daemons {
+		p.waitReady(d)
+	}
+	return p
+}
+
+// freePorts returns ports that are free on all addresses of the test daemons.
+func freePorts(t *testing.T, n int) []int {
+	t.Helper()
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp4", "0.0.0.0:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports
+}
+
+func (p *usersPlatform) addDaemon(name, ip string, ports []int) {
+	p.t.Helper()
+	d := &platformDaemon{name: name, ip: ip, file: filepath.Join(p.dir, name+".toml")}
+	text := fmt.Sprintf(`NodeName = %q
+Ip = %q
+Zone = "a"
+Region = "r"
+InternalPorts = [%d, %d]
+Seeds = ["127.0.0.11:%d"]
+[Zones]
+a = "r"
+[Listen]
+Front = "%s:%d"
+Ready = "%s:%d"
+Control = "%s:%d"
+[Bounds]
+GraceS = 8
+DrainMs = 3000
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+BudgetSlack = 500
+LeaseMs = 3000
+[Platform]
+Address = %q
+`, name, ip, ports[0], ports[0], ports[3], ip, ports[1], ip, ports[2], ip, ports[3], p.addr.Store)
+	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	p.daemons = append(p.daemons, d)
+	p.start(d)
+}
+
+func (p *usersPlatform) start(d *platformDaemon) {
+	p.t.Helper()
+	if d.log == nil {
+		d.log = &lockedBuffer{}
+	}
+	d.cmd = exec.Command(filepath.Join(binaries, "hemlockd"), "platform")
+	d.cmd.Env = append(os.Environ(), "HEMLOCKMUX_BOOT="+d.file)
+	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
+	if err := d.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	cmd, exited := d.cmd, make(chan struct{})
+	d.exited = exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	p.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		<-exited
+	})
+}
+
+// setting returns a value of the daemon's settings file.
+func (d *platformDaemon) setting(key string) string {
+	text, err := os.ReadFile(d.file)
+	if err != nil {
+		return ""
+	}
+	for line := range strings.Lines(string(text)) {
+		if name, value, ok := strings.Cut(strings.TrimSpace(line), " = "); ok && name == key {
+			return strings.Trim(value, `"`)
+		}
+	}
+	return ""
+}
+
+func (p *usersPlatform) ready(d *platformDaemon) int {
+	resp, err := http.Get("http://" + d.setting("Ready") + "/hemlockmux/readiness")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (p *usersPlatform) waitReady(d *platformDaemon) {
+	p.t.Helper()
+	p.eventually(20*time.Second, "daemon "+d.name+" is ready", func() bool { return p.ready(d) == http.StatusOK })
+}
+
+func (p *usersPlatform) eventually(limit time.Duration, what string, f func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	for _, d := range p.daemons {
+		p.t.Logf("log of %s:\n%s", d.name, d.log)
+	}
+	p.t.Fatalf("not within %v: %s", limit, what)
+}
+
+// configure writes the next configuration, with more routes.
+func (p *usersPlatform) configure(more []map[string]any) {
+	p.t.Helper()
+	p.version += 3
+	route := func(name, kind, service string, attempts int, resumable, sticky bool) map[string]any {
+		return map[string]any{
+			"Name": name, "Host": testHost, "Prefix": "/" + name + "/", "Kind": kind, "TimeoutMs": 8000, "TargetLatencyMs": 900,
+			"Priority": 1, "Service": service, "MaxAttempts": attempts, "Sticky": sticky, "Resumable": resumable, "GapTargetMs": 300,
+		}
+	}
+	routes := []map[string]any{
+		route("lookup", "idempotent", "desk", 2, false, false), route("order", "non_idempotent", "desk", 1, false, false),
+		route("resumable", "streaming", "models", 2, true, true), route("once", "streaming", "models", 1, false, true),
+	}
+	p.admin(http.MethodPut, "/config", map[string]any{
+		"Version": p.version, "Routes": append(routes, more...),
+		"Services": []any{
+			map[string]any{"Name": "desk", "HealthPath": "/health", "MaxConns": 90, "Protocol": "h1"},
+			map[string]any{"Name": "models", "HealthPath": "/health", "MaxConns": 90, "Protocol": "h1", "Engine": map[string]any{
+				"Slots": 8, "KvCapacity": 4000, "Stride": 10, "KvHoldS": 0.5, "SwapS": 1.0,
+			}},
+		},
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+	})
+}
+
+func (p *usersPlatform) server(id, service, stage string) {
+	p.t.Helper()
+	p.admin(http.MethodPost, "/servers", map[string]any{"id": id, "service": service, "zone": "a", "stage": stage, "slots": 8})
+}
+
+func (p *usersPlatform) fault(server string, fault map[string]any) {
+	p.t.Helper()
+	p.admin(http.MethodPost, "/servers/"+server+"/fault", fault)
+}
+
+func (p *usersPlatform) admin(method, path string, body any) {
+	p.t.Helper()
+	text, err := json.Marshal(body)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	req, err := http.NewRequest(method, "http://"+p.addr.Admin+path, bytes.NewReader(text))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		p.t.Fatalf("%s %s: status %d", method, path, resp.StatusCode)
+	}
+}
+
+// arrivals returns what reached the servers for one attempt.
+func (p *usersPlatform) arrivals(attempt string) []arrival {
+	p.t.Helper()
+	resp, err := http.Get("http://" + p.addr.Admin + "/runs")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var all, own []arrival
+	if err := json.NewDecoder(resp.Body).Decode(&all); err != nil {
+		p.t.Fatal(err)
+	}
+	for _, a := range all {
+		if a.Attempt == attempt {
+			own = append(own, a)
+		}
+	}
+	return own
+}
+
+// runs counts the servers that ran an attempt.
+func (p *usersPlatform) runs(attempt string) int {
+	n := 0
+	for _, a := range p.arrivals(attempt) {
+		if a.Ran {
+			n++
+		}
+	}
+	return n
+}
+
+// platformAnswer is what a caller got.
+type platformAnswer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends one request to a daemon over a connection of its own.
+func (p *usersPlatform) ask(d *platformDaemon, attempt, path, body string, header map[string]string) platformAnswer {
+	method := http.MethodPost
+	if body == "" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequest(method, "http://"+d.setting("Front")+path, strings.NewReader(body))
+	if err != nil {
+		return platformAnswer{err: err}
+	}
+	req.Host = testHost
+	req.Header.Set("X-Attempt-Id", attempt)
+	req.Header.Set("X-Deadline-Ms", "6000")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 15 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return platformAnswer{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return platformAnswer{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+// stream asks for a stream of so many events.
+func (p *usersPlatform) stream(d *platformDaemon, attempt, route string, events int) platformAnswer {
+	return p.ask(d, attempt, "/"+route+"/x", "a prompt", map[string]string{
+		"X-Model": "m", "X-Token-Count": fmt.Sprintf("100,%d", 10*events), "X-Prompt-Prefix": "aa:50,bb:50", "X-Length-Hint": strconv.Itoa(10 * events),
+	})
+}
+
+// wholeStream is the body of a stream of so many events.
+func wholeStream(events int) string {
+	var b strings.Builder
+	for i := 1; i <= events; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestPlatformServesTheWholePath(t *testing.T) {
+	p := deployUsersPlatform(t, 2)
+	for i, d := range p.daemons {
+		if a := p.ask(d, fmt.Sprint("l", i), "/lookup/a%2Fb?q=1", "", nil); a.status != http.StatusOK || !strings.HasPrefix(a.header.Get("X-Server-Seal"), "seal-") {
+			t.Errorf("lookup: %+v", a)
+		}
+		if got := p.arrivals(fmt.Sprint("l", i)); len(got) != 1 || got[0].Target != "/lookup/a%2Fb?q=1" {
+			t.Errorf("the server got %+v", got)
+		}
+		if a := p.ask(d, fmt.Sprint("o", i), "/order/x", "an order", nil); a.status != http.StatusOK || a.body != "answer of 8 bytes asked" {
+			t.Errorf("order: %+v", a)
+		}
+		if a := p.stream(d, fmt.Sprint("s", i), "resumable", 8); a.err != nil || a.body != wholeStream(8) {
+			t.Errorf("stream: %+v", a)
+		}
+		if a := p.ask(d, fmt.Sprint("n", i), "/nowhere/x", "", nil); a.status != http.StatusNotFound {
+			t.Errorf("unknown route: %+v", a)
+		}
+		if a := p.ask(d, fmt.Sprint("b", i), "/order/x", strings.Repeat("x", 70000), nil); a.status != http.StatusRequestEntityTooLarge {
+			t.Errorf("body too large: status %d", a.status)
+		}
+	}
+	var phases []string
+	for _, a := range p.arrivals("s0") {
+		phases = append(phases, a.Phase)
+	}
+	if strings.Join(phases, " ") != "prefill decode" {
+		t.Errorf("phases %v", phases)
+	}
+}
+
+func TestPlatformOrderRunsAtMostOnce(t *testing.T) {
+	p := deployUsersPlatform(t, 1)
+	for _, id := range []string{"i-desk1", "i-desk2"} {
+		p.fault(id, map[string]any{"loseAnswers": true})
+	}
+	if a := p.ask(p.daemons[0], "o1", "/order/x", "an order", nil); a.status != http.StatusBadGateway || p.runs("o1") != 1 {
+		t.Errorf("status %d, %d runs; an order whose answer is lost has run and is not sent again", a.status, p.runs("o1"))
+	}
+	for _, id := range []string{"i-desk1", "i-desk2"} {
+		p.fault(id, map[string]any{"busy": true})
+	}
+	if a := p.ask(p.daemons[0], "o2", "/order/x", "an order", nil); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || p.runs("o2") != 0 {
+		t.Errorf("status %d, Retry-After %q, %d runs", a.status, a.header.Get("Retry-After"), p.runs("o2"))
+	}
+	p.fault("i-desk1", map[string]any{})
+	p.fault("i-desk2", map[string]any{"loseAnswers": true, "once": true})
+	if a := p.ask(p.daemons[0], "l1", "/lookup/x", "", nil); a.status != http.StatusOK {
+		t.Errorf("lookup: status %d", a.status)
+	}
+}
+
+func TestPlatformStreamGoesOnAtAnotherEngine(t *testing.T) {
+	p := deployUsersPlatform(t, 1)
+	cut := map[string]any{"cutAfter": 4, "once": true}
+	p.fault("i-dec1", cut)
+	p.fault("i-dec2", map[string]any{})
+	for i := range 4 { // some of them meet the engine that cuts
+		id := fmt.Sprint("r", i)
+		if a := p.stream(p.daemons[0], id, "resumable", 12); a.err != nil || a.body != wholeStream(12) {
+			t.Errorf("%s: %v, body %q, arrivals %+v", id, a.err, a.body, p.arrivals(id))
+		}
+	}
+	p.fault("i-dec1", cut)
+	p.fault("i-dec2", cut)
+	a := p.stream(p.daemons[0], "once1", "once", 12)
+	if a.err == nil || p.runs("once1") != 1 {
+		t.Errorf("a stream that may not be resumed: error %v, %d runs", a.err, p.runs("once1"))
+	}
+}
+
+func TestPlatformRefusesWhatFindsNoRoom(t *testing.T) {
+	p := deployUsersPlatform(t, 1)
+	var wait sync.WaitGroup
+	answers := make([]platformAnswer, 24)
+	for i := range answers {
+		wait.Go(func() { answers[i] = p.stream(p.daemons[0], fmt.Sprint("f", i), "once", 100) })
+	}
+	wait.Wait()
+	refused := 0
+	for i, a := range answers {
+		switch {
+		case a.status == http.StatusServiceUnavailable:
+			refused++
+			if p.runs(fmt.Sprint("f", i)) != 0 || a.header.Get("Retry-After") == "" {
+				t.Errorf("f%d refused, %d runs, Retry-After %q", i, p.runs(fmt.Sprint("f", i)), a.header.Get("Retry-After"))
+			}
+		case a.err != nil || a.body != wholeStream(100):
+			t.Errorf("f%d: status %d, %v", i, a.status, a.err)
+		}
+	}
+	if refused == 0 {
+		t.Error("24 runs of 1,100 tokens found room in 8,000")
+	}
+}
+
+func TestPlatformConfigurationReachesADaemonWithoutTheStore(t *testing.T) {
+	p := deployUsersPlatform(t, 2)
+	p.admin(http.MethodPost, "/store/fault", map[string]any{"mode": "silent", "from": []string{p.daemons[1].ip}})
+	p.configure([]map[string]any{{
+		"Name": "new", "Host": testHost, "Prefix": "/new/", "Kind": "idempotent", "TimeoutMs": 1000, "TargetLatencyMs": 200,
+		"Service": "desk", "MaxAttempts": 2,
+	}})
+	p.eventually(3*time.Second, "both daemons serve the new route", func() bool {
+		for _, d := range p.daemons {
+			if a := p.ask(d, "n", "/new/x", "", nil); a.status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestPlatformLeavingServerGetsNoWork(t *testing.T) {
+	p := deployUsersPlatform(t, 2)
+	p.admin(http.MethodPost, "/servers/i-desk1/drain", nil)
+	time.Sleep(500 * time.Millisecond)
+	for i := range 10 {
+		id := fmt.Sprint("d", i)
+		if a := p.ask(p.daemons[i%2], id, "/order/x", "an order", nil); a.status != http.StatusOK || p.arrivals(id)[0].Server != "i-desk2" {
+			t.Errorf("%s: status %d, arrivals %+v", id, a.status, p.arrivals(id))
+		}
+	}
+}
+
+func TestPlatformShutdownCutsNothing(t *testing.T) {
+	p := deployUsersPlatform(t, 1)
+	d := p.daemons[0]
+	answers := make(chan platformAnswer, 3)
+	for i := range 3 {
+		go func() { answers <- p.stream(d, fmt.Sprint("s", i), "once", 100) }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	p.eventually(2*time.Second, "the daemon is not ready", func() bool { return p.ready(d) == http.StatusServiceUnavailable })
+	if a := p.ask(d, "late", "/order/x", "an order", nil); a.status != http.StatusOK {
+		t.Errorf("an order after the signal: status %d", a.status)
+	}
+	for range 3 {
+		if a := <-answers; a.err != nil || a.body != wholeStream(100) {
+			t.Errorf("a stream was cut: status %d, %v, %d bytes", a.status, a.err, len(a.body))
+		}
+	}
+	select {
+	case <-d.exited:
+	case <-time.After(8 * time.Second):
+		t.Error("the daemon has not ended within its time")
+	}
+}
+
+func TestPlatformDaemonTakesSettingsInAndKeepsThemWhenWrong(t *testing.T) {
+	p := deployUsersPlatform(t, 1)
+	d := p.daemons[0]
+	good, err := os.ReadFile(d.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(d.file, []byte("NodeName = \n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.eventually(5*time.Second, "the wrong file is reported", func() bool { return strings.Contains(d.log.String(), "settings are wrong") })
+	if err := os.WriteFile(d.file, good, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	p.eventually(5*time.Second, "the file is read again", func() bool { return strings.Contains(d.log.String(), "settings are read again") })
+	if a := p.ask(d, "l", "/lookup/x", "", nil); a.status != http.StatusOK {
+		t.Errorf("status %d", a.status)
+	}
+}
+
+// explain runs hemlockctl over the daemons' logs.
+func (p *usersPlatform) explain(id string) string {
+	p.t.Helper()
+	var files []string
+	for _, d := range p.daemons {
+		file := filepath.Join(p.dir, d.name+".log")
+		if err := os.WriteFile(file, []byte(d.log.String()), 0o600); err != nil {
+			p.t.Fatal(err)
+		}
+		files = append(files, file)
+	}
+	out, err := exec.Command(filepath.Join(binaries, "hemlockctl"), append([]string{"explain", id}, files...)...).CombinedOutput()
+	if err != nil {
+		return fmt.Sprint(err, ": ", string(out))
+	}
+	return string(out)
+}
+
+// TestPlatformFailuresAreExplained takes three failed requests from their ids to
+// the causes: refused for want of room, lost in a crash, refused in an outage of
+// the store.
+func TestPlatformFailuresAreExplained(t *testing.T) {
+	p := deployUsersPlatform(t, 2)
+	d := p.daemons[0]
+	for _, id := range []string{"i-dec1", "i-dec2"} {
+		p.fault(id, map[string]any{"cutAfter": 2})
+	}
+	if a := p.stream(d, "crashed", "once", 20); a.err == nil {
+		t.Errorf("status %d, no error", a.status)
+	}
+	for _, id := range []string{"i-desk1", "i-desk2"} {
+		p.fault(id, map[string]any{"busy": true})
+	}
+	if a := p.ask(d, "refused", "/order/x", "an order", nil); a.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", a.status)
+	}
+	p.admin(http.MethodPost, "/store/fault", map[string]any{"mode": "busy"})
+	time.Sleep(3500 * time.Millisecond) // until the call that waits at the store ends
+	for _, id := range []string{"i-desk1", "i-desk2"} {
+		p.admin(http.MethodPost, "/servers/"+id+"/crash", nil)
+	}
+	if a := p.ask(d, "outage", "/order/x", "an order", nil); a.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", a.status)
+	}
+	for id, wants := range map[string][]string{
+		"crashed": {"streamCut", "decode at i-dec", "upstream is down"},
+		"refused": {"upstreamsBusy, status 503, ran: no", "notRun (busy)"},
+		"outage":  {"upstreamsUnreachable, status 503, ran: no", "notRun (unreachable)", "the store changed state"},
+	} {
+		p.eventually(5*time.Second, "the request is explained", func() bool {
+			return strings.Contains(p.explain(id), wants[0])
+		})
+		for _, want := range wants {
+			if got := p.explain(id); !strings.Contains(got, want) {
+				t.Errorf("%s: no %q in:\n%s", id, want, got)
+			}
+		}
+	}
+}
+
+// TestPlatformVerdictIsKept finds a verdict in the store after its daemon has
+// gone.
+func TestPlatformVerdictIsKept(t *testing.T) {
+	p := deployUsersPlatform(t, 1)
+	if a := p.ask(p.daemons[0], "kept", "/order/x", "an order", nil); a.status != http.StatusOK {
+		t.Fatalf("status %d", a.status)
+	}
+	if err := p.daemons[0].cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	<-p.daemons[0].exited
+	out, err := exec.Command(filepath.Join(binaries, "hemlockctl"), "--json", "platform", "verdict", "--store", p.addr.Store, "kept").CombinedOutput()
+	if err != nil || !strings.Contains(string(out), `"outcome": "run"`) {
+		t.Errorf("%v: %s", err, out)
+	}
+}
+
+func TestPlatformDaemonTellsWhatItBelieves(t *testing.T) {
+	p := deployUsersPlatform(t, 2)
+	p.eventually(5*time.Second, "the daemon knows the other", func() bool {
+		out, err := exec.Command(filepath.Join(binaries, "hemlockctl"), "platform", "beliefs", "--daemon", p.daemons[0].setting("Control")).CombinedOutput()
+		return err == nil && strings.Contains(string(out), "front-a-2") && strings.Contains(string(out), "i-dec1")
+	})
+}
