--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -68,6 +68,8 @@
 	KVSource KVSource
 	// ResumeAfter is the id of the last event that is already known; "": none.
 	ResumeAfter string
+	// Hold is the reservation at the engine that the call uses; "": none.
+	Hold string
 }
 
 // KVSource is a prefill's result at the engine that made it.
--- a/common/routing/routing.go
+++ b/common/routing/routing.go
@@ -107,6 +107,9 @@
 	// ResultLivesMs is how long the result of a prefill is kept for a decode
 	// engine to fetch.
 	ResultLivesMs clock.Millis
+	// HoldMs is the longest time that memory can be reserved for a run that is to
+	// come; 0: not at all.
+	HoldMs clock.Millis
 	// RoleChangeMs is how long an engine takes to change its role.
 	RoleChangeMs clock.Millis
 }
--- a/hemlockd/internal/capacity/run.go
+++ b/hemlockd/internal/capacity/run.go
@@ -22,6 +22,9 @@
 	Made int `json:"made"`
 	// Decoding says that the engine has begun to generate.
 	Decoding bool `json:"decoding,omitempty"`
+	// Use is the part of the engine's memory that was forecast to be needed when
+	// the run was placed.
+	Use float64 `json:"-"`
 	// atMs is when Made was learned.
 	atMs clock.Millis
 }
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -120,7 +120,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var best *engine
-	bestCost := 0.0
+	bestCost, bestNeed := 0.0, 0
 	for _, e := range v.sortedLocked() {
 		if not[e.ID] || e.MemoryTokens == 0 || e.count() >= e.Slots {
 			continue
@@ -131,13 +131,14 @@
 		}
 		cost := float64(need)/float64(e.MemoryTokens) + e.Cost
 		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
+			best, bestCost, bestNeed = e, cost, need
 		}
 	}
 	if best == nil {
 		return r, false
 	}
 	r.Engine, r.atMs, r.Prefill = best.ID, now, ""
+	r.Use = float64(bestNeed) / float64(best.MemoryTokens)
 	if !read {
 		p := v.choosePrefillerLocked(best.DataCentre, not, now)
 		if p == nil {
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -203,7 +203,9 @@
 		}
 	}
 	if whole {
-		d.upstreams.keepOnly(page.Entries, now)
+		if gone := d.upstreams.keepOnly(page.Entries, now); len(gone) > 0 {
+			d.o.Log.Info("upstreams are gone from the list", zap.Strings("upstreams", gone))
+		}
 		d.listed.Store(true)
 	}
 	d.publishLocked()
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -9,10 +9,10 @@
 	"hemlockmux.example/common/routing"
 )
 
-// returnGrace is how long after trouble at the store an upstream whose entry
-// has gone is still used: upstreams that live write themselves back within two
-// seconds.
-const returnGrace = 2400 * clock.Millisecond
+// returnGrace is how long an upstream whose entry has gone is still used where
+// the store was in trouble as long before: upstreams that live write themselves
+// back within two seconds.
+const returnGrace = 2200 * clock.Millisecond
 
 // upstreamList is the list of upstreams. Its owner serializes calls.
 type upstreamList struct {
@@ -55,8 +55,9 @@
 	}
 }
 
-// keepOnly takes in that the entries are all there are.
-func (l *upstreamList) keepOnly(entries []directory.Entry, now clock.Millis) {
+// keepOnly takes in that the entries are all there are, and returns those that
+// have gone.
+func (l *upstreamList) keepOnly(entries []directory.Entry, now clock.Millis) (gone []string) {
 	there := map[string]bool{}
 	for _, e := range entries {
 		there[e.Key] = true
@@ -64,8 +65,10 @@
 	for _, id := range slices.Collect(maps.Keys(l.entries)) {
 		if !there[id] {
 			l.remove(id, now)
+			gone = append(gone, id)
 		}
 	}
+	return gone
 }
 
 // expire drops upstreams whose entries have not come back in time and tells
@@ -73,7 +76,7 @@
 func (l *upstreamList) expire(now clock.Millis) bool {
 	changed := false
 	for id, e := range l.entries {
-		if e.goneMs != 0 && now-max(l.troubleMs, e.goneMs) > returnGrace {
+		if e.goneMs != 0 && now-e.goneMs > returnGrace {
 			delete(l.entries, id)
 			changed = true
 		}
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -36,6 +36,9 @@
 	Send(ctx context.Context, call *calls.Call, to routing.Upstream, d calls.Delivery) (*calls.Reply, error)
 	Prefill(ctx context.Context, call *calls.Call, to routing.Upstream, d calls.Delivery) (calls.KVSource, error)
 	Free(ctx context.Context, source calls.KVSource) error
+	// Hold reserves memory at an engine, Drop gives it back.
+	Hold(ctx context.Context, to routing.Upstream, tokens int, span clock.Millis) (string, error)
+	Drop(ctx context.Context, at routing.Upstream, hold string) error
 	// Probe tells whether the upstream answers.
 	Probe(ctx context.Context, to routing.Upstream, path string) error
 }
--- a/hemlockd/internal/dispatch/dispatch_test.go
+++ b/hemlockd/internal/dispatch/dispatch_test.go
@@ -77,6 +77,7 @@
 	arrivals, runs   map[string]int
 	acceptedPrefills map[string]int
 	freed, handles   int
+	holds, dropped   int
 }
 
 func newFakeUpstreams(draw func(string, int) int) *fakeUpstreams {
@@ -176,6 +177,28 @@
 	return nil
 }
 
+func (f *fakeUpstreams) Hold(_ context.Context, to routing.Upstream, _ int, _ clock.Millis) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cause := calls.CauseBusy
+	switch f.draw("fate of hold", 4) {
+	case 0:
+		cause = calls.CauseUnreachable
+	case 1:
+	default:
+		f.holds++
+		return "hold", nil
+	}
+	return "", &calls.Error{Upstream: to.ID, Phase: calls.PhaseDecode, Cause: cause, Outcome: calls.NotRun, Err: errors.New("drawn")}
+}
+
+func (f *fakeUpstreams) Drop(context.Context, routing.Upstream, string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropped++
+	return nil
+}
+
 func (f *fakeUpstreams) Probe(context.Context, routing.Upstream, string) error { return nil }
 
 // setup is a dispatcher before fake upstreams.
@@ -204,7 +227,7 @@
 			},
 			Services: map[string]routing.Service{
 				"plain": {Name: "plain"},
-				"model": {Name: "model", Engine: &routing.EngineSpec{Slots: 8, MemoryTokens: 10000, EventTokens: 10, ResultLivesMs: 500}},
+				"model": {Name: "model", Engine: &routing.EngineSpec{Slots: 8, MemoryTokens: 10000, EventTokens: 10, ResultLivesMs: 500, HoldMs: 2000}},
 			},
 		}),
 		upstreams: map[string][]routing.Upstream{
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -30,6 +30,19 @@
 	// resultReserve is the time before a result lapses in which it is no longer
 	// sent for.
 	resultReserve = 120 * clock.Millisecond
+	// holdFrom is the forecast part of an engine's memory from which a place is
+	// confirmed by the engine, holdWithinMs the longest way there and back at
+	// which that pays.
+	holdFrom     = 0.7
+	holdWithinMs = 10
+	// holdOutput is the number of events that a reservation has room for, beside
+	// the prompt.
+	holdOutput = 4
+	// holdSpan is how long a reservation lasts, holdTimeout bounds the call.
+	holdSpan    = 1500 * clock.Millisecond
+	holdTimeout = 150 * clock.Millisecond
+	// maxHoldRefusals bounds the engines that are asked.
+	maxHoldRefusals = 4
 	// freeTimeout bounds the call that frees a prefill's result.
 	freeTimeout = clock.Second
 	// roomRetry is the least and the spread of the time after which a request
@@ -49,6 +62,10 @@
 	source *calls.KVSource
 	// resultUntilMs is when the result lapses.
 	resultUntilMs clock.Millis
+	// held is a reservation at the engine that has not been used yet; refusals
+	// counts those that engines refused.
+	held     *held
+	refusals int
 	// prefills, sends count calls to upstreams; runs those that may have run.
 	prefills, sends, runs int
 	stream                streamState
@@ -92,7 +109,7 @@
 // attempt runs the request at one engine, from the place to the last event. It
 // returns true where the stream may go on at another engine.
 func (m *modelRun) attempt(wait clock.Millis) bool {
-	if !m.place(wait) {
+	if !m.placeAndHold(wait) {
 		m.basis = m.d.o.View.Summary(m.now())
 		m.giveUp(reasonNoRoom)
 		return false
@@ -152,6 +169,73 @@
 	return true
 }
 
+// placeAndHold books a place and, at an engine that is nearly full, has the
+// engine itself confirm it before the prompt is read: other daemons may have
+// booked the same room at the same moment.
+func (m *modelRun) placeAndHold(wait clock.Millis) bool {
+	end := m.now() + wait
+	for m.place(end - m.now()) {
+		if m.hold() {
+			return true
+		}
+		m.refusals++
+		m.releasePlace()
+		if m.refusals >= maxHoldRefusals || m.leftMs() <= 0 || m.callerGone() {
+			return false
+		}
+	}
+	return false
+}
+
+// hold reserves the run's memory at its engine where that pays. It returns false
+// where the engine has no room.
+func (m *modelRun) hold() bool {
+	u, ok := m.upstream(m.run.Engine)
+	if !ok || m.spec.HoldMs <= 0 || m.run.Use < holdFrom || m.d.distance(u.DataCentre) > holdWithinMs {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, holdTimeout.Duration())
+	defer cancel()
+	id, err := m.d.o.Upstreams.Hold(ctx, u, m.run.Prompt+holdOutput*m.spec.EventTokens, min(holdSpan, m.spec.HoldMs))
+	var failed *calls.Error
+	if errors.As(err, &failed) && failed.Cause == calls.CauseBusy {
+		metrics.Add("holdsRefused", 1)
+		return false
+	}
+	if err != nil {
+		metrics.Add("holdsFailed", 1)
+		return true // the engine decides when the run is sent there
+	}
+	m.held = &held{d: m.d, at: u, id: id}
+	return true
+}
+
+// held is a reservation that has not been used yet.
+type held struct {
+	d  *Dispatcher
+	at routing.Upstream
+	id string
+}
+
+// run gives the reservation back.
+func (h *held) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout.Duration())
+	defer cancel()
+	if err := h.d.o.Upstreams.Drop(ctx, h.at, h.id); err != nil {
+		metrics.Add("dropFailed", 1)
+	}
+}
+
+// takeHold returns the reservation at the run's engine, "" where there is none.
+func (m *modelRun) takeHold() string {
+	h := m.held
+	m.held = nil
+	if h == nil {
+		return ""
+	}
+	return h.id
+}
+
 // placeAgain moves the run to another engine after one has not taken it. It
 // waits for room as long as the prefill's result lives.
 func (m *modelRun) placeAgain(failed *calls.Error) bool {
@@ -169,6 +253,10 @@
 
 // releasePlace frees the place that is booked and tells the other daemons.
 func (m *modelRun) releasePlace() {
+	if m.held != nil {
+		go m.held.run()
+		m.held = nil
+	}
 	if m.run.Engine == "" {
 		return
 	}
@@ -292,7 +380,7 @@
 	m.sends++
 	m.stream.begin(m.ctx)
 	reply, err := m.d.o.Upstreams.Send(m.stream.ctx, m.call, u, calls.Delivery{
-		Phase: calls.PhaseDecode, LeftMs: max(1, m.leftMs()), KVSource: *m.source, ResumeAfter: m.stream.resumeAfter(),
+		Phase: calls.PhaseDecode, LeftMs: max(1, m.leftMs()), KVSource: *m.source, ResumeAfter: m.stream.resumeAfter(), Hold: m.takeHold(),
 	})
 	failed := m.record(u.ID, calls.PhaseDecode, start, err)
 	if failed == nil {
