--- a/hemlockd/e2e/usersplatform_test.go
+++ b/hemlockd/e2e/usersplatform_test.go
@@ -276,11 +276,8 @@
 		p.t.Fatal(err)
 	}
 	defer resp.Body.Close()
-	var all, own []arrival
-	if err := json.NewDecoder(resp.Body).Decode(&all); err != nil {
-		p.t.Fatal(err)
-	}
-	for _, a := range all {
+	var own []arrival
+	for _, a := range decodeArrivals(p.t, resp.Body) {
 		if a.Attempt == attempt {
 			own = append(own, a)
 		}
@@ -288,6 +285,8 @@
 	return own
 }
 
+func decodeJSON(r io.Reader, into any) error { return json.NewDecoder(r).Decode(into) }
+
 // runs counts the servers that ran an attempt.
 func (p *usersPlatform) runs(attempt string) int {
 	n := 0
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -364,9 +364,10 @@
 func (d *platformDaemon) drain(hard context.Context) {
 	d.log.Info("draining", zap.Int("open", d.dispatcher.Open()))
 	close(d.stopping)
-	d.dispatcher.Drain()
+	span := max(listenFor, d.own.ShutdownMs-shutdownReserve)
+	d.dispatcher.Drain(d.clk.Now() + span)
 	d.peers.Leave()
-	ctx, cancel := context.WithTimeout(hard, max(listenFor, d.own.ShutdownMs-shutdownReserve).Duration())
+	ctx, cancel := context.WithTimeout(hard, span.Duration())
 	defer cancel()
 	select {
 	case <-time.After(listenFor.Duration()):
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -113,6 +113,13 @@
 	return total / float64(len(v.engines))
 }
 
+// Span is how long a run is expected to generate.
+func (v *View) Span(r Run) clock.Millis {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return clock.Millis(float64(v.lengths.expect(r.Likely, 0, r.Most)) * v.usualPaceLocked())
+}
+
 // Place chooses a decode engine that will have room for the run, and a prefill
 // engine that can read its prompt soon unless it has been read, and books both.
 // It returns the run with its engines. Engines in not are passed over.
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -86,8 +86,8 @@
 	health    *health
 	lines     *lineLimits
 	latencies *latencies
-	// drainingSinceMs is set once the daemon shuts down.
-	drainingSinceMs atomic.Int64
+	// drainingUntilMs is set once the daemon shuts down: when it ends.
+	drainingUntilMs atomic.Int64
 	open            atomic.Int64
 }
 
@@ -97,8 +97,14 @@
 }
 
 // Drain makes answers ask callers to come over new connections, so that they
-// come to other daemons.
-func (d *Dispatcher) Drain() { d.drainingSinceMs.Store(int64(d.o.Clock.Now())) }
+// come to other daemons, and refuses streams that would not end in time.
+func (d *Dispatcher) Drain(until clock.Millis) { d.drainingUntilMs.Store(int64(until)) }
+
+// draining tells whether the daemon shuts down, and when it ends.
+func (d *Dispatcher) draining() (until clock.Millis, yes bool) {
+	until = clock.Millis(d.drainingUntilMs.Load())
+	return until, until != 0
+}
 
 // Down tells whether an upstream is out of use until it answers a probe.
 func (d *Dispatcher) Down(id string) bool { return d.health.down(id) }
--- a/hemlockd/internal/dispatch/dispatch_test.go
+++ b/hemlockd/internal/dispatch/dispatch_test.go
@@ -400,7 +400,10 @@
 	if answer, _ := s.ask("a", "/nowhere/"); answer.Code != http.StatusNotFound {
 		t.Errorf("status %d for an unknown route", answer.Code)
 	}
-	s.dispatcher.Drain()
+	s.dispatcher.Drain(s.dispatcher.o.Clock.Now() + 100)
+	if answer, _ := s.ask("s", "/once/x"); answer.Code != http.StatusServiceUnavailable || s.upstreams.runs["s"] != 0 {
+		t.Errorf("a stream that would be cut by the shutdown: status %d, %d runs", answer.Code, s.upstreams.runs["s"])
+	}
 	answer, _ := s.ask("b", "/lookup/x")
 	if answer.Code != http.StatusOK || answer.Header().Get("Connection") != "close" {
 		t.Errorf("status %d, Connection %q while draining", answer.Code, answer.Header().Get("Connection"))
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -45,9 +45,6 @@
 	// configuration yet; firstTablePause is the time between two looks.
 	firstTableWait  = 500 * clock.Millisecond
 	firstTablePause = 20 * clock.Millisecond
-	// lastStream is how long after the start of a shutdown streams are still
-	// begun.
-	lastStream = 2500 * clock.Millisecond
 )
 
 // exchange is one request of a caller with its answer.
@@ -211,7 +208,7 @@
 }
 
 func (x *exchange) closeIfDraining() {
-	if x.d.drainingSinceMs.Load() != 0 {
+	if _, yes := x.d.draining(); yes {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -43,6 +43,9 @@
 	holdTimeout = 150 * clock.Millisecond
 	// maxHoldRefusals bounds the engines that are asked.
 	maxHoldRefusals = 4
+	// streamReserve is added to the time that a stream is expected to take where
+	// the daemon's own end is near.
+	streamReserve = 800 * clock.Millisecond
 	// freeTimeout bounds the call that frees a prefill's result.
 	freeTimeout = clock.Second
 	// roomRetry is the least and the spread of the time after which a request
@@ -83,7 +86,7 @@
 		m.refuse(http.StatusServiceUnavailable, reasonNoUpstream, roomRetry+jitter(roomRetry))
 		return
 	}
-	if since := m.d.drainingSinceMs.Load(); since != 0 && m.now()-clock.Millis(since) > lastStream {
+	if until, yes := m.d.draining(); yes && m.now()+m.d.o.View.Span(m.run)+streamReserve > until {
 		m.refuse(http.StatusServiceUnavailable, reasonShutdown, 100*clock.Millisecond)
 		return
 	}
