--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the project; README.md says what each is for.
-MODULES := common hemlockd hemlockctl standin
+MODULES := common hemlockd hemlockctl platform standin
 PACKAGES := $(MODULES:%=./%/...)
 SEED ?= 1
 MINUTES ?= 1
@@ -37,6 +37,7 @@
 
 lint:
 	@unformatted=$$(gofmt -l $(MODULES)); [ -z "$$unformatted" ] || { echo "not formatted: $$unformatted"; exit 1; }
+	scripts/names.sh
 	go vet $(PACKAGES)
 	go tool staticcheck $(PACKAGES)
 
