--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 // Peers tells the other daemons.
 type Peers interface {
 	Tell(n peers.News)
+	// CutOff tells whether little is known of what other daemons have placed.
+	CutOff() bool
 }
 
 // Verdicts keeps what became of requests.
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -40,7 +40,7 @@
 	holdOutput = 4
 	// holdSpan is how long a reservation lasts, holdTimeout bounds the call.
 	holdSpan    = 1500 * clock.Millisecond
-	holdTimeout = 150 * clock.Millisecond
+	holdTimeout = 250 * clock.Millisecond
 	// maxHoldRefusals bounds the engines that are asked.
 	maxHoldRefusals = 4
 	// streamReserve is added to the time that a stream is expected to take where
@@ -194,12 +194,19 @@
 // where the engine has no room.
 func (m *modelRun) hold() bool {
 	u, ok := m.upstream(m.run.Engine)
-	if !ok || m.spec.HoldMs <= 0 || m.run.Use < holdFrom || m.d.distance(u.DataCentre) > holdWithinMs {
+	if !ok || m.spec.HoldMs <= 0 {
+		return true
+	}
+	tokens := m.run.Prompt + holdOutput*m.spec.EventTokens
+	if m.d.o.Peers.CutOff() {
+		// Only the engine knows what else it has to hold.
+		tokens = m.run.Prompt + min(m.run.Likely, m.run.Most)
+	} else if m.run.Use < holdFrom || m.d.distance(u.DataCentre) > holdWithinMs {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, holdTimeout.Duration())
 	defer cancel()
-	id, err := m.d.o.Upstreams.Hold(ctx, u, m.run.Prompt+holdOutput*m.spec.EventTokens, min(holdSpan, m.spec.HoldMs))
+	id, err := m.d.o.Upstreams.Hold(ctx, u, tokens, min(holdSpan, m.spec.HoldMs))
 	var failed *calls.Error
 	if errors.As(err, &failed) && failed.Cause == calls.CauseBusy {
 		metrics.Add("holdsRefused", 1)
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -33,10 +33,14 @@
 )
 
 const (
-	// stateInterval is the time between two messages that hold all.
+	// stateInterval is the time between two messages that hold all, to daemons of
+	// the own data centre; others get every farEvery-th.
 	stateInterval = 500 * clock.Millisecond
+	farEvery      = 3
+	// namedEvery is the number of such messages of which one names other daemons.
+	namedEvery = 4
 	// aliveFor is how long a daemon counts as alive after its last message.
-	aliveFor = 2 * clock.Second
+	aliveFor = 2500 * clock.Millisecond
 	// forgottenAfter is how long a daemon that is silent is still sent messages.
 	forgottenAfter = clock.Minute
 	// silentInterval is the time between two messages to an address from which
@@ -125,6 +129,7 @@
 
 	mu      sync.Mutex
 	number  int64
+	rounds  int64 // of messages that hold all
 	leaving bool
 	daemons map[string]*Daemon // by name
 	// met holds the addresses to tell, with when each was last told.
@@ -136,6 +141,7 @@
 	sinceMs clock.Millis // met, or last heard
 	toldMs  clock.Millis
 	heard   bool
+	near    bool // in this daemon's data centre
 }
 
 // New listens for other daemons and returns the function that stops it.
@@ -238,6 +244,24 @@
 	return alive
 }
 
+// lostShare is the part of the daemons heard within the last minute from which
+// on their silence counts as being cut off.
+const lostShare = 0.25
+
+// CutOff tells whether many of the daemons that were heard lately are silent: this
+// daemon then knows little of what is placed at engines.
+func (p *Peers) CutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, silent := p.options.Clock.Now(), 0
+	for _, d := range p.daemons {
+		if !d.Leaving && now-d.HeardMs > aliveFor {
+			silent++
+		}
+	}
+	return float64(silent) > lostShare*float64(len(p.daemons))
+}
+
 // All returns all daemons known, without this one.
 func (p *Peers) All() []Daemon {
 	p.mu.Lock()
@@ -284,6 +308,9 @@
 		if silent && !all && a.toldMs != 0 && now-a.toldMs < silentInterval {
 			continue
 		}
+		if !silent && !all && !a.near && p.rounds%farEvery != 0 {
+			continue
+		}
 		a.toldMs = now
 		to = append(to, a.udp)
 	}
@@ -303,6 +330,7 @@
 	// among them bears a higher one.
 	p.mu.Lock()
 	p.number++
+	p.rounds++
 	number := p.number
 	p.mu.Unlock()
 	p.send(State{Number: number, Whole: true, Runs: p.handlers.View.Own(now), Suspects: p.handlers.Suspects.News(now)}, p.due(all))
@@ -357,7 +385,7 @@
 		s.Number = p.number
 	}
 	s.Leaving = p.leaving
-	if s.Whole {
+	if s.Whole && p.rounds%namedEvery == 1 {
 		s.Daemons = p.namedLocked()
 	}
 	p.mu.Unlock()
@@ -412,7 +440,7 @@
 	p.Meet(s.Address)
 	p.mu.Lock()
 	a := p.met[s.Address]
-	a.heard, a.sinceMs = true, now
+	a.heard, a.sinceMs, a.near = true, now, s.DataCentre == p.options.DataCentre
 	d, known := p.daemons[s.Name]
 	restarted := known && (s.StartedMs > d.startedMs || s.StartedMs != d.startedMs && now-d.HeardMs > restartSilence)
 	if !known || restarted {
