--- a/hemlockd/internal/capacity/prefill.go
+++ b/hemlockd/internal/capacity/prefill.go
@@ -114,6 +114,13 @@
 	return best
 }
 
+// Prefillers is the number of prefill engines that take work.
+func (v *View) Prefillers() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.prefillers)
+}
+
 // PlacePrefill chooses another prefill engine for one of this daemon's runs and
 // returns the run; engines in not are passed over. It returns false where there
 // is none.
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -72,8 +72,8 @@
 	return &View{forecast: f, lengths: newLengths(), engines: map[string]*engine{}, prefillers: map[string]*prefiller{}, where: map[string]string{}}
 }
 
-// SetEngines takes over which engines there are. Runs at engines that stay are
-// kept; what is known of others is forgotten once nothing of ours runs there.
+// SetEngines takes over which engines take work. Others are forgotten once nothing
+// runs there: an engine may be back in a moment.
 func (v *View) SetEngines(engines []Engine) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -86,7 +86,7 @@
 		if !usable[id] {
 			e.MemoryTokens = 0
 		}
-		if !usable[id] && len(e.runs[own]) == 0 {
+		if !usable[id] && e.count() == 0 {
 			delete(v.engines, id)
 		}
 	}
@@ -148,11 +148,13 @@
 	r.Use = float64(bestNeed) / float64(best.MemoryTokens)
 	if !read {
 		p := v.choosePrefillerLocked(best.DataCentre, not, now)
-		if p == nil {
+		if p == nil && len(v.prefillers) > 0 {
 			return r, false
 		}
-		p.book(r, now)
-		r.Prefill = p.ID
+		if p != nil { // else the decode engine reads the prompt
+			p.book(r, now)
+			r.Prefill = p.ID
+		}
 	}
 	best.runs[own][r.ID] = r
 	v.where[r.ID] = best.ID
@@ -242,6 +244,14 @@
 	delete(v.where, id)
 }
 
+// Run returns one of this daemon's runs as it is known now.
+func (v *View) Run(id string) (Run, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, r, ok := v.ownLocked(id)
+	return r, ok
+}
+
 // Learn takes in the length of an answer that has ended and that its caller had
 // guessed.
 func (v *View) Learn(guess, length int) {
--- a/hemlockd/internal/capacity/view_test.go
+++ b/hemlockd/internal/capacity/view_test.go
@@ -134,3 +134,23 @@
 		t.Errorf("paces learned: fast %.3f, slow %.3f ms a token", v.prefillers["fast"].readMsPerToken, v.prefillers["slow"].readMsPerToken)
 	}
 }
+
+// TestEngineThatIsDownForAMomentKeepsItsRuns: an engine is passed over while it
+// does not answer; what runs there for other daemons goes on.
+func TestEngineThatIsDownForAMomentKeepsItsRuns(t *testing.T) {
+	v := newExactView()
+	engines := []Engine{{ID: "a", MemoryTokens: 1000, Slots: 9}}
+	v.SetEngines(engines)
+	v.Add("other", Run{ID: "x", Engine: "a", Prompt: 800, Likely: 100, Most: 200}, 0)
+	v.SetEngines(nil)
+	v.SetEngines(engines)
+	if _, ok := v.Place(Run{ID: "1", Prompt: 300, Likely: 10, Most: 10}, true, nil, 0); ok {
+		t.Error("placed where another daemon's run holds the memory")
+	}
+	v.SetEngines(nil)
+	v.Remove("other", []string{"x"})
+	v.SetEngines(nil)
+	if len(v.engines) != 0 {
+		t.Error("an engine that is gone is kept for ever")
+	}
+}
--- a/hemlockd/internal/dispatch/dispatch_test.go
+++ b/hemlockd/internal/dispatch/dispatch_test.go
@@ -410,3 +410,15 @@
 		t.Errorf("status %d, Connection %q while draining", answer.Code, answer.Header().Get("Connection"))
 	}
 }
+
+// TestDecodeEngineReadsThePromptWhereNoOtherCan: the last prefill engine has left.
+func TestDecodeEngineReadsThePromptWhereNoOtherCan(t *testing.T) {
+	s := newSetup(func(string, int) int { return fateServed })
+	dir := s.dispatcher.o.Directory.(*fakeDirectory)
+	dir.upstreams["model"] = dir.upstreams["model"][2:]
+	s.dispatcher.Refresh()
+	answer, cut := s.ask("r", "/once/x")
+	if cut || answer.Body.String() != eventsAfter(0) || len(s.upstreams.acceptedPrefills) != 0 {
+		t.Errorf("cut %v, answer %q", cut, answer.Body.String())
+	}
+}
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -307,7 +307,7 @@
 
 // prefill has the prompt read, unless a result is there already.
 func (m *modelRun) prefill() bool {
-	if m.source != nil {
+	if m.source != nil || m.run.Prefill == "" && m.d.o.View.Prefillers() == 0 {
 		return true
 	}
 	tried := map[string]bool{}
@@ -389,8 +389,12 @@
 	start := m.now()
 	m.sends++
 	m.stream.begin(m.ctx)
+	var source calls.KVSource // none: the engine reads the prompt itself
+	if m.source != nil {
+		source = *m.source
+	}
 	reply, err := m.d.o.Upstreams.Send(m.stream.ctx, m.call, u, calls.Delivery{
-		Phase: calls.PhaseDecode, LeftMs: max(1, m.leftMs()), KVSource: *m.source, ResumeAfter: m.stream.resumeAfter(), Hold: m.takeHold(),
+		Phase: calls.PhaseDecode, LeftMs: max(1, m.leftMs()), KVSource: source, ResumeAfter: m.stream.resumeAfter(), Hold: m.takeHold(),
 	})
 	failed := m.record(u.ID, calls.PhaseDecode, start, err)
 	if failed == nil {
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -12,6 +12,8 @@
 
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/capacity"
+	"hemlockmux.example/hemlockd/internal/peers"
 )
 
 var metrics = expvar.NewMap("dispatch")
@@ -84,7 +86,7 @@
 	m.run.Prompt += m.run.Made
 	m.run.Most = max(1, m.run.Most-m.run.Made)
 	m.run.Likely = max(1, m.run.Likely-m.run.Made)
-	m.run.Made = 0
+	m.run.Made, m.run.Decoding = 0, false
 	return m.mayGoOn()
 }
 
@@ -146,6 +148,14 @@
 	m.stream.events++
 	m.run.Made += m.spec.EventTokens
 	m.d.o.View.Progress(m.run.ID, m.run.Made, m.now())
+	if m.run.Decoding {
+		return
+	}
+	// The other daemons go on from here by the engine's pace.
+	m.run.Decoding = true
+	if run, ok := m.d.o.View.Run(m.run.ID); ok {
+		m.d.o.Peers.Tell(peers.News{Runs: []capacity.Run{run}})
+	}
 }
 
 // write hands bytes on to the caller at once.
--- a/hemlockd/internal/roles/keeper.go
+++ b/hemlockd/internal/roles/keeper.go
@@ -70,20 +70,26 @@
 // Run looks at the load and gives orders until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for clock.Pause(ctx, lookInterval) {
-		reading, memory := k.o.PrefillUse(), k.o.Memory()
-		for name, engines := range k.o.Services() {
-			s := k.look(name, engines, reading, memory)
-			load := Load{
-				Prefillers: len(s.prefillers), Decoders: len(s.decoders), AllPrefillers: len(s.allPrefills),
-				PrefillUse: s.prefillUse, DecodeUse: s.decodeUse,
-			}
-			change := s.sustained.Decide(load, k.o.Clock.Now())
-			if change == Stay || !k.o.Responsible() {
-				continue
-			}
-			s.sustained.Changed(k.o.Clock.Now())
-			k.order(ctx, change, s, memory)
+		k.lookAtAll(ctx)
+	}
+}
+
+// lookAtAll takes in the load of each service and gives the orders that it calls
+// for.
+func (k *Keeper) lookAtAll(ctx context.Context) {
+	reading, memory := k.o.PrefillUse(), k.o.Memory()
+	for name, engines := range k.o.Services() {
+		s := k.look(name, engines, reading, memory)
+		load := Load{
+			Prefillers: len(s.prefillers), Decoders: len(s.decoders), AllPrefillers: len(s.allPrefills),
+			PrefillUse: s.prefillUse, DecodeUse: s.decodeUse,
+		}
+		change := s.sustained.Decide(load, k.o.Clock.Now())
+		if change == Stay || !k.o.Responsible() {
+			continue
 		}
+		s.sustained.Changed(k.o.Clock.Now())
+		k.order(ctx, change, s, memory)
 	}
 }
 
@@ -119,10 +125,11 @@
 
 // order has the engine that has least to do take the other role.
 func (k *Keeper) order(ctx context.Context, change Change, s *serviceLoad, memory map[string]float64) {
-	u := leastUsed(s.prefillers, nil)
+	candidates := s.prefillers
 	if change == ToPrefill {
-		u = leastUsed(s.decoders, memory)
+		candidates = s.decoders
 	}
+	u := leastUsed(candidates, memory)
 	state, err := k.state(ctx, u)
 	if err != nil || state.Changing || state.Prefill == (change == ToPrefill) {
 		k.o.Log.Info("engine is not ordered to change its role", zap.String("upstream", u.ID),
--- a/hemlockd/internal/roles/policy.go
+++ b/hemlockd/internal/roles/policy.go
@@ -64,6 +64,8 @@
 	case l.Prefillers > 1 && l.DecodeUse >= p.BusyDecode &&
 		l.PrefillUse*float64(l.AllPrefillers) <= (1-p.LeastPrefillSpare)*float64(l.AllPrefillers-1):
 		return ToDecode
+	case l.Decoders > 1 && l.AllPrefillers == 0:
+		return ToPrefill
 	case l.Decoders > 1 && l.PrefillUse >= p.BusyPrefill && l.DecodeUse < p.BusyDecode:
 		return ToPrefill
 	}
