--- a/hemlockd/internal/dispatch/dispatch_test.go
+++ b/hemlockd/internal/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
@@ -79,6 +80,7 @@
 	acceptedPrefills map[string]int
 	freed, handles   int
 	holds, dropped   int
+	crashed          bool
 }
 
 func newFakeUpstreams(draw func(string, int) int) *fakeUpstreams {
@@ -200,7 +202,14 @@
 	return nil
 }
 
-func (f *fakeUpstreams) Probe(context.Context, routing.Upstream, string) error { return nil }
+func (f *fakeUpstreams) Probe(context.Context, routing.Upstream, string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.crashed {
+		return errors.New("crashed")
+	}
+	return nil
+}
 
 // setup is a dispatcher before fake upstreams.
 type setup struct {
@@ -422,3 +431,34 @@
 		t.Errorf("cut %v, answer %q", cut, answer.Body.String())
 	}
 }
+
+// TestRequestThatCrashesUpstreamsIsRefused sends the same request again and again;
+// each attempt has its own id.
+func TestRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	s := newSetup(func(string, int) int { return fateBrokenAfter })
+	ask := func(id string) int {
+		answer, _ := s.ask(id, "/order/x")
+		time.Sleep((crashCheckAfter + 100).Duration())
+		return answer.Code
+	}
+	s.upstreams.crashed = true
+	for i := range 2 {
+		if code := ask(fmt.Sprint("crash", i)); code != http.StatusBadGateway {
+			t.Errorf("attempt %d: status %d", i, code)
+		}
+	}
+	if code := ask("crash2"); code != http.StatusServiceUnavailable || s.upstreams.runs["crash2"] != 0 {
+		t.Errorf("the third attempt: status %d, %d runs", code, s.upstreams.runs["crash2"])
+	}
+}
+
+// TestLostAnswersMakeNoSuspect: the connection broke, and the upstream lives.
+func TestLostAnswersMakeNoSuspect(t *testing.T) {
+	s := newSetup(func(string, int) int { return fateBrokenAfter })
+	for i := range 4 {
+		if answer, _ := s.ask(fmt.Sprint("lost", i), "/order/x"); answer.Code != http.StatusBadGateway {
+			t.Errorf("attempt %d: status %d", i, answer.Code)
+		}
+		time.Sleep((crashCheckAfter + 100).Duration())
+	}
+}
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -151,6 +151,9 @@
 	if failed.Cause == calls.CauseUnreachable || failed.Cause == calls.CauseMoved {
 		x.d.setDown(u.ID)
 	}
+	if failed.Cause == calls.CauseBroken && failed.Outcome == calls.Unknown && failed.Phase != calls.PhasePrefill {
+		x.checkCrash(u)
+	}
 }
 
 func (x *exchange) readWhole(ctx context.Context, u routing.Upstream) (*wholeAnswer, error) {
