--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -239,7 +239,7 @@
 	defer d.mu.Unlock()
 	s.ListVersion = d.listVersion.Load()
 	if s.ListVersion > ask.HaveListVersion && d.listed.Load() {
-		s.Upstreams, s.Doubtful = d.upstreams.raw()
+		s.Upstreams, s.GoneAgoMs = d.upstreams.raw(d.o.Clock.Now())
 	}
 	return s
 }
@@ -272,9 +272,9 @@
 	for id, raw := range s.Upstreams {
 		page.Entries = append(page.Entries, directory.Entry{Key: id, Value: raw})
 	}
-	if d.takeUpstreams(page, true) && len(s.Doubtful) > 0 {
+	if d.takeUpstreams(page, true) && len(s.GoneAgoMs) > 0 {
 		d.mu.Lock()
-		d.upstreams.doubt(s.Doubtful, d.o.Clock.Now())
+		d.upstreams.doubt(s.GoneAgoMs, d.o.Clock.Now())
 		d.mu.Unlock()
 	}
 }
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -63,10 +63,13 @@
 		there[e.Key] = true
 	}
 	for _, id := range slices.Collect(maps.Keys(l.entries)) {
-		if !there[id] {
-			l.remove(id, now)
+		if there[id] {
+			continue
+		}
+		if l.entries[id].goneMs == 0 {
 			gone = append(gone, id)
 		}
+		l.remove(id, now)
 	}
 	return gone
 }
@@ -103,24 +106,24 @@
 	return all
 }
 
-// raw returns the entries in the platform's form, for other daemons, and the ids
-// of those that have gone.
-func (l *upstreamList) raw() (all map[string][]byte, gone []string) {
-	all = map[string][]byte{}
+// raw returns the entries in the platform's form, for other daemons, and how long
+// ago those went that have gone, in ms.
+func (l *upstreamList) raw(now clock.Millis) (all map[string][]byte, goneAgo map[string]clock.Millis) {
+	all, goneAgo = map[string][]byte{}, map[string]clock.Millis{}
 	for id, e := range l.entries {
 		all[id] = e.raw
 		if e.goneMs != 0 {
-			gone = append(gone, id)
+			goneAgo[id] = now - e.goneMs
 		}
 	}
-	return all, gone
+	return all, goneAgo
 }
 
-// doubt takes in that entries have gone while the store was in trouble.
-func (l *upstreamList) doubt(ids []string, now clock.Millis) {
-	for _, id := range ids {
-		if e, ok := l.entries[id]; ok && e.goneMs == 0 {
-			e.goneMs = now
+// doubt takes in how long ago entries went while the store was in trouble.
+func (l *upstreamList) doubt(goneAgo map[string]clock.Millis, now clock.Millis) {
+	for id, ago := range goneAgo {
+		if e, ok := l.entries[id]; ok {
+			e.goneMs = now - ago
 		}
 	}
 }
--- a/hemlockd/internal/directory/upstreams_test.go
+++ b/hemlockd/internal/directory/upstreams_test.go
@@ -72,3 +72,20 @@
 		t.Error("a leaving upstream was kept")
 	}
 }
+
+// TestDoubtIsNotHandedOn replays a hunt's day (terassilampo, hunt-aa47-59): daemons
+// told each other of an upstream whose entry had gone, and each began to doubt it
+// anew, so that it got work 4.5 s after it had left.
+func TestDoubtIsNotHandedOn(t *testing.T) {
+	first := listOf("a")
+	first.troubleMs = 10 * clock.Second
+	first.remove("a", 10*clock.Second)
+	now := 12 * clock.Second
+	second := listOf("a")
+	_, ages := first.raw(now)
+	second.doubt(ages, now)
+	now += returnGrace/2 + 100 // more than the grace since the removal
+	if second.expire(now); second.uses("a") {
+		t.Errorf("still in use %d ms after the removal", now-10*clock.Second)
+	}
+}
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"hemlockmux.example/common/clock"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
@@ -56,9 +57,9 @@
 	// daemon has it.
 	ListVersion int64             `json:"listVersion"`
 	Upstreams   map[string][]byte `json:"upstreams,omitempty"`
-	// Doubtful are upstreams whose entries have gone while the store was in
-	// trouble; they may come back.
-	Doubtful []string `json:"doubtful,omitempty"`
+	// GoneAgoMs holds the upstreams whose entries have gone while the store was in
+	// trouble, and how long ago; they may come back.
+	GoneAgoMs map[string]clock.Millis `json:"goneAgoMs,omitempty"`
 }
 
 // SnapshotRequest says what the asking daemon has already.
