--- a/hemlockd/e2e/usersplatform_test.go
+++ b/hemlockd/e2e/usersplatform_test.go
@@ -28,6 +28,7 @@
 	addr    struct{ Store, Admin string }
 	daemons []*platformDaemon
 	version int
+	flags   []string // of daemons that are started
 }
 
 type platformDaemon struct {
@@ -153,7 +154,7 @@
 	if d.log == nil {
 		d.log = &lockedBuffer{}
 	}
-	d.cmd = exec.Command(filepath.Join(binaries, "hemlockd"), "platform")
+	d.cmd = exec.Command(filepath.Join(binaries, "hemlockd"), append([]string{"platform"}, p.flags...)...)
 	d.cmd.Env = append(os.Environ(), "HEMLOCKMUX_BOOT="+d.file)
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
 	if err := d.cmd.Start(); err != nil {
