--- a/hemlockd/internal/dispatch/crash.go
+++ b/hemlockd/internal/dispatch/crash.go
@@ -9,17 +9,12 @@
 	"hemlockmux.example/common/routing"
 )
 
-const (
-	// crashCheckAfter is the time between a broken call and the question whether
-	// its upstream has crashed; a lost answer alone is no crash.
-	crashCheckAfter = 150 * clock.Millisecond
-	// suspectFor is how long a request during which upstreams crashed is
-	// remembered.
-	suspectFor = 30 * clock.Second
-)
+// suspectFor is how long a request during which upstreams crashed is remembered.
+const suspectFor = 30 * clock.Second
 
-// crashCheck finds out whether an upstream crashed while it ran a request, which
-// makes the request a suspect.
+// crashCheck finds out whether an upstream crashed while it ran a request. A lost
+// answer alone is no crash; a crash takes the upstream out of use and makes the
+// request a suspect.
 type crashCheck struct {
 	d        *Dispatcher
 	digest   string
@@ -38,12 +33,12 @@
 }
 
 func (c *crashCheck) run() {
-	clock.Pause(context.Background(), crashCheckAfter)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
 	defer cancel()
 	if c.d.o.Upstreams.Probe(ctx, c.upstream, c.path) == nil {
 		return
 	}
+	c.d.setDown(c.upstream.ID)
 	now := c.d.o.Clock.Now()
 	c.d.o.Suspects.Died(c.digest, now, now+suspectFor)
 	if _, refused := c.d.o.Suspects.Refused(c.digest, now); refused {
--- a/hemlockd/internal/dispatch/dispatch_test.go
+++ b/hemlockd/internal/dispatch/dispatch_test.go
@@ -432,13 +432,16 @@
 	}
 }
 
+// crashCheckTime is enough for a check whether an upstream has crashed.
+const crashCheckTime = 100 * time.Millisecond
+
 // TestRequestThatCrashesUpstreamsIsRefused sends the same request again and again;
 // each attempt has its own id.
 func TestRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
 	s := newSetup(func(string, int) int { return fateBrokenAfter })
 	ask := func(id string) int {
 		answer, _ := s.ask(id, "/order/x")
-		time.Sleep((crashCheckAfter + 100).Duration())
+		time.Sleep(crashCheckTime)
 		return answer.Code
 	}
 	s.upstreams.crashed = true
@@ -459,6 +462,6 @@
 		if answer, _ := s.ask(fmt.Sprint("lost", i), "/order/x"); answer.Code != http.StatusBadGateway {
 			t.Errorf("attempt %d: status %d", i, answer.Code)
 		}
-		time.Sleep((crashCheckAfter + 100).Duration())
+		time.Sleep(crashCheckTime)
 	}
 }
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -405,7 +405,6 @@
 	m.noteResult(u, err)
 	if failed.Outcome != calls.NotRun {
 		m.source = nil
-		m.d.setDown(u.ID)
 		return nil, failed
 	}
 	if m.sends > 1 {
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -80,7 +80,6 @@
 	}
 	m.outcome = calls.Unknown
 	m.d.health.result(m.run.Engine, false)
-	m.d.setDown(m.run.Engine)
 	m.checkCrash(u)
 	m.not[m.run.Engine] = true
 	m.stream.end()
