--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -23,31 +23,9 @@
 	// maxPlacements bounds the engines that one run is sent to, also where they
 	// do not take it.
 	maxPlacements = 4
-	// prefillReserve and prefillPatience times the predicted time bound the wait
-	// for a prefill.
-	prefillReserve  = 600 * clock.Millisecond
-	prefillPatience = 2
-	// resultReserve is the time before a result lapses in which it is no longer
-	// sent for.
-	resultReserve = 120 * clock.Millisecond
-	// holdFrom is the forecast part of an engine's memory from which a place is
-	// confirmed by the engine, holdWithinMs the longest way there and back at
-	// which that pays.
-	holdFrom     = 0.7
-	holdWithinMs = 10
-	// holdOutput is the number of events that a reservation has room for, beside
-	// the prompt.
-	holdOutput = 4
-	// holdSpan is how long a reservation lasts, holdTimeout bounds the call.
-	holdSpan    = 1500 * clock.Millisecond
-	holdTimeout = 250 * clock.Millisecond
-	// maxHoldRefusals bounds the engines that are asked.
-	maxHoldRefusals = 4
 	// streamReserve is added to the time that a stream is expected to take where
 	// the daemon's own end is near.
 	streamReserve = 800 * clock.Millisecond
-	// freeTimeout bounds the call that frees a prefill's result.
-	freeTimeout = clock.Second
 	// roomRetry is the least and the spread of the time after which a request
 	// that found no room may come back.
 	roomRetry = 1500 * clock.Millisecond
@@ -172,80 +150,6 @@
 	return true
 }
 
-// placeAndHold books a place and, at an engine that is nearly full, has the
-// engine itself confirm it before the prompt is read: other daemons may have
-// booked the same room at the same moment.
-func (m *modelRun) placeAndHold(wait clock.Millis) bool {
-	end := m.now() + wait
-	for m.place(end - m.now()) {
-		if m.hold() {
-			return true
-		}
-		m.refusals++
-		m.releasePlace()
-		if m.refusals >= maxHoldRefusals || m.leftMs() <= 0 || m.callerGone() {
-			return false
-		}
-	}
-	return false
-}
-
-// hold reserves the run's memory at its engine where that pays. It returns false
-// where the engine has no room.
-func (m *modelRun) hold() bool {
-	u, ok := m.upstream(m.run.Engine)
-	if !ok || m.spec.HoldMs <= 0 {
-		return true
-	}
-	tokens := m.run.Prompt + holdOutput*m.spec.EventTokens
-	if m.d.o.Peers.InTheDark() {
-		// Only the engine knows what else it has to hold.
-		tokens = m.run.Prompt + min(m.run.Likely, m.run.Most)
-	} else if m.run.Use < holdFrom || m.d.distance(u.DataCentre) > holdWithinMs {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(m.ctx, holdTimeout.Duration())
-	defer cancel()
-	id, err := m.d.o.Upstreams.Hold(ctx, u, tokens, min(holdSpan, m.spec.HoldMs))
-	var failed *calls.Error
-	if errors.As(err, &failed) && failed.Cause == calls.CauseBusy {
-		metrics.Add("holdsRefused", 1)
-		return false
-	}
-	if err != nil {
-		metrics.Add("holdsFailed", 1)
-		return true // the engine decides when the run is sent there
-	}
-	m.held = &held{d: m.d, at: u, id: id}
-	return true
-}
-
-// held is a reservation that has not been used yet.
-type held struct {
-	d  *Dispatcher
-	at routing.Upstream
-	id string
-}
-
-// run gives the reservation back.
-func (h *held) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout.Duration())
-	defer cancel()
-	if err := h.d.o.Upstreams.Drop(ctx, h.at, h.id); err != nil {
-		metrics.Add("dropFailed", 1)
-	}
-}
-
-// takeHold returns the reservation at the run's engine, "" where there is none.
-func (m *modelRun) takeHold() string {
-	h := m.held
-	m.held = nil
-	if h == nil {
-		return ""
-	}
-	return h.id
-}
-
 // placeAgain moves the run to another engine after one has not taken it. It
 // waits for room as long as the prefill's result lives.
 func (m *modelRun) placeAgain(failed *calls.Error) bool {
@@ -281,93 +185,6 @@
 	m.freeResult()
 }
 
-// freeResult frees a prefill's result that no engine has fetched.
-func (m *modelRun) freeResult() {
-	if m.source == nil {
-		return
-	}
-	f := &freeing{d: m.d, source: *m.source}
-	m.source = nil
-	go f.run()
-}
-
-// freeing frees one prefill's result.
-type freeing struct {
-	d      *Dispatcher
-	source calls.KVSource
-}
-
-func (f *freeing) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout.Duration())
-	defer cancel()
-	if err := f.d.o.Upstreams.Free(ctx, f.source); err != nil {
-		metrics.Add("freeFailed", 1)
-	}
-}
-
-// prefill has the prompt read, unless a result is there already.
-func (m *modelRun) prefill() bool {
-	if m.source != nil || m.run.Prefill == "" && m.d.o.View.Prefillers() == 0 {
-		return true
-	}
-	tried := map[string]bool{}
-	for m.prefills < maxPlacements && m.leftMs() > 0 && !m.callerGone() {
-		if m.run.Prefill == "" && !m.placePrefill(tried) {
-			return false
-		}
-		if m.prefills > 0 && !m.d.o.Retries.Take(m.service, m.now()) {
-			return false
-		}
-		id := m.run.Prefill
-		tried[id] = true
-		u, ok := m.upstream(id)
-		if !ok {
-			m.endPrefill(false)
-			continue
-		}
-		start := m.now()
-		source, err := m.sendPrefill(u)
-		failed := m.record(u.ID, calls.PhasePrefill, start, err)
-		m.endPrefill(failed == nil)
-		m.noteResult(u, err)
-		if failed == nil {
-			m.prefills++
-			m.source = &source
-			m.resultUntilMs = m.now() + m.spec.ResultLivesMs
-			return true
-		}
-		if failed.Cause != calls.CauseUnreachable {
-			m.prefills++
-		}
-	}
-	return false
-}
-
-// placePrefill books another prefill engine.
-func (m *modelRun) placePrefill(tried map[string]bool) bool {
-	run, ok := m.d.o.View.PlacePrefill(m.run.ID, tried, m.now())
-	if !ok {
-		return false
-	}
-	m.run.Prefill = run.Prefill
-	m.d.o.Peers.Tell(peers.News{Runs: []capacity.Run{run}})
-	return true
-}
-
-func (m *modelRun) endPrefill(read bool) {
-	m.d.o.View.PrefillDone(m.run.ID, read, m.now())
-	m.run.Prefill = ""
-	m.d.o.Queue.Wake()
-}
-
-func (m *modelRun) sendPrefill(u routing.Upstream) (calls.KVSource, error) {
-	defer m.d.health.begin(u.ID)()
-	timeout := prefillReserve + prefillPatience*m.d.o.View.PrefillDueMs(m.run, m.now())
-	ctx, cancel := context.WithTimeout(m.ctx, timeout.Duration())
-	defer cancel()
-	return m.d.o.Upstreams.Prefill(ctx, m.call, u, calls.Delivery{LeftMs: max(1, m.leftMs()), ResumeAfter: m.stream.resumeAfter()})
-}
-
 func (m *modelRun) upstream(id string) (routing.Upstream, bool) {
 	for _, u := range m.d.o.Directory.Upstreams(m.service) {
 		if u.ID == id {
--- /dev/null
+++ b/hemlockd/internal/peers/calls.go
@@ -0,0 +1,72 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/operatorapi"
+)
+
+// runServe answers other daemons and operators over connections.
+func (p *Peers) runServe() {
+	for p.ctx.Err() == nil {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			if p.ctx.Err() == nil {
+				p.options.Log.Warn("accepting a daemon's connection failed", zap.Error(err))
+				clock.Pause(p.ctx, 100*clock.Millisecond)
+			}
+			continue
+		}
+		_ = conn.SetDeadline(time.Now().Add(callTimeout.Duration()))
+		stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+		jsonrpc2.NewConn(p.ctx, stream, jsonrpc2.HandlerWithError(p.handle))
+	}
+}
+
+func (p *Peers) handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	if req.Method == operatorapi.MethodBeliefs {
+		return p.handlers.Beliefs(), nil
+	}
+	if req.Method != methodSnapshot || req.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + req.Method}
+	}
+	var ask SnapshotRequest
+	if err := json.Unmarshal(*req.Params, &ask); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return p.handlers.Snapshot(ask), nil
+}
+
+// callTimeout bounds a call to another daemon with its answer.
+const callTimeout = 2 * clock.Second
+
+// Ask asks the daemon at a control address for what it knows.
+func Ask(ctx context.Context, control string, ask SnapshotRequest) (Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", control)
+	if err != nil {
+		return Snapshot{}, fmt.Errorf("ask daemon at %s: %w", control, err)
+	}
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls))
+	defer func() { _ = rpc.Close() }()
+	var s Snapshot
+	if err := rpc.Call(ctx, methodSnapshot, ask, &s); err != nil {
+		return Snapshot{}, fmt.Errorf("ask daemon at %s: %w", control, err)
+	}
+	return s, nil
+}
+
+// refuseCalls answers a daemon that was asked and asks back.
+func refuseCalls(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only asks"}
+}
--- /dev/null
+++ b/hemlockd/internal/peers/receive.go
@@ -0,0 +1,100 @@
+package peers
+
+import (
+	"encoding/json"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+)
+
+// runReceive takes in what other daemons tell.
+func (p *Peers) runReceive() {
+	buffer := make([]byte, maxDatagram)
+	for p.ctx.Err() == nil {
+		n, _, err := p.conn.ReadFromUDP(buffer)
+		if err != nil {
+			if p.ctx.Err() == nil {
+				p.options.Log.Warn("reading news failed", zap.Error(err))
+				clock.Pause(p.ctx, 100*clock.Millisecond)
+			}
+			continue
+		}
+		var req jsonrpc2.Request
+		var s State
+		if json.Unmarshal(buffer[:n], &req) != nil || req.Method != methodState || req.Params == nil ||
+			json.Unmarshal(*req.Params, &s) != nil || s.Name == "" {
+			metrics.Add("unreadable", 1)
+			continue
+		}
+		p.take(s)
+	}
+}
+
+// take takes in a message. A message that is older than one taken in before
+// only counts as a sign of life.
+func (p *Peers) take(s State) {
+	if s.Name == p.options.Name {
+		return
+	}
+	now := p.options.Clock.Now()
+	p.Meet(s.Address)
+	p.mu.Lock()
+	a := p.met[s.Address]
+	a.heard, a.sinceMs, a.near = true, now, s.DataCentre == p.options.DataCentre
+	d, known := p.daemons[s.Name]
+	restarted := known && (s.StartedMs > d.startedMs || s.StartedMs != d.startedMs && now-d.HeardMs > restartSilence)
+	if !known || restarted {
+		d = &Daemon{Name: s.Name, startedMs: s.StartedMs}
+		p.daemons[s.Name] = d
+		p.handlers.View.Replace(s.Name, nil, now)
+	}
+	stale := s.StartedMs < d.startedMs || s.Number < d.whole || s.Whole && s.Number < d.number
+	if s.StartedMs == d.startedMs {
+		d.HeardMs, d.Version, d.Leaving, d.FollowsStore = now, max(d.Version, s.Version), s.Leaving, s.FollowsStore
+		d.Address, d.Control, d.DataCentre = s.Address, s.Control, s.DataCentre
+		d.number = max(d.number, s.Number)
+		if s.Whole && !stale {
+			d.whole = s.Number
+		}
+	}
+	p.mu.Unlock()
+	if !known {
+		p.options.Log.Info("another daemon is heard", zap.String("peer", s.Name), zap.String("address", s.Address))
+	}
+	if !stale {
+		p.takeRuns(s, now)
+	}
+	if len(s.Down) > 0 {
+		p.handlers.Down(s.Down)
+	}
+	if len(s.Changing) > 0 {
+		p.handlers.Changing(s.Changing)
+	}
+	for _, at := range s.Daemons {
+		p.Meet(at)
+	}
+	for _, e := range s.Suspects {
+		p.handlers.Suspects.Learn(e, now)
+	}
+	newerList := s.DataCentre == p.options.DataCentre && s.ListVersion > p.handlers.ListVersion()
+	if s.Version > p.handlers.Version() || newerList {
+		p.handlers.Newer(s.Control)
+	}
+}
+
+func (p *Peers) takeRuns(s State, now clock.Millis) {
+	if s.Whole {
+		p.handlers.View.Replace(s.Name, s.Runs, now)
+		p.handlers.RoomChanged()
+		return
+	}
+	for _, r := range s.Runs {
+		p.handlers.View.Add(s.Name, r, now)
+	}
+	if len(s.Ended) > 0 {
+		p.handlers.View.Remove(s.Name, s.Ended)
+		p.handlers.RoomChanged()
+	}
+}
