--- a/hemlockd/internal/dispatch/prefill.go
+++ b/hemlockd/internal/dispatch/prefill.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"hemlockmux.example/common/calls"
+	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/routing"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/peers"
