--- a/hemlockd/internal/peers/known.go
+++ b/hemlockd/internal/peers/known.go
@@ -42,11 +42,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, silent := p.options.Clock.Now(), 0
+	limit := p.aliveForLocked()
 	if now-p.leftOutMs < darkFor {
 		return true
 	}
 	for _, d := range p.daemons {
-		if !d.Leaving && now-d.HeardMs > aliveFor {
+		if !d.Leaving && now-d.HeardMs > limit {
 			silent++
 		}
 	}
@@ -69,9 +70,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
+	limit := p.aliveForLocked()
 	var alive []Daemon
 	for _, name := range slices.Sorted(maps.Keys(p.daemons)) {
-		if d := p.daemons[name]; now-d.HeardMs <= aliveFor {
+		if d := p.daemons[name]; now-d.HeardMs <= limit {
 			alive = append(alive, *d)
 		}
 	}
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -13,11 +13,13 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"expvar"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,14 +34,19 @@
 )
 
 const (
-	// stateInterval is the time between two messages that hold all, to daemons of
-	// the own data centre; others get every farEvery-th.
+	// stateInterval is the time between two rounds of messages that hold all. In
+	// each, nearFan daemons of the own data centre are told, those told longest ago
+	// first; others get every farEvery-th.
 	stateInterval = 500 * clock.Millisecond
+	nearFan       = 8
 	farEvery      = 3
 	// namedEvery is the number of such messages of which one names other daemons.
 	namedEvery = 4
-	// aliveFor is how long a daemon counts as alive after its last message.
-	aliveFor = 2500 * clock.Millisecond
+	// leastAliveFor is how long a daemon counts as alive after its last message, at
+	// the least; where rounds reach each daemon more seldom, missedStates of its
+	// messages may stay out.
+	leastAliveFor = 2500 * clock.Millisecond
+	missedStates  = 3
 	// forgottenAfter is how long a daemon that is silent is still sent messages.
 	forgottenAfter = clock.Minute
 	// silentInterval is the time between two messages to an address from which
@@ -216,9 +223,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
+	limit := p.aliveForLocked()
 	var to []*net.UDPAddr
 	for _, a := range p.met {
-		if a.heard && now-a.sinceMs <= aliveFor {
+		if a.heard && now-a.sinceMs <= limit {
 			to = append(to, a.udp)
 		}
 	}
@@ -230,9 +238,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
+	limit := p.aliveForLocked()
 	var to []*net.UDPAddr
+	var near []*address
 	for at, a := range p.met {
-		silent := !a.heard || now-a.sinceMs > aliveFor
+		silent := !a.heard || now-a.sinceMs > limit
 		if silent && now-a.sinceMs > forgottenAfter {
 			delete(p.met, at)
 			continue
@@ -240,15 +250,36 @@
 		if silent && !all && a.toldMs != 0 && now-a.toldMs < silentInterval {
 			continue
 		}
-		if !silent && !all && !a.near && p.rounds%farEvery != 0 {
+		if !silent && !all && a.near {
+			near = append(near, a)
 			continue
 		}
+		if !silent && !all && p.rounds%farEvery != 0 {
+			continue
+		}
+		a.toldMs = now
+		to = append(to, a.udp)
+	}
+	slices.SortFunc(near, func(a, b *address) int { return cmp.Compare(a.toldMs, b.toldMs) })
+	for _, a := range near[:min(nearFan, len(near))] {
 		a.toldMs = now
 		to = append(to, a.udp)
 	}
 	return to
 }
 
+// aliveForLocked is how long a daemon counts as alive after its last message.
+func (p *Peers) aliveForLocked() clock.Millis {
+	near := 0
+	for _, d := range p.daemons {
+		if d.DataCentre == p.options.DataCentre {
+			near++
+		}
+	}
+	rounds := clock.Millis((near + nearFan - 1) / nearFan)
+	return max(leastAliveFor, missedStates*rounds*stateInterval)
+}
+
 func (p *Peers) runTell() {
 	for clock.Pause(p.ctx, stateInterval) {
 		p.tellAll(false)
@@ -338,9 +369,10 @@
 // namedLocked returns addresses that a daemon which knows few may not know.
 func (p *Peers) namedLocked() []string {
 	now := p.options.Clock.Now()
+	limit := p.aliveForLocked()
 	var named []string
 	for _, d := range p.daemons {
-		if now-d.HeardMs <= aliveFor && len(named) < maxNamed {
+		if now-d.HeardMs <= limit && len(named) < maxNamed {
 			named = append(named, d.Address)
 		}
 	}
