--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -54,6 +54,7 @@
 			&cli.IntFlag{Name: "metrics-port", Usage: "port on which metrics are served, at /metrics; 0: none"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			hangups := catchHangups()
 			path, err := platform.SettingsPath()
 			if err != nil {
 				return err
@@ -65,7 +66,7 @@
 			log, closeLog := logs.New(os.Stdout, own.Name)
 			defer closeLog()
 			soft, hard := stopContexts()
-			return RunOnPlatform(soft, hard, PlatformOptions{SettingsPath: path, Settings: own, MetricsPort: c.Int("metrics-port"), ControlBytes: c.Int("control-bytes")}, log)
+			return RunOnPlatform(soft, hard, PlatformOptions{SettingsPath: path, Hangups: hangups, Settings: own, MetricsPort: c.Int("metrics-port"), ControlBytes: c.Int("control-bytes")}, log)
 		},
 	}
 }
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -69,7 +70,9 @@
 // PlatformOptions is what a daemon on the users' platform is told.
 type PlatformOptions struct {
 	SettingsPath string
-	Settings     platform.Settings
+	// Hangups brings the signals that the settings have changed.
+	Hangups  chan os.Signal
+	Settings platform.Settings
 	// MetricsPort is the port for metrics; 0: none.
 	MetricsPort int
 	// ControlBytes bounds what is sent to other daemons, in bytes a second.
@@ -88,7 +91,7 @@
 	if err := d.wire(); err != nil {
 		return err
 	}
-	d.onClose(watchSettings(log, o.SettingsPath, d.reload))
+	d.onClose(watchSettings(log, o.SettingsPath, o.Hangups, d.reload))
 	log.Info("daemon is serving", zap.String("callers", own.Callers), zap.String("dataCentre", own.DataCentre),
 		zap.String("daemons", own.Daemons))
 	var err error
@@ -165,6 +168,7 @@
 		Memory:     func() map[string]float64 { return view.Use(d.clk.Now()) },
 		Changing:   d.dispatcher.SetChanging,
 	})
+	d.peers.Start()
 	d.meetSeeds(d.own.Seeds)
 	d.onClose(d.directory.Start())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -228,21 +232,15 @@
 }
 
 func (d *platformDaemon) refresh() {
-	if d.dispatcher != nil {
-		d.dispatcher.Refresh()
-	}
+	d.dispatcher.Refresh()
 }
 
 func (d *platformDaemon) hearDown(ids []string) {
-	if d.dispatcher != nil {
-		d.dispatcher.HearDown(ids)
-	}
+	d.dispatcher.HearDown(ids)
 }
 
 func (d *platformDaemon) hearChanging(ids []string) {
-	if d.dispatcher != nil {
-		d.dispatcher.HearChanging(ids)
-	}
+	d.dispatcher.HearChanging(ids)
 }
 
 func (d *platformDaemon) runRefresh(ctx context.Context) {
--- a/hemlockd/internal/app/settingswatch.go
+++ b/hemlockd/internal/app/settingswatch.go
@@ -27,10 +27,17 @@
 	apply func(platform.Settings)
 }
 
+// catchHangups begins to catch the signal that the settings have changed. It is
+// called before all else: uncaught, the signal ends the process.
+func catchHangups() chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 // watchSettings starts a watch and returns the function that ends it.
-func watchSettings(log *zap.Logger, path string, apply func(platform.Settings)) func() {
-	w := &settingsWatch{log: log, path: path, signals: make(chan os.Signal, 1), apply: apply}
-	signal.Notify(w.signals, syscall.SIGHUP)
+func watchSettings(log *zap.Logger, path string, signals chan os.Signal, apply func(platform.Settings)) func() {
+	w := &settingsWatch{log: log, path: path, signals: signals, apply: apply}
 	if info, err := os.Stat(path); err == nil {
 		w.changed = info.ModTime()
 	}
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -79,29 +79,29 @@
 	upstreams *upstreamList
 	asking    atomic.Bool
 	ctx       context.Context
+	cancel    context.CancelFunc
 }
 
 // New returns a directory that knows nothing yet.
 func New(o Options) *Directory {
 	d := &Directory{o: o, upstreams: newUpstreamList()}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.published.Store(&map[string][]routing.Upstream{})
 	return d
 }
 
 // Start begins to follow the store and returns the function that stops it.
 func (d *Directory) Start() func() {
-	ctx, cancel := context.WithCancel(context.Background())
-	d.ctx = ctx
 	var running sync.WaitGroup
 	follow := func(topic directory.Topic, wait clock.Millis, take func(directory.Page, bool)) {
 		f := &follower{d: d, topic: topic, wait: wait, take: take}
-		running.Go(func() { f.run(ctx) })
+		running.Go(func() { f.run(d.ctx) })
 	}
 	follow(directory.Routes, followWait, d.takeRoutes)
 	follow(directory.Upstreams, followWait, func(page directory.Page, whole bool) { d.takeUpstreams(page, whole) })
 	follow(directory.Daemons, daemonsWait, d.takeDaemons)
 	return func() {
-		cancel()
+		d.cancel()
 		running.Wait()
 	}
 }
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -8,6 +8,7 @@
 // # Usage
 //
 //	p, closePeers, err := peers.New(options, handlers)
+//	p.Start()
 //	p.Meet(address)
 //	p.Tell(peers.News{Runs: []capacity.Run{run}})
 package peers
@@ -136,6 +137,7 @@
 	budget   *rate.Limiter // in bytes
 	listener net.Listener
 	ctx      context.Context
+	running  sync.WaitGroup
 
 	mu      sync.Mutex
 	number  int64
@@ -156,7 +158,8 @@
 	near    bool // in this daemon's data centre
 }
 
-// New listens for other daemons and returns the function that stops it.
+// New opens the ports for other daemons and returns the function that closes them
+// and ends what Start began.
 func New(o Options, h Handlers) (*Peers, func(), error) {
 	udp, err := net.ResolveUDPAddr("udp4", o.Address)
 	if err != nil {
@@ -177,18 +180,22 @@
 		budget:  rate.NewLimiter(rate.Limit(o.BytesPerSecond), o.BytesPerSecond),
 		daemons: map[string]*Daemon{}, met: map[string]*address{},
 	}
-	var running sync.WaitGroup
-	running.Go(p.runReceive)
-	running.Go(p.runTell)
-	running.Go(p.runServe)
 	return p, func() {
 		cancel()
 		_ = conn.Close()
 		_ = listener.Close()
-		running.Wait()
+		p.running.Wait()
 	}, nil
 }
 
+// Start begins to listen to other daemons and to tell them. The handlers may be
+// called from then on.
+func (p *Peers) Start() {
+	p.running.Go(p.runReceive)
+	p.running.Go(p.runTell)
+	p.running.Go(p.runServe)
+}
+
 // Meet takes in the address for datagrams of a daemon that may be there.
 func (p *Peers) Meet(at string) {
 	if at == p.options.Address {
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -51,6 +51,7 @@
 		t.Fatal(err)
 	}
 	n.Peers = p
+	p.Start()
 	t.Cleanup(closePeers)
 	return n
 }
