--- a/hemlockd/e2e/usersplatform_test.go
+++ b/hemlockd/e2e/usersplatform_test.go
@@ -548,10 +548,13 @@
 func TestPlatformFailuresAreExplained(t *testing.T) {
 	p := deployUsersPlatform(t, 2)
 	d := p.daemons[0]
+	crashed := make(chan platformAnswer)
+	go func() { crashed <- p.stream(d, "crashed", "once", 100) }()
+	p.eventually(5*time.Second, "the stream runs", func() bool { return p.runs("crashed") == 1 })
 	for _, id := range []string{"i-dec1", "i-dec2"} {
-		p.fault(id, map[string]any{"cutAfter": 2})
+		p.admin(http.MethodPost, "/servers/"+id+"/crash", nil)
 	}
-	if a := p.stream(d, "crashed", "once", 20); a.err == nil {
+	if a := <-crashed; a.err == nil {
 		t.Errorf("status %d, no error", a.status)
 	}
 	for _, id := range []string{"i-desk1", "i-desk2"} {
