--- a/hemlockd/e2e/usersplatform_soak_test.go
+++ b/hemlockd/e2e/usersplatform_soak_test.go
@@ -29,6 +29,7 @@
 // regressionSeeds are seeds of runs that failed, each with its cause.
 var regressionSeeds = []uint64{
 	110, // SIGHUP ended a daemon that had just been started
+	227, // the same
 }
 
 func TestPlatformSoak(t *testing.T) {
--- a/hemlockd/e2e/usersplatform_test.go
+++ b/hemlockd/e2e/usersplatform_test.go
@@ -549,8 +549,9 @@
 	p := deployUsersPlatform(t, 2)
 	d := p.daemons[0]
 	crashed := make(chan platformAnswer)
-	go func() { crashed <- p.stream(d, "crashed", "once", 100) }()
+	go func() { crashed <- p.stream(d, "crashed", "once", 300) }()
 	p.eventually(5*time.Second, "the stream runs", func() bool { return p.runs("crashed") == 1 })
+	time.Sleep(time.Second) // events have come, and many are still to come
 	for _, id := range []string{"i-dec1", "i-dec2"} {
 		p.admin(http.MethodPost, "/servers/"+id+"/crash", nil)
 	}
@@ -579,6 +580,7 @@
 		p.eventually(5*time.Second, "the request is explained", func() bool {
 			return strings.Contains(p.explain(id), wants[0])
 		})
+		t.Logf("%s:\n%s", id, p.explain(id))
 		for _, want := range wants {
 			if got := p.explain(id); !strings.Contains(got, want) {
 				t.Errorf("%s: no %q in:\n%s", id, want, got)
