--- a/common/verdict/verdict.go
+++ b/common/verdict/verdict.go
@@ -144,6 +144,10 @@
 	return hmac.Equal([]byte(Sign(key, v)), []byte(receipt))
 }
 
+// BatchPrefix begins the names of the objects that hold batches of verdicts on the
+// users' platform; it is followed by daemon~startMs~number.
+const BatchPrefix = "verdicts~"
+
 // DecodeBatch reads verdicts from compressed JSON lines.
 func DecodeBatch(data []byte) ([]Verdict, error) {
 	z, err := gzip.NewReader(bytes.NewReader(data))
--- a/hemlockctl/internal/app/onplatform.go
+++ b/hemlockctl/internal/app/onplatform.go
@@ -131,9 +131,6 @@
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only asks"}
 }
 
-// verdictsPrefix begins the names of the objects that hold verdicts.
-const verdictsPrefix = "verdicts~"
-
 func (c *ctl) storedVerdict(ctx context.Context, cmd *cli.Command) error {
 	id, err := oneArgument(cmd, "the id of the caller's attempt")
 	if err != nil {
@@ -155,7 +152,7 @@
 
 // findVerdict looks through the objects, the newest names first.
 func findVerdict(ctx context.Context, store *platform.Store, id string) (verdict.Verdict, error) {
-	names, err := store.Objects(ctx, verdictsPrefix)
+	names, err := store.Objects(ctx, verdict.BatchPrefix)
 	if err != nil {
 		return verdict.Verdict{}, err
 	}
--- a/hemlockd/internal/archive/archive.go
+++ b/hemlockd/internal/archive/archive.go
@@ -37,10 +37,6 @@
 	maxBatch = 2 << 20
 )
 
-// Prefix is the beginning of the names of all objects with verdicts; it is
-// followed by daemon~startMs~number.
-const Prefix = "verdicts~"
-
 var metrics = expvar.NewMap("archive")
 
 // Objects stores objects.
@@ -127,7 +123,7 @@
 	}
 	a.open.Reset()
 	a.next++
-	name := fmt.Sprintf("%s%s~%d~%d", Prefix, a.o.Daemon, a.o.StartedMs, a.next)
+	name := fmt.Sprintf("%s%s~%d~%d", verdict.BatchPrefix, a.o.Daemon, a.o.StartedMs, a.next)
 	a.held = append(a.held, object{name: name, data: data.Bytes()})
 	a.size += data.Len()
 	for a.size > maxHeld && len(a.held) > 1 {
--- a/hemlockd/internal/archive/archive_test.go
+++ b/hemlockd/internal/archive/archive_test.go
@@ -46,7 +46,7 @@
 	closeArchive()
 	found := map[string]verdict.Outcome{}
 	for name, data := range objects.objects {
-		if !strings.HasPrefix(name, Prefix+"d~7~") {
+		if !strings.HasPrefix(name, verdict.BatchPrefix+"d~7~") {
 			t.Errorf("name %q", name)
 		}
 		all, err := verdict.DecodeBatch(data)
--- a/hemlockd/internal/capacity/queue.go
+++ b/hemlockd/internal/capacity/queue.go
@@ -27,7 +27,7 @@
 	// same room, for each of them, so that the first one's news reaches the next
 	// in time.
 	spreadForDaemon = 600 * time.Microsecond
-	// mostSpread bounds that time.
+	// mostLookSpread bounds that time.
 	mostLookSpread = 60 * time.Millisecond
 )
 
@@ -131,10 +131,3 @@
 	clear(q.waiting[len(still):])
 	q.waiting = still
 }
-
-// Waiting is the number of runs that wait.
-func (q *Queue) Waiting() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return len(q.waiting)
-}
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -173,7 +173,7 @@
 	x.answered = true
 	header := x.w.Header()
 	x.closeIfDraining()
-	header.Set("Content-Type", "application/problem+json")
+	header.Set("Content-Type", problem.ContentType)
 	if status == http.StatusServiceUnavailable && retryMs > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(float64(retryMs)/float64(clock.Second), 'f', 3, 64))
 	}
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -211,7 +211,7 @@
 		source = *m.source
 	}
 	reply, err := m.d.o.Upstreams.Send(m.stream.ctx, m.call, u, calls.Delivery{
-		Phase: calls.PhaseDecode, LeftMs: max(1, m.leftMs()), KVSource: source, ResumeAfter: m.stream.resumeAfter(), Hold: m.takeHold(),
+		Phase: calls.PhaseDecode, LeftMs: max(1, m.leftMs()), KVSource: source, ResumeAfter: m.stream.after, Hold: m.takeHold(),
 	})
 	failed := m.record(u.ID, calls.PhaseDecode, start, err)
 	if failed == nil {
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -30,7 +30,8 @@
 
 // streamState is how far a stream has come.
 type streamState struct {
-	// after is the id of the last event handed on, or that the caller had.
+	// after is the id of the last event handed on, or that the caller had; an engine
+	// goes on after it. "": from the beginning.
 	after  string
 	events int // handed on
 	// ctx ends the current engine's stream.
@@ -46,9 +47,6 @@
 	}
 }
 
-// resumeAfter is the id after which an engine goes on; "" for the beginning.
-func (s *streamState) resumeAfter() string { return s.after }
-
 // errPartialEvent says that a stream ended in the middle of an event.
 var errPartialEvent = errors.New("the stream ended in the middle of an event")
 
