Seventy daemons' news fits the default budget; a refusal says what its room was judged by

News beyond 100,000 bytes a second was left out, so for 3 s after each time every place had to be confirmed by its engine, four refusals of which ended the request. What was ruled out: stale views, prefill (backlog 100 ms). The line of such a refusal names refused reservations and whether little was known of other daemons.

--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/hemlockd/internal/logs"
+	"hemlockmux.example/hemlockd/internal/peers"
 	"hemlockmux.example/hemlockd/internal/shared"
 	"hemlockmux.example/platform"
 )
@@ -50,7 +51,7 @@
 		Usage: "run on the users' platform, which names the settings file in the environment",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"},
-			&cli.IntFlag{Name: "control-bytes", Value: 100_000, Usage: "most bytes a second sent to other daemons; beyond it engines confirm what is placed"},
+			&cli.IntFlag{Name: "control-bytes", Value: peers.DefaultBytesPerSecond, Usage: "most bytes a second sent to other daemons; beyond it engines confirm what is placed"},
 			&cli.IntFlag{Name: "metrics-port", Usage: "port on which metrics are served, at /metrics; 0: none"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -91,7 +92,7 @@
 // returns true where the stream may go on at another engine.
 func (m *modelRun) attempt(wait clock.Millis) bool {
 	if !m.placeAndHold(wait) {
-		m.basis = m.d.o.View.Summary(m.now())
+		m.basis = m.roomBasis()
 		m.giveUp(reasonNoRoom)
 		return false
 	}
@@ -115,6 +116,18 @@
 	}
 }
 
+// roomBasis says on what it was decided that there is no room.
+func (m *modelRun) roomBasis() string {
+	basis := m.d.o.View.Summary(m.now())
+	if m.refusals > 0 {
+		basis = fmt.Sprintf("%d engines refused a reservation; %s", m.refusals, basis)
+	}
+	if m.d.o.Peers.InTheDark() {
+		basis = "little is known of other daemons' runs; " + basis
+	}
+	return basis
+}
+
 // mayGoOn tells whether the request may be sent to another engine after one
 // may have run it.
 func (m *modelRun) mayGoOn() bool {
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -60,6 +60,9 @@
 	restartSilence = 300 * clock.Millisecond
 	// maxDatagram bounds one message, in bytes.
 	maxDatagram = 60 << 10
+	// DefaultBytesPerSecond bounds what a daemon sends to the others where its
+	// settings say nothing: what seventy daemons have to tell each other in a crest.
+	DefaultBytesPerSecond = 400_000
 	// maxNamed bounds the addresses of others in one message.
 	maxNamed = 8
 )
