Roles follow the work of prompts beside that of generation; data centres take turns

Use was the share of engines thought busy, 7.5 where the prompts took 4.2. Change: the work of prompts is counted as it is booked; a change has to lower the pressure in the role where it is greater, engines that are changing count in their new role, and data centres come one after another. Time to connect counts in what a prefill is thought to take. The line of a request holds the forecast it was placed by.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -164,9 +164,10 @@
 		Log: d.log, Clock: boot, Engines: servers, Name: d.own.Name, DataCentre: d.own.DataCentre,
 		Lease:    roles.NewLease(store, d.own.DataCentre, d.own.Name, d.own.RolesLeaseMs),
 		Services: d.engineServices, Responsible: d.firstOfDataCentre,
-		PrefillUse: func() float64 { return view.PrefillUse(d.clk.Now()) },
+		ReadingMs:  view.ReadingMs,
 		Memory:     func() map[string]float64 { return view.Use(d.clk.Now()) },
 		Changing:   d.dispatcher.SetChanging,
+		IsChanging: d.dispatcher.IsChanging,
 	})
 	d.peers.Start()
 	d.meetSeeds(d.own.Seeds)
--- a/hemlockd/internal/capacity/prefill.go
+++ b/hemlockd/internal/capacity/prefill.go
@@ -30,7 +30,8 @@
 type Prefiller struct {
 	ID         string
 	DataCentre string
-	// DistanceMs is the time on the way there and back.
+	// DistanceMs is the time on the way there and back. A call takes twice as
+	// long: it opens its own connection.
 	DistanceMs float64
 	// FailureRate is the part of the calls to it that failed lately.
 	FailureRate float64
@@ -72,18 +73,26 @@
 	return p
 }
 
-// book counts a prompt that the engine is given.
-func (p *prefiller) book(r Run, now clock.Millis) {
+// book counts a prompt that the engine is given. It returns the time that reading
+// it takes, 0 for one that was counted before.
+func (p *prefiller) book(r Run, now clock.Millis) float64 {
 	key := r.ID
 	if _, ok := p.booked[key]; ok {
-		return
+		return 0
 	}
-	start := max(p.freeMs, float64(now)+p.DistanceMs/2)
-	p.freeMs = start + float64(r.Prompt)*p.readMsPerToken
+	arrival := float64(now) + p.arrivalMs()
+	start := max(p.freeMs, arrival)
+	reading := float64(r.Prompt) * p.readMsPerToken
+	p.freeMs = start + reading
 	p.expire(now)
-	p.booked[key] = booking{startMs: start, endMs: p.freeMs, waited: start > float64(now)+p.DistanceMs/2}
+	p.booked[key] = booking{startMs: start, endMs: p.freeMs, waited: start > arrival}
+	return reading
 }
 
+// arrivalMs is the time until a call that begins now is there: the connection
+// and half of the way there and back.
+func (p *prefiller) arrivalMs() float64 { return 1.5 * p.DistanceMs }
+
 // backlog is the time until the engine is free.
 func (p *prefiller) backlog(now clock.Millis) float64 { return max(0, p.freeMs-float64(now)) }
 
@@ -106,7 +115,7 @@
 		if not[id] || p.backlog(now) > v.forecast.MostBacklogMs-backlogForDistance*p.DistanceMs {
 			continue
 		}
-		cost := p.backlog(now) + p.DistanceMs + failurePenaltyMs*p.FailureRate
+		cost := max(p.backlog(now), p.arrivalMs()) + p.DistanceMs/2 + failurePenaltyMs*p.FailureRate
 		if p.DataCentre != decodeDataCentre {
 			cost += farDecodePenaltyMs
 		}
@@ -138,7 +147,7 @@
 	if p == nil {
 		return Run{}, false
 	}
-	p.book(r, now)
+	v.readingMs += p.book(r, now)
 	r.Prefill, r.atMs = p.ID, now
 	e.runs[own][id] = r
 	return r, true
@@ -153,7 +162,7 @@
 	if !ok {
 		return 0
 	}
-	return clock.Millis(max(0, p.booked[r.ID].endMs-float64(now)) + p.DistanceMs)
+	return clock.Millis(max(0, p.booked[r.ID].endMs-float64(now)) + p.DistanceMs/2)
 }
 
 // PrefillDone takes in that the prefill of one of this daemon's runs has ended,
@@ -199,15 +208,10 @@
 	p.freeMs = max(float64(now), p.freeMs+late)
 }
 
-// PrefillUse returns the part of the prefill engines that has work.
-func (v *View) PrefillUse(now clock.Millis) float64 {
+// ReadingMs returns the time that prefill engines need, together, for all prompts
+// that they were ever given, as far as this daemon knows.
+func (v *View) ReadingMs() float64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	busy := 0
-	for _, p := range v.prefillers {
-		if p.backlog(now) > 0 {
-			busy++
-		}
-	}
-	return float64(busy) / float64(max(1, len(v.prefillers)))
+	return v.readingMs
 }
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -152,12 +152,13 @@
 			engines = append(engines, capacity.Engine{
 				ID: u.ID, DataCentre: u.DataCentre, MemoryTokens: service.Engine.MemoryTokens, Slots: service.Engine.Slots,
 				Cost: engineDistanceCost * d.distance(u.DataCentre), Margin: marginForMs * d.distance(u.DataCentre),
+				NewsMs: d.distance(u.DataCentre) / 2,
 			})
 		}
 	}
 	d.o.View.SetEngines(engines)
 	d.o.View.SetPrefillers(prefillers)
-	d.o.Queue.Wake()
+	d.o.Queue.WakeSoon()
 }
 
 // setDown takes the upstream out of use until it answers a probe, and tells the
@@ -225,6 +226,10 @@
 	}
 }
 
+// IsChanging tells whether an engine is about to give up the role that it is
+// listed with.
+func (d *Dispatcher) IsChanging(u routing.Upstream) bool { return d.health.changing(u) }
+
 // roleChangeReserve is added to the time that a change of role takes, for work
 // that ends first and for the list to tell of it.
 const roleChangeReserve = 6 * clock.Second
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -68,6 +68,9 @@
 	waitedMs clock.Millis
 	// basis says on what a refusal for want of room was decided.
 	basis string
+	// forecast is the part of its engine's memory that was forecast to be needed
+	// when the request was last given a place there; 0: it never was.
+	forecast float64
 }
 
 func (x *exchange) now() clock.Millis { return x.d.o.Clock.Now() }
@@ -279,6 +282,9 @@
 	if x.waitedMs > 0 {
 		fields = append(fields, zap.Int64("waitedMs", int64(x.waitedMs)))
 	}
+	if x.forecast > 0 {
+		fields = append(fields, zap.Float64("forecast", x.forecast))
+	}
 	if x.basis != "" {
 		fields = append(fields, zap.String("basis", x.basis))
 	}
--- a/hemlockd/internal/dispatch/health.go
+++ b/hemlockd/internal/dispatch/health.go
@@ -117,8 +117,20 @@
 	if !ok {
 		return true
 	}
-	changing := s.leavingRole != "" && s.leavingRole == u.Role && h.clk.Now() < s.changedByMs
-	return !s.down && !changing
+	return !s.down && !s.changing(u.Role, h.clk.Now())
+}
+
+// changing tells whether the upstream is about to give up the role that it is
+// listed with.
+func (h *health) changing(u routing.Upstream) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.upstreams[u.ID]
+	return ok && s.changing(u.Role, h.clk.Now())
+}
+
+func (u *upstreamHealth) changing(listed routing.Role, now clock.Millis) bool {
+	return u.leavingRole != "" && u.leavingRole == listed && now < u.changedByMs
 }
 
 func (h *health) down(id string) bool {
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -158,7 +159,7 @@
 	if !ok {
 		return false
 	}
-	m.run = run
+	m.run, m.forecast = run, math.Round(run.Use*100)/100
 	m.d.o.Peers.Tell(peers.News{Runs: []capacity.Run{run}})
 	return true
 }
--- a/hemlockd/internal/roles/keeper.go
+++ b/hemlockd/internal/roles/keeper.go
@@ -15,7 +15,7 @@
 	// lookInterval is the time between two looks at the load.
 	lookInterval = 250 * clock.Millisecond
 	// useWeight is the weight of one look in the average of a use.
-	useWeight = 0.15
+	useWeight = 0.05
 	// orderTimeout bounds the renewal of the right and, again, the order.
 	orderTimeout = 800 * clock.Millisecond
 	// freshFor is how long after its renewal the right may be used.
@@ -43,29 +43,42 @@
 	Services func() map[string][]routing.Upstream
 	// Responsible tells whether it is this daemon that should give orders.
 	Responsible func() bool
-	// PrefillUse returns the part of the prefill engines that read prompts now,
-	// Memory the part of each decode engine's memory that runs need.
-	PrefillUse func() float64
-	Memory     func() map[string]float64
-	// Changing is called with an engine that has been given an order.
-	Changing func(id string)
+	// ReadingMs returns the time that prefill engines need, together, for all
+	// prompts that they were ever given, Memory the part of each decode engine's
+	// memory that runs need.
+	ReadingMs func() float64
+	Memory    func() map[string]float64
+	// Changing is called with an engine that has been given an order; IsChanging
+	// tells whether an engine is about to give up the role it is listed with.
+	Changing   func(id string)
+	IsChanging func(u routing.Upstream) bool
 }
 
 // Keeper changes the roles of a data centre's engines.
 type Keeper struct {
 	o        Options
 	services map[string]*serviceLoad
+	// readingMs and lookedMs are of the last look.
+	readingMs float64
+	lookedMs  clock.Millis
 }
 
 type serviceLoad struct {
-	sustained               *Sustained
-	prefillUse, decodeUse   float64
-	prefillers, allPrefills []routing.Upstream
-	decoders                []routing.Upstream
+	sustained *Sustained
+	// prefillWork is the number of prefill engines that read at the same time,
+	// decodeWork the memory that runs need, in decode engines; both are averages
+	// over time, of so many looks.
+	prefillWork, decodeWork float64
+	looks                   int
 }
 
+// candidates is the engines that could change their role now.
+type candidates struct{ prefillers, decoders []routing.Upstream }
+
 // NewKeeper returns a keeper that has seen no load yet.
-func NewKeeper(o Options) *Keeper { return &Keeper{o: o, services: map[string]*serviceLoad{}} }
+func NewKeeper(o Options) *Keeper {
+	return &Keeper{o: o, services: map[string]*serviceLoad{}, readingMs: o.ReadingMs(), lookedMs: o.Clock.Now()}
+}
 
 // Run looks at the load and gives orders until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
@@ -77,59 +90,87 @@
 // lookAtAll takes in the load of each service and gives the orders that it calls
 // for.
 func (k *Keeper) lookAtAll(ctx context.Context) {
-	reading, memory := k.o.PrefillUse(), k.o.Memory()
+	reading, memory := k.reading(), k.o.Memory()
 	for name, engines := range k.o.Services() {
-		s := k.look(name, engines, reading, memory)
-		load := Load{
-			Prefillers: len(s.prefillers), Decoders: len(s.decoders), AllPrefillers: len(s.allPrefills),
-			PrefillUse: s.prefillUse, DecodeUse: s.decodeUse,
+		s, ok := k.services[name]
+		if !ok {
+			s = &serviceLoad{sustained: NewSustained(DefaultPolicy())}
+			k.services[name] = s
 		}
+		load, own := k.look(s, engines, reading, memory)
 		change := s.sustained.Decide(load, k.o.Clock.Now())
 		if change == Stay || !k.o.Responsible() {
 			continue
 		}
 		s.sustained.Changed(k.o.Clock.Now())
-		k.order(ctx, change, s, memory)
+		k.order(ctx, change, own, load, memory)
 	}
 }
 
-// look takes the load of one service into its averages.
-func (k *Keeper) look(name string, engines []routing.Upstream, reading float64, memory map[string]float64) *serviceLoad {
-	s, ok := k.services[name]
-	if !ok {
-		s = &serviceLoad{sustained: NewSustained(DefaultPolicy())}
-		k.services[name] = s
-	}
-	s.prefillers, s.allPrefills, s.decoders = nil, nil, nil
-	used, decoders := 0.0, 0.0
+// reading returns how many prefill engines were needed at the same time since the
+// last look.
+func (k *Keeper) reading() float64 {
+	total, now := k.o.ReadingMs(), k.o.Clock.Now()
+	needed := (total - k.readingMs) / float64(max(1, now-k.lookedMs))
+	k.readingMs, k.lookedMs = total, now
+	return needed
+}
+
+// look takes the load of one service into its averages and returns it.
+func (k *Keeper) look(s *serviceLoad, engines []routing.Upstream, reading float64, memory map[string]float64) (Load, candidates) {
+	var load Load
+	var own candidates
+	decodeWork := 0.0
+	inDataCentre := map[string]int{} // prefill engines
 	for _, u := range engines {
-		own := u.DataCentre == k.o.DataCentre
-		switch u.Role {
-		case routing.RolePrefill:
-			s.allPrefills = append(s.allPrefills, u)
-			if own {
-				s.prefillers = append(s.prefillers, u)
-			}
-		case routing.RoleDecode:
-			if own {
-				s.decoders = append(s.decoders, u)
-			}
-			decoders++
-			used += min(1, memory[u.ID])
+		prefill, changing := u.Role == routing.RolePrefill, k.o.IsChanging(u)
+		if !prefill {
+			decodeWork += min(1, memory[u.ID])
+		}
+		if prefill != changing {
+			load.AllPrefillers++
+			inDataCentre[u.DataCentre]++
+		} else {
+			load.AllDecoders++
+		}
+		if changing || u.DataCentre != k.o.DataCentre {
+			continue
+		}
+		if prefill {
+			own.prefillers = append(own.prefillers, u)
+		} else {
+			own.decoders = append(own.decoders, u)
+		}
+	}
+	s.looks++
+	weight := max(useWeight, 1/float64(s.looks))
+	s.prefillWork += weight * (reading - s.prefillWork)
+	s.decodeWork += weight * (decodeWork - s.decodeWork)
+	load.Prefillers, load.Decoders = len(own.prefillers), len(own.decoders)
+	load.PrefillWork, load.DecodeWork = s.prefillWork, s.decodeWork
+	load.Before = before(inDataCentre, k.o.DataCentre)
+	return load, own
+}
+
+// before counts the data centres that have more prefill engines than the own one;
+// among equals the name decides.
+func before(prefillers map[string]int, own string) int {
+	n := 0
+	for name, count := range prefillers {
+		if count > prefillers[own] || count == prefillers[own] && name < own {
+			n++
 		}
 	}
-	s.prefillUse += useWeight * (reading - s.prefillUse)
-	s.decodeUse += useWeight * (used/max(1, decoders) - s.decodeUse)
-	return s
+	return n
 }
 
 // order has the engine that has least to do take the other role.
-func (k *Keeper) order(ctx context.Context, change Change, s *serviceLoad, memory map[string]float64) {
-	candidates := s.prefillers
+func (k *Keeper) order(ctx context.Context, change Change, own candidates, load Load, memory map[string]float64) {
+	from := own.prefillers
 	if change == ToPrefill {
-		candidates = s.decoders
+		from = own.decoders
 	}
-	u := leastUsed(candidates, memory)
+	u := leastUsed(from, memory)
 	state, err := k.state(ctx, u)
 	if err != nil || state.Changing || state.Prefill == (change == ToPrefill) {
 		k.o.Log.Info("engine is not ordered to change its role", zap.String("upstream", u.ID),
@@ -150,7 +191,8 @@
 	metrics.Add("orders", 1)
 	k.o.Changing(u.ID)
 	k.o.Log.Info("engine is ordered to change its role", zap.String("upstream", u.ID), zap.Bool("prefill", order.Prefill),
-		zap.Int64("fence", fence), zap.Float64("prefillUse", s.prefillUse), zap.Float64("decodeUse", s.decodeUse), zap.Error(err))
+		zap.Int64("fence", fence), zap.Float64("prefillWork", load.PrefillWork), zap.Float64("decodeWork", load.DecodeWork),
+		zap.Int("prefillers", load.AllPrefillers), zap.Int("decoders", load.AllDecoders), zap.Error(err))
 }
 
 func (k *Keeper) state(ctx context.Context, u routing.Upstream) (calls.EngineState, error) {
--- a/hemlockd/internal/roles/keeper_test.go
+++ b/hemlockd/internal/roles/keeper_test.go
@@ -72,10 +72,11 @@
 // runKeeper looks at the load so often, with time moved by hand.
 func runKeeper(engines *fakeEngines, looks int, prefillUse, memory float64) {
 	clk := clock.NewManual(0)
+	readingMs := 0.0
 	k := NewKeeper(Options{
 		Log: zap.NewNop(), Clock: clk.Clock(), Engines: engines, Name: "d", DataCentre: "a",
 		Lease: NewLease(&orderlyStore{}, "a", "d", 3*clock.Second), Services: engines.services,
-		Responsible: func() bool { return true }, PrefillUse: func() float64 { return prefillUse },
+		Responsible: func() bool { return true }, ReadingMs: func() float64 { return readingMs },
 		Memory: func() map[string]float64 {
 			use := map[string]float64{}
 			for i := range len(engines.roles) {
@@ -83,10 +84,11 @@
 			}
 			return use
 		},
-		Changing: func(string) {},
+		Changing: func(string) {}, IsChanging: func(routing.Upstream) bool { return false },
 	})
 	for range looks {
 		clk.Advance(lookInterval)
+		readingMs += prefillUse * float64(engines.count(routing.RolePrefill)) * float64(lookInterval)
 		k.lookAtAll(context.Background())
 	}
 }
--- a/hemlockd/internal/roles/policy.go
+++ b/hemlockd/internal/roles/policy.go
@@ -14,15 +14,20 @@
 
 import "hemlockmux.example/common/clock"
 
-// Load is how busy the engines of one service are.
+// Load is how busy the engines of one service are. Engines of all data centres
+// serve the requests of all; one that is changing its role counts in the role
+// that it will have.
 type Load struct {
-	// Prefillers and Decoders count the engines of each role in the data centre.
+	// Prefillers and Decoders count the engines of the own data centre that could
+	// change their role.
 	Prefillers, Decoders int
-	// PrefillUse is the part of the prefill engines, in all data centres, that
-	// read prompts; DecodeUse the part of the decode engines' memory that runs
-	// need. AllPrefillers counts the prefill engines of all data centres.
-	PrefillUse, DecodeUse float64
-	AllPrefillers         int
+	// AllPrefillers and AllDecoders count the engines of all data centres.
+	AllPrefillers, AllDecoders int
+	// PrefillWork is the number of prefill engines that read prompts at the same
+	// time; DecodeWork the memory that runs need, in decode engines.
+	PrefillWork, DecodeWork float64
+	// Before is the number of data centres that come first with a change.
+	Before int
 }
 
 // Change is what to do about the roles of a data centre's engines.
@@ -39,34 +44,51 @@
 
 // Policy holds the thresholds of a decision.
 type Policy struct {
-	// BusyDecode is the DecodeUse from which another decode engine is wanted,
-	// BusyPrefill the PrefillUse from which another prefill engine is.
-	BusyDecode, BusyPrefill float64
-	// LeastPrefillSpare is the part of the prefill engines' time that must stay
-	// free after one of them has gone.
-	LeastPrefillSpare float64
-	// SustainMs is how long a change must be wanted before it is made, SettleMs
-	// the pause after a change.
-	SustainMs, SettleMs clock.Millis
+	// UsablePrefill is the part of the prefill engines' time, UsableDecode the part
+	// of the decode engines' memory, that can be used before requests wait long.
+	UsablePrefill, UsableDecode float64
+	// BusyFrom is the pressure from which roles are changed, LeastGain the relief
+	// that a change has to bring.
+	BusyFrom, LeastGain float64
+	// SustainMs is how long a change must be wanted before it is made, SettleMs the
+	// pause after a change in the same data centre. TurnMs is the pause after a
+	// change in any data centre, once more for each data centre that comes first.
+	SustainMs, TurnMs, SettleMs clock.Millis
 }
 
 // DefaultPolicy returns the thresholds that daemons run with.
 func DefaultPolicy() Policy {
 	return Policy{
-		BusyDecode: 0.35, BusyPrefill: 0.85, LeastPrefillSpare: 0.4,
-		SustainMs: 1500 * clock.Millisecond, SettleMs: 9 * clock.Second,
+		UsablePrefill: 0.9, UsableDecode: 0.92, BusyFrom: 0.4, LeastGain: 0.01,
+		SustainMs: 1500 * clock.Millisecond, TurnMs: 400 * clock.Millisecond, SettleMs: 9 * clock.Second,
 	}
 }
 
+// pressure is how much of what so many engines can do the load asks of them, in
+// the role where it is more.
+func (p Policy) pressure(l Load, prefillers, decoders int) float64 {
+	return max(l.PrefillWork/(p.UsablePrefill*float64(prefillers)), l.DecodeWork/(p.UsableDecode*float64(decoders)))
+}
+
 // Wanted returns the change that the load calls for at this moment.
 func (p Policy) Wanted(l Load) Change {
-	switch {
-	case l.Prefillers > 1 && l.DecodeUse >= p.BusyDecode &&
-		l.PrefillUse*float64(l.AllPrefillers) <= (1-p.LeastPrefillSpare)*float64(l.AllPrefillers-1):
+	if l.AllPrefillers == 0 {
+		if l.Decoders > 1 {
+			return ToPrefill
+		}
+		return Stay
+	}
+	if l.AllDecoders == 0 {
+		return Stay
+	}
+	least := p.pressure(l, l.AllPrefillers, l.AllDecoders) - p.LeastGain
+	if least+p.LeastGain < p.BusyFrom {
+		return Stay
+	}
+	if l.Prefillers > 1 && p.pressure(l, l.AllPrefillers-1, l.AllDecoders+1) < least {
 		return ToDecode
-	case l.Decoders > 1 && l.AllPrefillers == 0:
-		return ToPrefill
-	case l.Decoders > 1 && l.PrefillUse >= p.BusyPrefill && l.DecodeUse < p.BusyDecode:
+	}
+	if l.Decoders > 1 && p.pressure(l, l.AllPrefillers+1, l.AllDecoders-1) < least {
 		return ToPrefill
 	}
 	return Stay
@@ -79,6 +101,10 @@
 	sinceMs clock.Millis
 	// quietUntilMs is the end of the pause after the last change.
 	quietUntilMs clock.Millis
+	// prefillers is the number of prefill engines of all data centres at the last
+	// look, and sinceTheseMs since when there have been so many.
+	prefillers   int
+	sinceTheseMs clock.Millis
 }
 
 // NewSustained returns a decider that has seen nothing yet.
@@ -90,7 +116,11 @@
 	if wanted != s.wanted {
 		s.wanted, s.sinceMs = wanted, now
 	}
-	if wanted == Stay || now < s.quietUntilMs || now-s.sinceMs < s.policy.SustainMs {
+	if l.AllPrefillers != s.prefillers {
+		s.prefillers, s.sinceTheseMs = l.AllPrefillers, now
+	}
+	turnMs := s.policy.TurnMs * clock.Millis(1+l.Before)
+	if wanted == Stay || now < s.quietUntilMs || now-s.sinceMs < s.policy.SustainMs+turnMs || now-s.sinceTheseMs < turnMs {
 		return Stay
 	}
 	return wanted
