Roles change sooner; what a daemon hears at its start counts little

Each new one heard of all runs at once, took that for the work of its first look (3.7 to 4.1 prefill engines where 1.5 were needed) and wanted prefill engines back; and a change had to be wanted for 1.5 s by averages that are 5 s long already. Decode engines were 94 % full beside four idle prefill engines. Change: the first look counts as a fifth, averages begin with the first work, a change is wanted for 750 ms and then waits for its turn; orders from a pressure of 0.3 on.

--- a/hemlockd/internal/roles/keeper.go
+++ b/hemlockd/internal/roles/keeper.go
@@ -16,6 +16,9 @@
 	lookInterval = 250 * clock.Millisecond
 	// useWeight is the weight of one look in the average of a use.
 	useWeight = 0.05
+	// firstLooks is the number of looks for which the first one counts at the most:
+	// a daemon that has just started hears of all runs at once.
+	firstLooks = 4
 	// orderTimeout bounds the renewal of the right and, again, the order.
 	orderTimeout = 800 * clock.Millisecond
 	// freshFor is how long after its renewal the right may be used.
@@ -142,8 +145,11 @@
 			own.decoders = append(own.decoders, u)
 		}
 	}
+	if reading == 0 && decodeWork == 0 {
+		s.looks = 0 // averages begin with the first work
+	}
 	s.looks++
-	weight := max(useWeight, 1/float64(s.looks))
+	weight := max(useWeight, 1/float64(firstLooks+s.looks))
 	s.prefillWork += weight * (reading - s.prefillWork)
 	s.decodeWork += weight * (decodeWork - s.decodeWork)
 	load.Prefillers, load.Decoders = len(own.prefillers), len(own.decoders)
--- a/hemlockd/internal/roles/policy.go
+++ b/hemlockd/internal/roles/policy.go
@@ -59,8 +59,8 @@
 // DefaultPolicy returns the thresholds that daemons run with.
 func DefaultPolicy() Policy {
 	return Policy{
-		UsablePrefill: 0.9, UsableDecode: 0.92, BusyFrom: 0.4, LeastGain: 0.01,
-		SustainMs: 1500 * clock.Millisecond, TurnMs: 400 * clock.Millisecond, SettleMs: 9 * clock.Second,
+		UsablePrefill: 0.9, UsableDecode: 0.92, BusyFrom: 0.3, LeastGain: 0.01,
+		SustainMs: 750 * clock.Millisecond, TurnMs: 400 * clock.Millisecond, SettleMs: 9 * clock.Second,
 	}
 }
 
