A whole answer is made again after its engine has died midway

Found by TestCrashSuspectIsStopped, which failed once (126 innocent requests served, one 502 'unexpected EOF'; ./... beside nothing else). Cause: an innocent request was on the engine that the culprit killed, past its first chunk; the keeper takes a run as passed on once the first chunk has gone to the front, though a caller that wants the answer whole has seen none of it. The test passes where engines chosen for the culprit happen to be empty. Ruled out: the suspects' count (two crashes, as wanted).

--- a/hemlockd/e2e/suspects_test.go
+++ b/hemlockd/e2e/suspects_test.go
@@ -65,3 +65,25 @@
 		So(len(refused), ShouldEqual, 0)
 	})
 }
+
+// An engine dies in the middle of answers that their callers want whole. Nothing
+// of them has been passed on, so each is made again on another engine.
+func TestWholeAnswerIsMadeAgainAfterACrashMidway(t *testing.T) {
+	d := deploy(t, options{dataCentres: []string{"brandon-a"}, policy: "retryRatio = 1.0\nmaxAttempts = 4", prefill: 2, decode: 3})
+	for i := range 3 {
+		d.fault(fmt.Sprintf("brandon-a-decode-%d", i+1), "crashOn", map[string]any{"match": "the culprit"})
+	}
+	Convey("answers that were begun", t, func() {
+		const innocents = 6 // so that each engine has begun some
+		answers := make(chan answer, innocents)
+		for i := range innocents {
+			go func() { answers <- d.daemons[i%2].complete(fmt.Sprint("a long answer ", i), 200) }()
+		}
+		time.Sleep(700 * time.Millisecond)
+		So(d.daemons[0].complete("this is the culprit", 20).status, ShouldNotEqual, http.StatusOK)
+		for range innocents {
+			a := <-answers
+			So(a.status, ShouldEqual, http.StatusOK)
+		}
+	})
+}
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		return err
 	}
+	r.begin()
 	k.claims.add(call.RID)
 	defer k.claims.remove(call.RID)
 	started := k.common.Clock.Now()
@@ -99,6 +100,14 @@
 	return err
 }
 
+// begin forgets what an engine before has made of a whole answer.
+func (r *Run) begin() {
+	r.held = nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun = len(r.chunks) > 0
+}
+
 // resumable tells whether the engine may still be at work on the stream.
 func resumable(err error) bool {
 	if errors.Is(err, errStalled) {
@@ -157,7 +166,7 @@
 // resultLate tells admission that the prefill's result is late or lost.
 func (r *Run) resultLate() {
 	r.mu.Lock()
-	begun := len(r.chunks) > 0
+	begun := r.begun
 	r.mu.Unlock()
 	if !begun {
 		metrics.Add("resultsLate", 1)
@@ -175,13 +184,22 @@
 	return float64(r.call.PromptTokens) * m.KVTokenKB / m.TransferMBps
 }
 
-// deliver passes chunks on in order.
+// deliver passes chunks on in order, those of a whole answer at its end.
 func (r *Run) deliver(ready []streams.Chunk) {
 	r.mu.Lock()
-	first := len(r.chunks) == 0
+	first := !r.begun
+	r.begun = true
 	r.mu.Unlock()
-	r.publish(ready, nil)
 	if first {
 		r.group.with(func(a *admission.Group) { a.FirstToken(r.call.RequestID, r.keeper.common.Clock.Now()) })
 	}
+	if !r.call.Whole {
+		r.publish(ready, nil)
+		return
+	}
+	r.held = append(r.held, ready...)
+	if ready[len(ready)-1].Last {
+		r.publish(r.held, nil)
+		r.held = nil
+	}
 }
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -68,6 +68,9 @@
 	// FrontCentre and SettingsVersion are that daemon's.
 	FrontCentre     string `json:"frontCentre"`
 	SettingsVersion int64  `json:"settingsVersion"`
+	// Whole says that the caller wants the answer at once at its end: nothing of it
+	// is passed on before, so that it can be made again after a failure.
+	Whole bool `json:"whole,omitempty"`
 	// What follows is filled in again by the daemon that a call is handed to.
 	Allowed map[string]bool `json:"-"`
 	Hashes  []uint64        `json:"-"`
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -33,7 +33,8 @@
 	cancel context.CancelFunc
 
 	mu       sync.Mutex
-	chunks   []streams.Chunk
+	chunks   []streams.Chunk // passed on
+	begun    bool            // the engine at work has made its first chunk
 	result   *Result
 	changed  chan struct{} // closed and replaced when there is news and a reader waits
 	waiting  bool
@@ -44,6 +45,7 @@
 	attempts   []verdict.Attempt
 	dispatched bool // any engine may have run any part of it
 	grant      admission.Grant
+	held       []streams.Chunk // of a whole answer, until its end
 }
 
 // Begin starts a call, or returns the run of that request that is under way.
