A run stays with the engines of its service

Found by reading: the view of engines held all services' engines and placed a run at any of them; the dispatcher then found no such engine in the run's service and refused. Change: engines, prefill engines, what fits and the work of prompts go by service. Test red first (placed at the other model's engine).

--- a/hemlockd/internal/capacity/prefill.go
+++ b/hemlockd/internal/capacity/prefill.go
@@ -29,6 +29,7 @@
 // Prefiller is a prefill engine as the view needs to know it.
 type Prefiller struct {
 	ID         string
+	Service    string
 	DataCentre string
 	// DistanceMs is the time on the way there and back. A call takes twice as
 	// long: it opens its own connection.
@@ -73,6 +74,11 @@
 	return p
 }
 
+// bookLocked counts a prompt that a prefill engine is given.
+func (v *View) bookLocked(p *prefiller, r Run, now clock.Millis) {
+	v.readingMs[p.Service] += p.book(r, now)
+}
+
 // book counts a prompt that the engine is given. It returns the time that reading
 // it takes, 0 for one that was counted before.
 func (p *prefiller) book(r Run, now clock.Millis) float64 {
@@ -107,16 +113,16 @@
 
 // choosePrefillerLocked returns the engine that is thought to have read the
 // prompt first, nil where each has more work ahead than it is given.
-func (v *View) choosePrefillerLocked(decodeDataCentre string, not map[string]bool, now clock.Millis) *prefiller {
+func (v *View) choosePrefillerLocked(decode *engine, not map[string]bool, now clock.Millis) *prefiller {
 	var best *prefiller
 	bestCost := 0.0
 	for _, id := range slices.Sorted(maps.Keys(v.prefillers)) {
 		p := v.prefillers[id]
-		if not[id] || p.backlog(now) > v.forecast.MostBacklogMs-backlogForDistance*p.DistanceMs {
+		if p.Service != decode.Service || not[id] || p.backlog(now) > v.forecast.MostBacklogMs-backlogForDistance*p.DistanceMs {
 			continue
 		}
 		cost := max(p.backlog(now), p.arrivalMs()) + p.DistanceMs/2 + failurePenaltyMs*p.FailureRate
-		if p.DataCentre != decodeDataCentre {
+		if p.DataCentre != decode.DataCentre {
 			cost += farDecodePenaltyMs
 		}
 		if best == nil || cost < bestCost {
@@ -126,11 +132,21 @@
 	return best
 }
 
-// Prefillers is the number of prefill engines that take work.
-func (v *View) Prefillers() int {
+// Prefillers is the number of a service's prefill engines that take work.
+func (v *View) Prefillers(service string) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return len(v.prefillers)
+	return v.prefillersLocked(service)
+}
+
+func (v *View) prefillersLocked(service string) int {
+	n := 0
+	for _, p := range v.prefillers {
+		if p.Service == service {
+			n++
+		}
+	}
+	return n
 }
 
 // PlacePrefill chooses another prefill engine for one of this daemon's runs and
@@ -143,11 +159,11 @@
 	if !ok {
 		return Run{}, false
 	}
-	p := v.choosePrefillerLocked(e.DataCentre, not, now)
+	p := v.choosePrefillerLocked(e, not, now)
 	if p == nil {
 		return Run{}, false
 	}
-	v.readingMs += p.book(r, now)
+	v.bookLocked(p, r, now)
 	r.Prefill, r.atMs = p.ID, now
 	e.runs[own][id] = r
 	return r, true
@@ -208,10 +224,10 @@
 	p.freeMs = max(float64(now), p.freeMs+late)
 }
 
-// ReadingMs returns the time that prefill engines need, together, for all prompts
-// that they were ever given, as far as this daemon knows.
-func (v *View) ReadingMs() float64 {
+// ReadingMs returns the time that a service's prefill engines need, together, for
+// all prompts that they were ever given, as far as this daemon knows.
+func (v *View) ReadingMs(service string) float64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.readingMs
+	return v.readingMs[service]
 }
--- a/hemlockd/internal/capacity/run.go
+++ b/hemlockd/internal/capacity/run.go
@@ -22,6 +22,9 @@
 	Made int `json:"made"`
 	// Decoding says that the engine has begun to generate.
 	Decoding bool `json:"decoding,omitempty"`
+	// Service is the service whose engines the run may use; the daemon that places it
+	// knows it.
+	Service string `json:"-"`
 	// Use is the part of the engine's memory that was forecast to be needed when
 	// the run was placed.
 	Use float64 `json:"-"`
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -42,6 +42,7 @@
 // Engine is a decode engine as the view needs to know it.
 type Engine struct {
 	ID           string
+	Service      string
 	DataCentre   string
 	MemoryTokens int
 	Slots        int
@@ -71,8 +72,8 @@
 	engines  map[string]*engine
 	// prefillers holds the prefill engines.
 	prefillers map[string]*prefiller
-	// readingMs is the time that all prompts counted so far take to read.
-	readingMs float64
+	// readingMs is the time that all prompts counted so far take to read, by service.
+	readingMs map[string]float64
 	// where holds the engine of each of this daemon's runs.
 	where map[string]string
 	// draw returns a random number from 0 to 1.
@@ -81,7 +82,7 @@
 
 // NewView returns a view without engines.
 func NewView(f Forecast) *View {
-	return &View{forecast: f, lengths: newLengths(), engines: map[string]*engine{}, prefillers: map[string]*prefiller{}, where: map[string]string{}, draw: rand.Float64}
+	return &View{forecast: f, lengths: newLengths(), engines: map[string]*engine{}, prefillers: map[string]*prefiller{}, where: map[string]string{}, readingMs: map[string]float64{}, draw: rand.Float64}
 }
 
 // SetEngines takes over which engines take work. Others are forgotten once nothing
@@ -156,12 +157,12 @@
 	r.Engine, r.atMs, r.Prefill = best.ID, now, ""
 	r.Use = float64(need) / float64(best.MemoryTokens)
 	if !s.Read {
-		p := v.choosePrefillerLocked(best.DataCentre, s.Not, now)
-		if p == nil && len(v.prefillers) > 0 {
+		p := v.choosePrefillerLocked(best, s.Not, now)
+		if p == nil && v.prefillersLocked(r.Service) > 0 {
 			return r, false
 		}
 		if p != nil { // else the decode engine reads the prompt
-			v.readingMs += p.book(r, now)
+			v.bookLocked(p, r, now)
 			r.Prefill = p.ID
 		}
 	}
@@ -175,7 +176,7 @@
 func (v *View) chooseLocked(r Run, s Search, now clock.Millis) (best *engine, need int) {
 	bestCost := 0.0
 	for _, e := range v.sortedLocked() {
-		if s.Not[e.ID] || e.MemoryTokens == 0 || e.count() >= e.Slots {
+		if e.Service != r.Service || s.Not[e.ID] || e.MemoryTokens == 0 || e.count() >= e.Slots {
 			continue
 		}
 		n := v.peakLocked(e, &r, now)
@@ -203,12 +204,12 @@
 	return unseen <= share || v.draw()*unseen < share
 }
 
-// Fits tells whether any engine could ever hold the run alone.
+// Fits tells whether any engine of the run's service could ever hold it alone.
 func (v *View) Fits(r Run) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range v.engines {
-		if r.Prompt < e.MemoryTokens {
+		if e.Service == r.Service && r.Prompt < e.MemoryTokens {
 			return true
 		}
 	}
@@ -345,7 +346,7 @@
 	e.runs[owner][r.ID] = r
 	if p, ok := v.prefillers[r.Prefill]; ok {
 		p.expire(now)
-		v.readingMs += p.book(r, now)
+		v.bookLocked(p, r, now)
 	}
 }
 
--- a/hemlockd/internal/capacity/view_test.go
+++ b/hemlockd/internal/capacity/view_test.go
@@ -154,3 +154,27 @@
 		t.Error("an engine that is gone is kept for ever")
 	}
 }
+
+// TestRunsStayWithTheirService: engines of two models stand in the same list, and
+// the one with more room is the other model's.
+func TestRunsStayWithTheirService(t *testing.T) {
+	v := newExactView()
+	v.SetEngines([]Engine{
+		{ID: "a-busy", Service: "a", MemoryTokens: 1000, Slots: 9, Cost: 0.5},
+		{ID: "b-idle", Service: "b", MemoryTokens: 9000, Slots: 9},
+	})
+	v.SetPrefillers([]Prefiller{{ID: "b-prefill", Service: "b"}})
+	placed, ok := v.Place(Run{ID: "1", Service: "a", Prompt: 300, Likely: 10, Most: 20}, Search{}, 0)
+	if !ok || placed.Engine != "a-busy" || placed.Prefill != "" {
+		t.Errorf("placed at %q, prompt read at %q, %v", placed.Engine, placed.Prefill, ok)
+	}
+	if v.Fits(Run{Service: "a", Prompt: 5000}) {
+		t.Error("a prompt fits, by the memory of another service's engine")
+	}
+	if placed, ok = v.Place(Run{ID: "2", Service: "b", Prompt: 300, Likely: 10, Most: 20}, Search{}, 0); !ok || placed.Prefill != "b-prefill" {
+		t.Errorf("%+v, %v", placed, ok)
+	}
+	if v.ReadingMs("a") != 0 || v.ReadingMs("b") == 0 {
+		t.Errorf("reading %v for a, %v for b", v.ReadingMs("a"), v.ReadingMs("b"))
+	}
+}
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -143,14 +143,14 @@
 			if u.Role == routing.RolePrefill {
 				_, failureRate := d.health.state(u.ID)
 				prefillers = append(prefillers, capacity.Prefiller{
-					ID: u.ID, DataCentre: u.DataCentre, DistanceMs: d.distance(u.DataCentre), FailureRate: failureRate,
+					ID: u.ID, Service: name, DataCentre: u.DataCentre, DistanceMs: d.distance(u.DataCentre), FailureRate: failureRate,
 				})
 			}
 			if u.Role != routing.RoleDecode {
 				continue
 			}
 			engines = append(engines, capacity.Engine{
-				ID: u.ID, DataCentre: u.DataCentre, MemoryTokens: service.Engine.MemoryTokens, Slots: service.Engine.Slots,
+				ID: u.ID, Service: name, DataCentre: u.DataCentre, MemoryTokens: service.Engine.MemoryTokens, Slots: service.Engine.Slots,
 				Cost: engineDistanceCost * d.distance(u.DataCentre), Margin: marginForMs * d.distance(u.DataCentre),
 				NewsMs: d.distance(u.DataCentre) / 2,
 			})
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -58,7 +58,7 @@
 	p := m.call.Prompt
 	done := eventsBefore(m.call.ResumeAfter) * m.spec.EventTokens
 	m.run = capacity.Run{
-		ID: m.call.ID, Prompt: p.Tokens + done, Most: max(1, p.MostOutput-done), Likely: max(0, p.LikelyOutput-done),
+		ID: m.call.ID, Service: m.service, Prompt: p.Tokens + done, Most: max(1, p.MostOutput-done), Likely: max(0, p.LikelyOutput-done),
 	}
 	m.stream.after = m.call.ResumeAfter
 	defer m.release()
--- a/hemlockd/internal/dispatch/prefill.go
+++ b/hemlockd/internal/dispatch/prefill.go
@@ -48,7 +48,7 @@
 
 // prefill has the prompt read, unless a result is there already.
 func (m *modelRun) prefill() bool {
-	if m.source != nil || m.run.Prefill == "" && m.d.o.View.Prefillers() == 0 {
+	if m.source != nil || m.run.Prefill == "" && m.d.o.View.Prefillers(m.service) == 0 {
 		return true
 	}
 	tried := map[string]bool{}
--- a/hemlockd/internal/roles/keeper.go
+++ b/hemlockd/internal/roles/keeper.go
@@ -46,10 +46,10 @@
 	Services func() map[string][]routing.Upstream
 	// Responsible tells whether it is this daemon that should give orders.
 	Responsible func() bool
-	// ReadingMs returns the time that prefill engines need, together, for all
-	// prompts that they were ever given, Memory the part of each decode engine's
+	// ReadingMs returns the time that a service's prefill engines need, together, for
+	// all prompts that they were ever given, Memory the part of each decode engine's
 	// memory that runs need.
-	ReadingMs func() float64
+	ReadingMs func(service string) float64
 	Memory    func() map[string]float64
 	// Changing is called with an engine that has been given an order; IsChanging
 	// tells whether an engine is about to give up the role it is listed with.
@@ -61,9 +61,6 @@
 type Keeper struct {
 	o        Options
 	services map[string]*serviceLoad
-	// readingMs and lookedMs are of the last look.
-	readingMs float64
-	lookedMs  clock.Millis
 }
 
 type serviceLoad struct {
@@ -73,6 +70,9 @@
 	// over time, of so many looks.
 	prefillWork, decodeWork float64
 	looks                   int
+	// readingMs and lookedMs are of the last look.
+	readingMs float64
+	lookedMs  clock.Millis
 }
 
 // candidates is the engines that could change their role now.
@@ -80,7 +80,7 @@
 
 // NewKeeper returns a keeper that has seen no load yet.
 func NewKeeper(o Options) *Keeper {
-	return &Keeper{o: o, services: map[string]*serviceLoad{}, readingMs: o.ReadingMs(), lookedMs: o.Clock.Now()}
+	return &Keeper{o: o, services: map[string]*serviceLoad{}}
 }
 
 // Run looks at the load and gives orders until ctx ends.
@@ -93,14 +93,14 @@
 // lookAtAll takes in the load of each service and gives the orders that it calls
 // for.
 func (k *Keeper) lookAtAll(ctx context.Context) {
-	reading, memory := k.reading(), k.o.Memory()
+	memory := k.o.Memory()
 	for name, engines := range k.o.Services() {
 		s, ok := k.services[name]
 		if !ok {
-			s = &serviceLoad{sustained: NewSustained(DefaultPolicy())}
+			s = &serviceLoad{sustained: NewSustained(DefaultPolicy()), readingMs: k.o.ReadingMs(name), lookedMs: k.o.Clock.Now()}
 			k.services[name] = s
 		}
-		load, own := k.look(s, engines, reading, memory)
+		load, own := k.look(s, engines, k.reading(name, s), memory)
 		change := s.sustained.Decide(load, k.o.Clock.Now())
 		if change == Stay || !k.o.Responsible() {
 			continue
@@ -110,12 +110,12 @@
 	}
 }
 
-// reading returns how many prefill engines were needed at the same time since the
-// last look.
-func (k *Keeper) reading() float64 {
-	total, now := k.o.ReadingMs(), k.o.Clock.Now()
-	needed := (total - k.readingMs) / float64(max(1, now-k.lookedMs))
-	k.readingMs, k.lookedMs = total, now
+// reading returns how many of a service's prefill engines were needed at the same
+// time since the last look.
+func (k *Keeper) reading(service string, s *serviceLoad) float64 {
+	total, now := k.o.ReadingMs(service), k.o.Clock.Now()
+	needed := (total - s.readingMs) / float64(max(1, now-s.lookedMs))
+	s.readingMs, s.lookedMs = total, now
 	return needed
 }
 
--- a/hemlockd/internal/roles/keeper_test.go
+++ b/hemlockd/internal/roles/keeper_test.go
@@ -76,7 +76,7 @@
 	k := NewKeeper(Options{
 		Log: zap.NewNop(), Clock: clk.Clock(), Engines: engines, Name: "d", DataCentre: "a",
 		Lease: NewLease(&orderlyStore{}, "a", "d", 3*clock.Second), Services: engines.services,
-		Responsible: func() bool { return true }, ReadingMs: func() float64 { return readingMs },
+		Responsible: func() bool { return true }, ReadingMs: func(string) float64 { return readingMs },
 		Memory: func() map[string]float64 {
 			use := map[string]float64{}
 			for i := range len(engines.roles) {
