--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -81,7 +81,7 @@
 
 // EngineState is what an engine says of itself; it is some hundred ms old.
 type EngineState struct {
-	Prefill, Decode bool
+	Prefill bool // else decode
 	// Changing says that an order is being carried out.
 	Changing bool
 	// Orders is the number of orders accepted since the engine started.
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -9,10 +9,7 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
-	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -45,9 +42,7 @@
 	// notReadyFor is how long the daemon still takes callers after it has become
 	// not ready, so that the balancer can notice.
 	notReadyFor = clock.Second
-	// headerTimeout bounds how long a caller may take to send a request's head.
-	headerTimeout = 10 * clock.Second
-	idleTimeout   = 2 * clock.Minute
+	idleTimeout = 2 * clock.Minute
 )
 
 // Daemon is the whole daemon.
@@ -200,25 +195,13 @@
 	return settings.DefaultSystem().Policy
 }
 
-// listen opens a port and serves it.
+// listen opens a port, which is closed with the daemon.
 func (d *Daemon) listen(name, address string, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen for %s: %w", name, err)
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
-		ErrorLog: zap.NewStdLog(d.common.Log),
-	}
-	go d.runServer(name, server, listener)
-	d.onClose(func() { _ = server.Close() })
-	return server, nil
-}
-
-func (d *Daemon) runServer(name string, server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		d.failed <- fmt.Errorf("%s' port: %w", name, err)
+	server, closePort, err := openPort(d.common.Log, name, address, handler, idleTimeout, d.failed)
+	if err == nil {
+		d.onClose(closePort)
 	}
+	return server, err
 }
 
 // runPolls looks at the platform's settings while this daemon is one of the two
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"expvar"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -43,8 +41,7 @@
 	// shutdownReserve is the time before the kill at which the daemon ends.
 	shutdownReserve = 700 * clock.Millisecond
 	// callerIdleTimeout is longer than callers keep an idle connection.
-	callerIdleTimeout   = 30 * clock.Second
-	callerHeaderTimeout = 10 * clock.Second
+	callerIdleTimeout = 30 * clock.Second
 )
 
 // platformDaemon is the daemon on the users' platform.
@@ -141,7 +138,9 @@
 		Log: d.log, Clock: d.clk, Name: d.own.Name, DataCentre: d.own.DataCentre,
 		Address: d.datagramAddress(), Control: d.own.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes,
 	}, peers.Handlers{
-		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, RoomChanged: queue.WakeSoon, Down: d.hearDown, Changing: d.hearChanging,
+		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, RoomChanged: queue.WakeSoon,
+		Down:     func(ids []string) { d.dispatcher.HearDown(ids) }, // the dispatcher is made below
+		Changing: func(ids []string) { d.dispatcher.HearChanging(ids) },
 		Newer:    d.directory.AskPeer,
 		Snapshot: d.directory.Snapshot, Beliefs: d.beliefs,
 	})
@@ -192,24 +191,13 @@
 	return err
 }
 
+// listen opens a port, which is closed with the daemon.
 func (d *platformDaemon) listen(name, address string, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen for %s: %w", name, err)
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: callerHeaderTimeout.Duration(), IdleTimeout: callerIdleTimeout.Duration(),
-		ErrorLog: zap.NewStdLog(d.log),
-	}
-	go d.runServer(name, server, listener)
-	d.onClose(func() { _ = server.Close() })
-	return server, nil
-}
-
-func (d *platformDaemon) runServer(name string, server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		d.failed <- fmt.Errorf("%s' port: %w", name, err)
+	server, closePort, err := openPort(d.log, name, address, handler, callerIdleTimeout, d.failed)
+	if err == nil {
+		d.onClose(closePort)
 	}
+	return server, err
 }
 
 // serveReady answers the balancer.
@@ -228,26 +216,14 @@
 // changed takes in that the configuration or the list of upstreams has changed,
 // and tells the other daemons that there is news.
 func (d *platformDaemon) changed() {
-	d.refresh()
-	d.peers.Tell(peers.News{})
-}
-
-func (d *platformDaemon) refresh() {
 	d.dispatcher.Refresh()
-}
-
-func (d *platformDaemon) hearDown(ids []string) {
-	d.dispatcher.HearDown(ids)
-}
-
-func (d *platformDaemon) hearChanging(ids []string) {
-	d.dispatcher.HearChanging(ids)
+	d.peers.Tell(peers.News{})
 }
 
 func (d *platformDaemon) runRefresh(ctx context.Context) {
 	for clock.Pause(ctx, refreshInterval) {
 		d.directory.Sync()
-		d.refresh()
+		d.dispatcher.Refresh()
 	}
 }
 
--- a/hemlockd/internal/capacity/queue.go
+++ b/hemlockd/internal/capacity/queue.go
@@ -52,7 +52,8 @@
 func (q *Queue) Place(ctx context.Context, r Run, read bool, not map[string]bool) (Run, bool) {
 	w := &waiter{run: r, search: Search{Read: read, Not: not}, placed: make(chan Run, 1)}
 	q.mu.Lock()
-	if placed, ok := q.view.Place(r, q.amongLocked(w.search), q.clk.Now()); ok {
+	w.search.Crowd, w.search.LookMs = q.crowdLocked()
+	if placed, ok := q.view.Place(r, w.search, q.clk.Now()); ok {
 		q.mu.Unlock()
 		return placed, true
 	}
@@ -85,22 +86,21 @@
 	return <-w.placed, true
 }
 
-// amongLocked adds to a search how many others there are: as many runs are thought
-// to wait at each of the other daemons as wait here.
-func (q *Queue) amongLocked(s Search) Search {
-	s.Crowd = float64(len(q.waiting) * (q.daemons() - 1))
-	s.LookMs = float64(recheck) + float64(q.mostSpread().Milliseconds())/2
-	return s
+// crowdLocked returns how many other runs are thought to look for a place, as many
+// at each of the other daemons as wait here, and the time in which each looks once.
+func (q *Queue) crowdLocked() (runs, lookMs float64) {
+	others := q.daemons() - 1
+	return float64(len(q.waiting) * others), float64(recheck) + float64(spreadOf(others).Milliseconds())/2
 }
 
-// mostSpread is the time over which daemons spread their looks.
-func (q *Queue) mostSpread() time.Duration {
-	return max(0, min(mostLookSpread, time.Duration(q.daemons()-1)*spreadForDaemon))
+// spreadOf is the time over which this daemon and so many others spread their looks.
+func spreadOf(others int) time.Duration {
+	return max(0, min(mostLookSpread, time.Duration(others)*spreadForDaemon))
 }
 
 // spread is a random part of the time over which daemons spread their looks.
 func (q *Queue) spread() time.Duration {
-	return time.Duration(rand.Int64N(int64(q.mostSpread()) + 1))
+	return time.Duration(rand.Int64N(int64(spreadOf(q.daemons()-1)) + 1))
 }
 
 // WakeSoon looks for room at a random time soon: other daemons heard of the same
@@ -131,13 +131,11 @@
 		return
 	}
 	now := q.clk.Now()
-	among := make([]Search, len(q.waiting))
-	for i, w := range q.waiting {
-		among[i] = q.amongLocked(w.search)
-	}
+	crowd, lookMs := q.crowdLocked()
 	still := q.waiting[:0]
-	for i, w := range q.waiting {
-		if placed, ok := q.view.Place(w.run, among[i], now); ok {
+	for _, w := range q.waiting {
+		w.search.Crowd, w.search.LookMs = crowd, lookMs
+		if placed, ok := q.view.Place(w.run, w.search, now); ok {
 			w.placed <- placed
 			continue
 		}
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -75,9 +75,6 @@
 		}
 		if failed.Outcome != calls.NotRun {
 			runs++
-			if !x.route.Repeatable() {
-				break
-			}
 		}
 		if x.outcome != calls.NotRun && !x.route.Repeatable() {
 			break
--- a/hemlockd/internal/roles/keeper_test.go
+++ b/hemlockd/internal/roles/keeper_test.go
@@ -24,7 +24,7 @@
 func (f *fakeEngines) State(_ context.Context, to routing.Upstream) (calls.EngineState, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return calls.EngineState{Prefill: f.roles[to.ID] == routing.RolePrefill, Decode: f.roles[to.ID] == routing.RoleDecode}, nil
+	return calls.EngineState{Prefill: f.roles[to.ID] == routing.RolePrefill}, nil
 }
 
 func (f *fakeEngines) ChangeRole(_ context.Context, to routing.Upstream, o calls.Order) error {
