--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -44,6 +45,10 @@
 	maxBackoff = 800 * clock.Millisecond
 )
 
+// storeSource names the store as the source of a change in the log. Changes from other
+// daemons have their control address as the source.
+const storeSource = "store"
+
 // Decoder decodes the platform's entries.
 type Decoder struct {
 	// Config decodes a configuration.
@@ -103,7 +108,7 @@
 		running.Go(func() { f.run(d.ctx) })
 	}
 	follow(directory.Routes, followWait, d.applyRoutes)
-	follow(directory.Upstreams, followWait, func(page directory.Page, full bool) { d.applyUpstreams(page, full) })
+	follow(directory.Upstreams, followWait, func(page directory.Page, full bool) { d.applyUpstreams(page, full, storeSource) })
 	follow(directory.Daemons, daemonsWait, d.applyDaemons)
 	return func() {
 		d.cancel()
@@ -135,12 +140,13 @@
 // store has ended, and calls OnUpstreams if there were any.
 func (d *Directory) ExpireUpstreams() {
 	d.mu.Lock()
-	changed := d.upstreams.expire(d.o.Clock.Now())
-	if changed {
+	expired := d.upstreams.expire(d.o.Clock.Now())
+	if len(expired) > 0 {
 		d.publishLocked()
 	}
 	d.mu.Unlock()
-	if changed {
+	if len(expired) > 0 {
+		d.o.Log.Info("removed upstreams are no longer kept", zap.Strings("upstreams", expired))
 		d.o.OnUpstreams()
 	}
 }
@@ -160,7 +166,7 @@
 func (d *Directory) applyRoutes(page directory.Page, _ bool) {
 	for _, e := range page.Entries {
 		if !e.Removed {
-			d.applyConfig(e.Value, "store")
+			d.applyConfig(e.Value, storeSource)
 		}
 	}
 }
@@ -189,35 +195,38 @@
 
 // applyUpstreams applies a page of the list of upstreams unless the list in force is as
 // new: the store and other daemons send lists concurrently, so a list may arrive after a
-// newer one from the other source. It reports whether it applied the page.
-func (d *Directory) applyUpstreams(page directory.Page, full bool) bool {
+// newer one from the other source. It reports whether it applied the page. source is the
+// control address of the daemon that the page is from, or storeSource.
+func (d *Directory) applyUpstreams(page directory.Page, full bool, source string) bool {
 	now := d.o.Clock.Now()
 	d.mu.Lock()
 	if d.upstreamsLoaded.Load() && page.Version <= d.listVersion.Load() {
 		d.mu.Unlock()
 		return false
 	}
-	d.listVersion.Store(page.Version)
+	before := d.listVersion.Swap(page.Version)
+	log := d.o.Log.With(zap.String("source", source), zap.Int64("listVersion", page.Version), zap.Int64("listBefore", before))
 	for _, e := range page.Entries {
 		if e.Removed {
 			d.upstreams.remove(e.Key, now)
-			d.o.Log.Info("upstream removed from the list", zap.String("upstream", e.Key))
+			log.Info("upstream removed from the list", zap.String("upstream", e.Key), zap.Bool("kept", d.upstreams.has(e.Key)))
 			continue
 		}
 		u, err := d.o.Decoder.Upstream(e.Key, e.Value)
 		if err != nil {
-			d.o.Log.Warn("invalid upstream entry; the upstream is not used", zap.Error(err))
+			log.Warn("invalid upstream entry; the upstream is not used", zap.Error(err))
 			d.upstreams.remove(e.Key, now)
 			continue
 		}
 		if d.upstreams.put(u, e.Value) {
-			d.o.Log.Info("upstream added to the list or changed", zap.String("upstream", u.ID), zap.String("service", u.Service),
+			log.Info("upstream added to the list or changed", zap.String("upstream", u.ID), zap.String("service", u.Service),
 				zap.String("address", u.Address), zap.Bool("leaving", u.Leaving), zap.String("role", string(u.Role)))
 		}
 	}
 	if full {
 		if removed := d.upstreams.keepOnly(page.Entries, now); len(removed) > 0 {
-			d.o.Log.Info("upstreams missing from the full list", zap.Strings("upstreams", removed))
+			log.Info("upstreams missing from the full list", zap.Strings("upstreams", removed),
+				zap.Strings("kept", slices.DeleteFunc(slices.Clone(removed), func(id string) bool { return !d.upstreams.has(id) })))
 		}
 		d.upstreamsLoaded.Store(true)
 	}
@@ -270,6 +279,11 @@
 		}
 		return
 	}
+	d.applySnapshot(s, control)
+}
+
+// applySnapshot applies the snapshot of the daemon at the given control address.
+func (d *Directory) applySnapshot(s peers.Snapshot, control string) {
 	if len(s.Config) > 0 {
 		d.applyConfig(s.Config, control)
 	}
@@ -280,7 +294,7 @@
 	for id, raw := range s.Upstreams {
 		page.Entries = append(page.Entries, directory.Entry{Key: id, Value: raw})
 	}
-	if d.applyUpstreams(page, true) && len(s.RemovedAgoMs) > 0 {
+	if d.applyUpstreams(page, true, control) && len(s.RemovedAgoMs) > 0 {
 		d.mu.Lock()
 		d.upstreams.mergeRemovals(s.RemovedAgoMs, d.o.Clock.Now())
 		d.mu.Unlock()
--- a/hemlockd/internal/directory/directory_test.go
+++ b/hemlockd/internal/directory/directory_test.go
@@ -94,13 +94,13 @@
 // reported its removal. The upstream then got work for seconds.
 func TestOlderListRevivesNothing(t *testing.T) {
 	d := newTestDirectory(&fakeStore{})
-	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true)
-	d.applyUpstreams(directory.Page{Version: 95, Entries: []directory.Entry{entry("a", true)}}, false)
-	d.applyUpstreams(directory.Page{Version: 91, Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true)
+	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true, storeSource)
+	d.applyUpstreams(directory.Page{Version: 95, Entries: []directory.Entry{entry("a", true)}}, false, storeSource)
+	d.applyUpstreams(directory.Page{Version: 91, Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true, storeSource)
 	if d.has("a") || !d.has("b") {
 		t.Errorf("in use: a, which has left, %t, want false; b %t, want true", d.has("a"), d.has("b"))
 	}
-	d.applyUpstreams(directory.Page{Version: 92, Entries: []directory.Entry{entry("a", false)}}, false)
+	d.applyUpstreams(directory.Page{Version: 92, Entries: []directory.Entry{entry("a", false)}}, false, storeSource)
 	if d.has("a") {
 		t.Error("an older change brought back an upstream that has left")
 	}
@@ -139,7 +139,7 @@
 func TestSnapshotOmitsWhatTheCallerHas(t *testing.T) {
 	d := newTestDirectory(&fakeStore{})
 	d.applyConfig([]byte("7"), "test")
-	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false)}}, true)
+	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false)}}, true, storeSource)
 	if s := d.Snapshot(peers.SnapshotRequest{}); string(s.Config) != "7" || len(s.Upstreams) != 1 || s.ListVersion != 90 {
 		t.Errorf("%+v", s)
 	}
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -76,16 +76,21 @@
 }
 
 // expire drops upstreams whose entries have not come back within removalGrace and
-// reports whether there were any.
-func (l *upstreamList) expire(now clock.Millis) bool {
-	changed := false
-	for id, e := range l.entries {
-		if e.removedMs != 0 && now-e.removedMs > removalGrace {
+// returns their IDs.
+func (l *upstreamList) expire(now clock.Millis) (expired []string) {
+	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
+		if e := l.entries[id]; e.removedMs != 0 && now-e.removedMs > removalGrace {
 			delete(l.entries, id)
-			changed = true
+			expired = append(expired, id)
 		}
 	}
-	return changed
+	return expired
+}
+
+// has reports whether an upstream is in use or kept.
+func (l *upstreamList) has(id string) bool {
+	_, ok := l.entries[id]
+	return ok
 }
 
 // byService returns, for each service, the upstreams that may get new work.
