Stand-in: a fault of the store strikes the daemons that it names

Cause: faults named daemons by the IP address that their calls come from, but daemons of the users' platform call from 127.0.0.1 as all do, so a fault for one daemon struck none: TestPlatformConfigurationReachesADaemonWithoutTheStore proved nothing. A feed that was waiting when the store went silent was still answered, and a server's report of leaving changed its start time (born).

Change: each daemon of a test gets its own address of the store, and faults name those; waiting feeds fall silent too; born is the start of the server; servers can be taken off the list while they go on serving.

--- a/hemlockd/e2e/usersplatform_changes_test.go
+++ b/hemlockd/e2e/usersplatform_changes_test.go
@@ -12,7 +12,7 @@
 
 func TestPlatformConfigurationReachesADaemonWithoutTheStore(t *testing.T) {
 	p := deployUsersPlatform(t, 2)
-	p.callAdmin(http.MethodPost, "/store/fault", map[string]any{"mode": "silent", "from": []string{p.daemons[1].ip}})
+	p.injectStoreFault("silent", p.daemons[1])
 	p.configure([]map[string]any{{
 		"Name": "new", "Host": testHost, "Prefix": "/new/", "Kind": "idempotent", "TimeoutMs": 1000, "TargetLatencyMs": 200,
 		"Service": "desk", "MaxAttempts": 2,
--- a/hemlockd/e2e/usersplatform_deployment_test.go
+++ b/hemlockd/e2e/usersplatform_deployment_test.go
@@ -33,6 +33,7 @@
 // platformDaemon is one daemon of a usersPlatform.
 type platformDaemon struct {
 	name, ip, configPath string
+	storeAddress         string // the daemon's own address of the store
 	log                  *lockedBuffer
 	cmd                  *exec.Cmd
 	exited               chan struct{} // closed when the process has exited
@@ -95,7 +96,7 @@
 	p.addServer("i-desk2", "desk", "")
 	ports := freePorts(t, 5)
 	for i := range daemons {
-		p.addDaemon(fmt.Sprintf("front-a-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), ports)
+		p.addDaemon(fmt.Sprintf("front-a-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), ports, p.openStoreAddress())
 	}
 	for _, d := range p.daemons {
 		p.waitReady(d)
@@ -118,9 +119,10 @@
 	return ports
 }
 
-func (p *usersPlatform) addDaemon(name, ip string, ports []int) {
+// addDaemon starts a daemon whose address of the store is store.
+func (p *usersPlatform) addDaemon(name, ip string, ports []int, store string) {
 	p.t.Helper()
-	d := &platformDaemon{name: name, ip: ip, configPath: filepath.Join(p.dir, name+".toml")}
+	d := &platformDaemon{name: name, ip: ip, configPath: filepath.Join(p.dir, name+".toml"), storeAddress: store}
 	text := fmt.Sprintf(`NodeName = %q
 Ip = %q
 Zone = "a"
@@ -142,7 +144,7 @@
 LeaseMs = 3000
 [Platform]
 Address = %q
-`, name, ip, ports[0], ports[0], ports[3], ip, ports[1], ip, ports[2], ip, ports[3], p.addr.Store)
+`, name, ip, ports[0], ports[0], ports[3], ip, ports[1], ip, ports[2], ip, ports[3], d.storeAddress)
 	if err := os.WriteFile(d.configPath, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
@@ -254,6 +256,31 @@
 	p.callAdmin(http.MethodPost, "/servers/"+server+"/fault", fault)
 }
 
+// openStoreAddress opens one more address of the store.
+func (p *usersPlatform) openStoreAddress() string {
+	p.t.Helper()
+	resp, err := http.Post("http://"+p.addr.Admin+"/store/addresses", "", nil)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var opened struct{ Store string }
+	if err := json.NewDecoder(resp.Body).Decode(&opened); err != nil || opened.Store == "" {
+		p.t.Fatalf("open an address of the store: status %d, %v", resp.StatusCode, err)
+	}
+	return opened.Store
+}
+
+// injectStoreFault sets the mode of failure of the store for some daemons.
+func (p *usersPlatform) injectStoreFault(mode string, daemons ...*platformDaemon) {
+	p.t.Helper()
+	var at []string
+	for _, d := range daemons {
+		at = append(at, d.storeAddress)
+	}
+	p.callAdmin(http.MethodPost, "/store/fault", map[string]any{"mode": mode, "at": at})
+}
+
 // callAdmin calls the stand-in's administration interface.
 func (p *usersPlatform) callAdmin(method, path string, body any) {
 	p.t.Helper()
--- a/hemlockd/e2e/usersplatform_scale_test.go
+++ b/hemlockd/e2e/usersplatform_scale_test.go
@@ -37,7 +37,7 @@
 	ports := freePorts(t, 5)
 	p.daemonFlags = []string{"--metrics-port", strconv.Itoa(ports[4])}
 	for i := range n {
-		p.addDaemon(fmt.Sprintf("front-a-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), ports)
+		p.addDaemon(fmt.Sprintf("front-a-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), ports, p.openStoreAddress())
 	}
 	for _, d := range p.daemons {
 		p.waitReady(d)
--- a/hemlockd/e2e/usersplatform_soak_test.go
+++ b/hemlockd/e2e/usersplatform_soak_test.go
@@ -140,12 +140,10 @@
 	s := &platformSoak{rng: rand.New(rand.NewPCG(seed, seed)), stop: make(chan struct{})}
 	s.usersPlatform = deployUsersPlatform(t, 0)
 	ports := freePorts(t, 5)
-	store := s.addr.Store
 	for i := range 3 {
-		proxy := newProxy(t, store)
+		proxy := newProxy(t, s.addr.Store)
 		s.proxies = append(s.proxies, proxy)
-		s.addr.Store = proxy.listener.Addr().String()
-		s.addDaemon(fmt.Sprintf("front-a-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), ports)
+		s.addDaemon(fmt.Sprintf("front-a-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), ports, proxy.listener.Addr().String())
 	}
 	for _, d := range s.daemons {
 		s.waitReady(d)
--- a/standin/internal/usersplatform/admin.go
+++ b/standin/internal/usersplatform/admin.go
@@ -54,8 +54,11 @@
 //	POST /servers             start a server (ServerSpec)
 //	POST /servers/ID/fault    ServerFault
 //	POST /servers/ID/drain    set the server's state to draining
+//	POST /servers/ID/unlist   remove the server's entry; it goes on serving
 //	POST /servers/ID/crash    stop the server; ?gone=1 also removes its entry
 //	POST /store/fault         StoreFault
+//	POST /store/addresses     open one more address of the store ([StoreAddress]), so
+//	                          that a fault can strike some daemons only
 //	POST /store/forget        drop the store's change history
 //	GET  /runs                all requests that reached servers ([]Arrival)
 func (p *Platform) AdminHandler() http.Handler {
@@ -89,6 +92,14 @@
 			p.store.SetFault(f)
 		}
 	})
+	r.Post("/store/addresses", func(w http.ResponseWriter, _ *http.Request) {
+		address, err := listen(p.store)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		reply(w, http.StatusOK, StoreAddress{Store: address})
+	})
 	r.Post("/store/forget", func(http.ResponseWriter, *http.Request) { p.store.CompactHistory() })
 	r.Get("/runs", func(w http.ResponseWriter, _ *http.Request) {
 		p.mu.Lock()
@@ -113,6 +124,8 @@
 		}
 	case "drain":
 		s.publish("draining")
+	case "unlist":
+		s.platform.store.Set("servers", s.spec.ID, nil)
 	case "crash":
 		p.mu.Lock()
 		delete(p.servers, s.spec.ID)
@@ -137,21 +150,33 @@
 	Admin string `json:"admin"`
 }
 
+// StoreAddress is one more address (IP:port) at which the store is served.
+type StoreAddress struct {
+	Store string `json:"store"`
+}
+
+// listen serves a handler on a free port until the process ends and returns the
+// address.
+func listen(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
 // Run starts the platform, prints its addresses and serves until the process ends.
 func Run() error {
 	p := NewPlatform()
 	var a Addresses
-	for _, port := range []struct {
-		address *string
-		handler http.Handler
-	}{{&a.Store, p.store}, {&a.Admin, p.AdminHandler()}} {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
-		*port.address = listener.Addr().String()
-		server := &http.Server{Handler: port.handler, ReadHeaderTimeout: 10 * time.Second}
-		go func() { _ = server.Serve(listener) }()
+	var err error
+	if a.Store, err = listen(p.store); err != nil {
+		return err
+	}
+	if a.Admin, err = listen(p.AdminHandler()); err != nil {
+		return err
 	}
 	if err := json.NewEncoder(os.Stdout).Encode(a); err != nil {
 		return fmt.Errorf("write addresses to stdout: %w", err)
--- a/standin/internal/usersplatform/server.go
+++ b/standin/internal/usersplatform/server.go
@@ -71,6 +71,7 @@
 	spec     ServerSpec
 	platform *Platform
 	address  string
+	bornMs   int64 // the start time, in Unix ms
 	http     *http.Server
 	listener net.Listener
 	done     chan struct{}
@@ -102,7 +103,8 @@
 		return nil, fmt.Errorf("listen for server %s: %w", spec.ID, err)
 	}
 	s := &Server{
-		spec: spec, platform: p, address: listener.Addr().String(), listener: listener, handles: map[string]bool{}, done: make(chan struct{}),
+		spec: spec, platform: p, address: listener.Addr().String(), bornMs: time.Now().UnixMilli(), listener: listener,
+		handles: map[string]bool{}, done: make(chan struct{}),
 	}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
 	go s.run()
@@ -119,7 +121,7 @@
 	s.mu.Unlock()
 	entry := map[string]any{
 		"Service": s.spec.Service, "Address": s.address, "Zone": s.spec.Zone, "Version": "v1",
-		"Slots": max(1, s.spec.Slots), "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": time.Now().UnixMilli(),
+		"Slots": max(1, s.spec.Slots), "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": s.bornMs,
 	}
 	if stage != "" {
 		entry["Stage"] = stage
--- a/standin/internal/usersplatform/store.go
+++ b/standin/internal/usersplatform/store.go
@@ -59,13 +59,20 @@
 	// Mode is "" (no fault), "busy" (answer 503), "reset" (reset the connection) or
 	// "silent" (never answer).
 	Mode string `json:"mode"`
-	// From limits Mode to callers with these IP addresses; an empty list means all.
-	From []string `json:"from"`
+	// At limits Mode to callers of these addresses (IP:port) of the store, see
+	// [Platform.AdminHandler]; an empty list means all callers.
+	At []string `json:"at"`
 	// DropWriteResponses makes the store carry out transactions and reset the connection
 	// instead of answering.
 	DropWriteResponses bool `json:"loseWrites"`
 }
 
+// strikes reports whether the fault's mode applies to a request.
+func (f StoreFault) strikes(r *http.Request) bool {
+	address, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	return len(f.At) == 0 || ok && slices.Contains(f.At, address.String())
+}
+
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{rows: map[rowID]Row{}, objects: map[string][]byte{}, changed: make(chan struct{}), started: time.Now()}
@@ -116,7 +123,7 @@
 	s.mu.Lock()
 	fault := s.fault
 	s.mu.Unlock()
-	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && (len(fault.From) == 0 || slices.Contains(fault.From, host)) {
+	if fault.strikes(r) {
 		switch fault.Mode {
 		case "busy":
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -185,7 +192,12 @@
 			}
 		}
 		answer, changed := s.pageLocked(rows), s.changed
+		silent := s.fault.Mode == "silent" && s.fault.strikes(r)
 		s.mu.Unlock()
+		if silent { // calls that were waiting when the fault began get no answer either
+			<-r.Context().Done()
+			return
+		}
 		if len(rows) > 0 {
 			reply(w, http.StatusOK, answer)
 			return
