--- a/hemlockd/e2e/usersplatform_deployment_test.go
+++ b/hemlockd/e2e/usersplatform_deployment_test.go
@@ -28,6 +28,7 @@
 	daemons       []*platformDaemon
 	configVersion int
 	daemonFlags   []string // additional flags of daemons that start from now on
+	probes        int      // orders sent by reaches
 }
 
 // platformDaemon is one daemon of a usersPlatform.
--- /dev/null
+++ b/hemlockd/internal/directory/leaving_test.go
@@ -0,0 +1,236 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
+	"hemlockmux.example/common/routing"
+)
+
+const (
+	// leavingLimit is DrainMs of the users' smaller deployments.
+	leavingLimit = 3 * clock.Second
+	// callReach is how long a call may take to reach an upstream after the upstream was
+	// looked up in the list: a connection attempt and the way.
+	callReach = 500 * clock.Millisecond
+)
+
+// feedStore is a store with a feed, as the platform's: calls wait for changes. Those that
+// wait when it falls silent get no answer, and new ones none while it is unreachable.
+type feedStore struct {
+	mu          sync.Mutex
+	rows        map[string]directory.Entry
+	history     []directory.Entry
+	version     int64
+	changed     chan struct{}
+	silenced    chan struct{} // closed when the calls that wait lose their connections
+	unreachable bool
+}
+
+func newFeedStore(ids ...string) *feedStore {
+	s := &feedStore{rows: map[string]directory.Entry{}, changed: make(chan struct{}), silenced: make(chan struct{})}
+	for _, id := range ids {
+		s.set(id, false)
+	}
+	return s
+}
+
+// set writes the row of an upstream, or removes it.
+func (s *feedStore) set(id string, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	e := directory.Entry{Key: id, Value: []byte("ready"), Version: s.version, Removed: removed}
+	s.history = append(s.history, e)
+	s.rows[id] = e
+	if removed {
+		delete(s.rows, id)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// silence makes the connections of all waiting calls fall silent for good.
+func (s *feedStore) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.silenced)
+	s.silenced = make(chan struct{})
+}
+
+func (s *feedStore) setUnreachable(unreachable bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreachable = unreachable
+}
+
+func (s *feedStore) Read(ctx context.Context, topic directory.Topic) (directory.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unreachable {
+		return directory.Page{}, &directory.StatusError{Call: "read", Status: 503}
+	}
+	page := directory.Page{Version: s.version}
+	switch topic {
+	case directory.Routes:
+		page.Entries = []directory.Entry{{Key: "config", Value: []byte("1")}}
+	case directory.Upstreams:
+		for _, e := range s.rows {
+			page.Entries = append(page.Entries, e)
+		}
+	}
+	return page, nil
+}
+
+func (s *feedStore) Follow(ctx context.Context, topic directory.Topic, after int64, wait clock.Millis) (directory.Page, error) {
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	s.mu.Lock()
+	silenced := s.silenced
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		page, changed, unreachable := directory.Page{Version: s.version}, s.changed, s.unreachable
+		for _, e := range s.history {
+			if topic == directory.Upstreams && e.Version > after {
+				page.Entries = append(page.Entries, e)
+			}
+		}
+		s.mu.Unlock()
+		if unreachable {
+			return directory.Page{}, &directory.StatusError{Call: "follow", Status: 503}
+		}
+		if len(page.Entries) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-silenced:
+			<-ctx.Done()
+			return directory.Page{}, ctx.Err()
+		case <-ctx.Done():
+			return directory.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (s *feedStore) Put(context.Context, directory.Topic, string, []byte) error { return nil }
+
+func (s *feedStore) CompareAndSwap(context.Context, directory.Topic, string, []byte, int64) (int64, error) {
+	return 0, nil
+}
+
+// bubble is a directory that runs in virtual time.
+type bubble struct {
+	*Directory
+	time *clock.Manual
+	// followsStore is what the directory is told about following the store.
+	followsStore atomic.Bool
+}
+
+// inVirtualTime runs a test with a directory that has loaded the list of upstreams a and b
+// and follows the store.
+func inVirtualTime(t *testing.T, test func(b *bubble, store *feedStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFeedStore("a", "b")
+		b := &bubble{time: clock.NewManual(clock.Minute)}
+		b.followsStore.Store(true)
+		ctx, stopTime := context.WithCancel(context.Background())
+		go b.runTime(ctx)
+		b.Directory = New(Options{
+			Log: zap.NewNop(), Clock: b.time.Clock(), Store: store,
+			Decoder: Decoder{
+				Config: func(raw []byte) (*routing.Config, error) {
+					cfg := &routing.Config{Raw: raw}
+					return cfg, json.Unmarshal(raw, &cfg.Version)
+				},
+				Upstream: func(id string, raw []byte) (routing.Upstream, error) {
+					return routing.Upstream{ID: id, Service: "s", Leaving: string(raw) == "leaving"}, nil
+				},
+			},
+			OnConfig: func() {}, OnUpstreams: func() {}, OnDaemon: func(string, []byte) {},
+			ShouldFollowStore: func() bool { return b.followsStore.Load() },
+		})
+		stop := b.Start()
+		b.pass(100)
+		test(b, store)
+		stop()
+		stopTime()
+	})
+}
+
+// runTime advances the clock of decisions with the virtual time.
+func (b *bubble) runTime(ctx context.Context) {
+	for clock.Sleep(ctx, clock.Millisecond) {
+		b.time.Advance(clock.Millisecond)
+	}
+}
+
+// pass lets time pass, during which the directory is refreshed as the daemon does.
+func (b *bubble) pass(span clock.Millis) {
+	const refresh = 50 * clock.Millisecond
+	for ; span > 0; span -= refresh {
+		time.Sleep(min(span, refresh).Duration())
+		b.ExpireUpstreams()
+		synctest.Wait()
+	}
+}
+
+// timeUntilUnused returns how long it takes until an upstream is no longer used, or
+// limit if it still is then.
+func (b *bubble) timeUntilUnused(id string, limit clock.Millis) clock.Millis {
+	const step = 10 * clock.Millisecond
+	var passed clock.Millis
+	for ; b.has(id) && passed < limit; passed += step {
+		b.pass(step)
+	}
+	return passed
+}
+
+// expectUnusedInTime fails the test if an upstream that has just left is still used when
+// a call might reach it after the limit.
+func (b *bubble) expectUnusedInTime(t *testing.T, id string) {
+	t.Helper()
+	if took := b.timeUntilUnused(id, 10*clock.Second); took > leavingLimit-callReach {
+		t.Errorf("%s is used for %d ms after it has left, want at most %d", id, took, leavingLimit-callReach)
+	}
+}
+
+// TestDaemonThatHearsNothingLearnsInTimeThatAnUpstreamLeaves guards against a daemon that
+// leaves following the store to others, which are paused: they count as alive for seconds,
+// 6 s in a data centre of 28 daemons, and it knows nothing new all the while.
+func TestDaemonThatHearsNothingLearnsInTimeThatAnUpstreamLeaves(t *testing.T) {
+	inVirtualTime(t, func(b *bubble, store *feedStore) {
+		b.followsStore.Store(false)
+		b.pass(10 * clock.Second)
+		store.set("a", true)
+		b.expectUnusedInTime(t, "a")
+		if !b.has("b") {
+			t.Error("an upstream that stays is no longer used")
+		}
+	})
+}
+
+// TestSilentFeedDelaysALeavingUpstreamWithinTheLimit guards against a connection to the
+// store that is silent when an upstream leaves: the call ended after 2.9 s only, which
+// left nothing of a limit of 3 s for the way to other daemons and to the upstream.
+func TestSilentFeedDelaysALeavingUpstreamWithinTheLimit(t *testing.T) {
+	inVirtualTime(t, func(b *bubble, store *feedStore) {
+		store.set("c", false) // all calls start anew
+		b.pass(20)
+		store.silence()
+		store.set("a", true)
+		b.expectUnusedInTime(t, "a")
+	})
+}
