An upstream whose entry is gone is kept only after an outage of the store itself

Cause: an entry that is missing was kept for 2.2 s from when a daemon saw that, if a call of that daemon had failed shortly before. A daemon that alone was turned away for 7 s came back, got the upstream's entry and its removal in one answer, kept it, and its list, being the newest, brought the upstream back at the eleven daemons of its data centre, which had dropped it 3.4 s earlier. Ruled out: late news (three daemons dropped it within 225 ms), a late write of the server (one data centre only).

Change: daemons tell each other since when the store has been answering some daemon without an outage; entries are kept only after a gap that can lose them (two heartbeats) and until 2.2 s after its end, wherever and whenever the removal is seen. What another daemon keeps is no longer taken over. Changes that the list in force includes are not applied again. The store is asked every 750 ms (routes 1,300) instead of 2,300, so that a waiting call is not taken for an outage; the store's steady clock tells how old an answer is.

--- a/common/directory/directory.go
+++ b/common/directory/directory.go
@@ -47,6 +47,9 @@
 	Entries []Entry
 	// Version is the newest version that the page includes.
 	Version int64
+	// StoreMs is the time at which the store made the answer, by its steady clock, which
+	// does not count from a known moment; 0 if it does not say.
+	StoreMs clock.Millis
 }
 
 // Store is a store of versioned tables.
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -42,6 +42,10 @@
 	shutdownListenTime = 2800 * clock.Millisecond
 	// shutdownReserve is how long before the kill the wait for requests in flight ends.
 	shutdownReserve = 700 * clock.Millisecond
+	// entryLifetimeBeats is the number of heartbeats that the store must miss before it
+	// loses the entry of an upstream that is running: it takes three to lose an entry, and
+	// the first may have been due just as the outage began.
+	entryLifetimeBeats = 2
 	// callerIdleTimeout is longer than the time for which callers keep an idle
 	// connection.
 	callerIdleTimeout = 30 * clock.Second
@@ -132,11 +136,13 @@
 	d.view = view
 	queue := capacity.NewQueue(d.clk, view, func() int { return d.peers.Count() })
 	sus := suspects.New()
+	boot := clock.Boot()
 	d.directory = inforce.New(inforce.Options{
-		Log: d.log, Clock: d.clk, Store: store,
+		Log: d.log, Clock: boot, Store: store,
 		Decoder:  inforce.Decoder{Config: platform.DecodeConfig, Upstream: platform.DecodeUpstream},
 		OnConfig: d.directoryChanged, OnUpstreams: d.directoryChanged, OnDaemon: d.addListed,
 		ShouldFollowStore: func() bool { return d.peers.ShouldFollowStore() },
+		OutageMs:          entryLifetimeBeats * d.settings.HeartbeatMs,
 	})
 	var err error
 	var closePeers func()
@@ -148,7 +154,8 @@
 		Unreachable:  func(ids []string) { d.dispatcher.MarkDown(ids) }, // the dispatcher is constructed below
 		ChangingRole: func(ids []string) { d.dispatcher.MarkRoleChanging(ids) },
 		NewerVersion: d.directory.FetchFromPeer,
-		Snapshot:     d.directory.Snapshot, Beliefs: d.beliefs,
+		Freshness:    d.directory.Freshness, Confirmed: d.directory.Confirm,
+		Snapshot: d.directory.Snapshot, Beliefs: d.beliefs,
 	})
 	if err != nil {
 		return err
@@ -164,7 +171,6 @@
 		Retries: d.retries, Suspects: sus, Verdicts: verdicts, Name: d.settings.Name,
 		ReadCall: platform.ReadCall, DataCentre: d.settings.DataCentre, Regions: d.settings.Regions,
 	})
-	boot := clock.Boot()
 	roleController := roles.NewController(roles.Options{
 		Log: d.log, Clock: boot, Engines: servers, Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		Lease:    roles.NewLease(store, d.settings.DataCentre, d.settings.Name, d.settings.RoleLeaseMs),
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -26,9 +26,10 @@
 )
 
 const (
-	// followWait is how long the store is asked to wait for changes. It limits how
-	// long a stalled connection can hide a change.
-	followWait = 2300 * clock.Millisecond
+	// routesWait and upstreamsWait are how long the store is asked to wait for changes.
+	// Each answer also tells that there are none, which other daemons rely on.
+	routesWait    = 1300 * clock.Millisecond
+	upstreamsWait = 750 * clock.Millisecond
 	// answerMargin is added to a wait to give the time-out of the call.
 	answerMargin = 600 * clock.Millisecond
 	// readTimeout limits the call that reads all entries of a topic.
@@ -72,8 +73,14 @@
 	ShouldFollowStore func() bool
 	// OnDaemon is called with each entry of the list of daemons.
 	OnDaemon func(name string, raw []byte)
+	// OutageMs is the shortest outage of the store that can lose entries of upstreams that
+	// are running; 0 means DefaultOutage.
+	OutageMs clock.Millis
 }
 
+// DefaultOutage is the value of [Options.OutageMs] if the settings give none.
+const DefaultOutage = 2400 * clock.Millisecond
+
 // Directory holds the configuration in force and the list of upstreams. It is safe for
 // concurrent use.
 type Directory struct {
@@ -87,14 +94,22 @@
 	following atomic.Bool
 	mu        sync.Mutex // serializes changes
 	upstreams *upstreamList
-	fetching  atomic.Bool
-	ctx       context.Context
-	cancel    context.CancelFunc
+	freshness *freshness
+	// storeClock converts the times in the store's answers.
+	storeClock storeClock
+	// lastFailureMs is when a call to the store last failed, or -1.
+	lastFailureMs clock.Millis
+	fetching      atomic.Bool
+	ctx           context.Context
+	cancel        context.CancelFunc
 }
 
 // New returns an empty directory.
 func New(o Options) *Directory {
-	d := &Directory{o: o, upstreams: newUpstreamList()}
+	if o.OutageMs <= 0 {
+		o.OutageMs = DefaultOutage
+	}
+	d := &Directory{o: o, upstreams: newUpstreamList(), freshness: newFreshness(o.OutageMs), lastFailureMs: -1}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.published.Store(&map[string][]routing.Upstream{})
 	return d
@@ -107,8 +122,8 @@
 		f := &follower{d: d, topic: topic, wait: wait, apply: apply}
 		running.Go(func() { f.run(d.ctx) })
 	}
-	follow(directory.Routes, followWait, d.applyRoutes)
-	follow(directory.Upstreams, followWait, func(page directory.Page, full bool) { d.applyUpstreams(page, full, storeSource) })
+	follow(directory.Routes, routesWait, d.applyRoutes)
+	follow(directory.Upstreams, upstreamsWait, func(page directory.Page, full bool) { d.applyUpstreams(page, full, storeSource) })
 	follow(directory.Daemons, daemonsWait, d.applyDaemons)
 	return func() {
 		d.cancel()
@@ -136,11 +151,15 @@
 	return (*d.published.Load())[service]
 }
 
-// ExpireUpstreams drops removed upstreams whose grace period after a failure of the
-// store has ended, and calls OnUpstreams if there were any.
+// ExpireUpstreams drops removed upstreams that have been kept because of an outage of the
+// store once the grace period after it has ended, or once it turns out that there was no
+// outage, and calls OnUpstreams if there were any.
 func (d *Directory) ExpireUpstreams() {
 	d.mu.Lock()
-	expired := d.upstreams.expire(d.o.Clock.Now())
+	var expired []string
+	if !d.freshness.mayLackEntries(d.o.Clock.Now()) {
+		expired = d.upstreams.dropRemoved()
+	}
 	if len(expired) > 0 {
 		d.publishLocked()
 	}
@@ -204,18 +223,22 @@
 		d.mu.Unlock()
 		return false
 	}
+	keep := d.freshness.mayLackEntries(now)
 	before := d.listVersion.Swap(page.Version)
 	log := d.o.Log.With(zap.String("source", source), zap.Int64("listVersion", page.Version), zap.Int64("listBefore", before))
 	for _, e := range page.Entries {
+		if !full && e.Version != 0 && e.Version <= before {
+			continue // the list in force, which another daemon sent, includes the change
+		}
 		if e.Removed {
-			d.upstreams.remove(e.Key, now)
+			d.upstreams.remove(e.Key, keep, now)
 			log.Info("upstream removed from the list", zap.String("upstream", e.Key), zap.Bool("kept", d.upstreams.has(e.Key)))
 			continue
 		}
 		u, err := d.o.Decoder.Upstream(e.Key, e.Value)
 		if err != nil {
 			log.Warn("invalid upstream entry; the upstream is not used", zap.Error(err))
-			d.upstreams.remove(e.Key, now)
+			d.upstreams.remove(e.Key, keep, now)
 			continue
 		}
 		if d.upstreams.put(u, e.Value) {
@@ -224,7 +247,7 @@
 		}
 	}
 	if full {
-		if removed := d.upstreams.keepOnly(page.Entries, now); len(removed) > 0 {
+		if removed := d.upstreams.keepOnly(page.Entries, keep, now); len(removed) > 0 {
 			log.Info("upstreams missing from the full list", zap.Strings("upstreams", removed),
 				zap.Strings("kept", slices.DeleteFunc(slices.Clone(removed), func(id string) bool { return !d.upstreams.has(id) })))
 		}
@@ -292,13 +315,12 @@
 	}
 	page := directory.Page{Version: s.ListVersion}
 	for id, raw := range s.Upstreams {
-		page.Entries = append(page.Entries, directory.Entry{Key: id, Value: raw})
-	}
-	if d.applyUpstreams(page, true, control) && len(s.RemovedAgoMs) > 0 {
-		d.mu.Lock()
-		d.upstreams.mergeRemovals(s.RemovedAgoMs, d.o.Clock.Now())
-		d.mu.Unlock()
+		// Each daemon decides for itself whether it still uses what was removed.
+		if _, removed := s.RemovedAgoMs[id]; !removed {
+			page.Entries = append(page.Entries, directory.Entry{Key: id, Value: raw})
+		}
 	}
+	d.applyUpstreams(page, true, control)
 }
 
 // All returns all known upstreams, including those that are leaving.
@@ -313,19 +335,67 @@
 func (d *Directory) SinceStoreFailure() clock.Millis {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.upstreams.lastFailureMs < 0 {
+	if d.lastFailureMs < 0 {
 		return -1
 	}
-	return d.o.Clock.Now() - d.upstreams.lastFailureMs
+	return d.o.Clock.Now() - d.lastFailureMs
 }
 
 // recordStoreFailure records that a call to the store has failed.
 func (d *Directory) recordStoreFailure() {
 	d.mu.Lock()
-	d.upstreams.lastFailureMs = d.o.Clock.Now()
+	d.lastFailureMs = d.o.Clock.Now()
 	d.mu.Unlock()
 }
 
+// storeAnswered records an answer of the store to a call that began at called, and returns
+// when the answer was made.
+func (d *Directory) storeAnswered(page directory.Page, called clock.Millis) clock.Millis {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := d.storeClock.timeOf(page.StoreMs, called, d.o.Clock.Now())
+	d.freshness.answered(at)
+	return at
+}
+
+// confirm records that the entries in force of a topic were the store's at a time.
+func (d *Directory) confirm(topic directory.Topic, at clock.Millis) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.freshness.confirm(topic, at)
+}
+
+// Freshness returns how up to date this daemon is, to be sent to other daemons, or nil if
+// the store has not been heard of yet.
+func (d *Directory) Freshness() *peers.Freshness {
+	now := d.o.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	configAge, configKnown := d.freshness.age(directory.Routes, now)
+	listAge, listKnown := d.freshness.age(directory.Upstreams, now)
+	if !configKnown || !listKnown {
+		return nil
+	}
+	return &peers.Freshness{
+		ConfigAgeMs: configAge, ListAgeMs: listAge, AnsweredAgoMs: now - d.freshness.answeredMs, ReachableMs: now - d.freshness.reachableSinceMs,
+	}
+}
+
+// Confirm applies what another daemon, which has the given versions in force, knows of its
+// freshness.
+func (d *Directory) Confirm(f peers.Freshness, version, listVersion int64) {
+	now := d.o.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.freshness.reachableFor(now-f.ReachableMs, now-f.AnsweredAgoMs, now)
+	if version <= d.Version() {
+		d.freshness.confirm(directory.Routes, now-f.ConfigAgeMs)
+	}
+	if listVersion <= d.listVersion.Load() {
+		d.freshness.confirm(directory.Upstreams, now-f.ListAgeMs)
+	}
+}
+
 // follower follows one topic of the store.
 type follower struct {
 	d     *Directory
@@ -363,6 +433,7 @@
 
 // step reads all entries of the topic, or waits for its next changes.
 func (f *follower) step(ctx context.Context) error {
+	called := f.d.o.Clock.Now()
 	if !f.known {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 		defer cancel()
@@ -371,7 +442,9 @@
 			return err
 		}
 		f.version, f.known = page.Version, true
+		at := f.d.storeAnswered(page, called)
 		f.apply(page, true)
+		f.d.confirm(f.topic, at)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, (f.wait + answerMargin).Duration())
@@ -386,9 +459,11 @@
 		return err
 	}
 	f.version = page.Version
+	at := f.d.storeAnswered(page, called)
 	if len(page.Entries) > 0 {
 		f.apply(page, false)
 	}
+	f.d.confirm(f.topic, at)
 	return nil
 }
 
--- a/hemlockd/internal/directory/leaving_test.go
+++ b/hemlockd/internal/directory/leaving_test.go
@@ -234,3 +234,25 @@
 		b.expectUnusedInTime(t, "a")
 	})
 }
+
+// TestUpstreamsLostInAnOutageAreUsedUntilTheyAreBack lets the store lose two entries in an
+// outage, of which one comes back.
+func TestUpstreamsLostInAnOutageAreUsedUntilTheyAreBack(t *testing.T) {
+	inVirtualTime(t, func(b *bubble, store *feedStore) {
+		b.pass(5 * clock.Second)
+		store.setUnreachable(true)
+		b.pass(4 * clock.Second)
+		store.set("a", true)
+		store.set("b", true)
+		store.setUnreachable(false)
+		b.pass(1500)
+		if !b.has("a") || !b.has("b") {
+			t.Errorf("in use 1.5 s after the outage: a %t, b %t, want both", b.has("a"), b.has("b"))
+		}
+		store.set("a", false)
+		b.pass(1500)
+		if !b.has("a") || b.has("b") {
+			t.Errorf("in use 3 s after the outage: a, which is back, %t, want true; b %t, want false", b.has("a"), b.has("b"))
+		}
+	})
+}
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -9,16 +9,9 @@
 	"hemlockmux.example/common/routing"
 )
 
-// removalGrace is how long an upstream is still used after its entry was removed, if a
-// call to the store failed within the same time before the removal. The store may have
-// lost the entry then; running upstreams write their entries again within two seconds.
-const removalGrace = 2200 * clock.Millisecond
-
 // upstreamList is the list of upstreams. It is not safe for concurrent use.
 type upstreamList struct {
 	entries map[string]*listEntry
-	// lastFailureMs is when a call to the store last failed.
-	lastFailureMs clock.Millis
 }
 
 type listEntry struct {
@@ -30,7 +23,7 @@
 }
 
 func newUpstreamList() *upstreamList {
-	return &upstreamList{entries: map[string]*listEntry{}, lastFailureMs: -removalGrace}
+	return &upstreamList{entries: map[string]*listEntry{}}
 }
 
 // put adds or replaces an entry and reports whether it changed anything.
@@ -40,14 +33,14 @@
 	return !ok || old.upstream != u || old.removedMs != 0
 }
 
-// remove removes an entry. If the store failed lately, a running upstream stays in use
-// for removalGrace, since the store may have lost the entry.
-func (l *upstreamList) remove(id string, now clock.Millis) {
+// remove removes an entry. If keep is set, an upstream that has not said that it leaves
+// stays in use until dropRemoved, since the store may have lost the entry.
+func (l *upstreamList) remove(id string, keep bool, now clock.Millis) {
 	e, ok := l.entries[id]
 	if !ok {
 		return
 	}
-	if e.upstream.Leaving || now-l.lastFailureMs > removalGrace {
+	if e.upstream.Leaving || !keep {
 		delete(l.entries, id)
 		return
 	}
@@ -56,9 +49,9 @@
 	}
 }
 
-// keepOnly removes all upstreams that are not among entries, and returns the IDs of
-// those newly removed.
-func (l *upstreamList) keepOnly(entries []directory.Entry, now clock.Millis) (removed []string) {
+// keepOnly removes all upstreams that are not among entries, as remove does, and returns
+// the IDs of those newly removed.
+func (l *upstreamList) keepOnly(entries []directory.Entry, keep bool, now clock.Millis) (removed []string) {
 	listed := map[string]bool{}
 	for _, e := range entries {
 		listed[e.Key] = true
@@ -70,21 +63,20 @@
 		if l.entries[id].removedMs == 0 {
 			removed = append(removed, id)
 		}
-		l.remove(id, now)
+		l.remove(id, keep, now)
 	}
 	return removed
 }
 
-// expire drops upstreams whose entries have not come back within removalGrace and
-// returns their IDs.
-func (l *upstreamList) expire(now clock.Millis) (expired []string) {
+// dropRemoved drops the upstreams whose entries were removed and returns their IDs.
+func (l *upstreamList) dropRemoved() (dropped []string) {
 	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
-		if e := l.entries[id]; e.removedMs != 0 && now-e.removedMs > removalGrace {
+		if l.entries[id].removedMs != 0 {
 			delete(l.entries, id)
-			expired = append(expired, id)
+			dropped = append(dropped, id)
 		}
 	}
-	return expired
+	return dropped
 }
 
 // has reports whether an upstream is in use or kept.
@@ -124,13 +116,3 @@
 	}
 	return all, removedAgo
 }
-
-// mergeRemovals applies how long ago another daemon saw entries removed, so that their
-// grace period does not start anew at each daemon.
-func (l *upstreamList) mergeRemovals(removedAgo map[string]clock.Millis, now clock.Millis) {
-	for id, ago := range removedAgo {
-		if e, ok := l.entries[id]; ok {
-			e.removedMs = now - ago
-		}
-	}
-}
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -52,6 +52,22 @@
 	Suspects []suspects.Entry `json:"suspects,omitempty"`
 	// Leaving reports whether the sender is shutting down.
 	Leaving bool `json:"leaving,omitempty"`
+	// Freshness is part of full states.
+	Freshness *Freshness `json:"fresh,omitempty"`
+}
+
+// Freshness says how up to date a daemon is with the store, by what the store and other
+// daemons have told it. All times count back from when the message is sent.
+type Freshness struct {
+	// ConfigAgeMs is the time since the configuration in force was known to be the store's.
+	ConfigAgeMs clock.Millis `json:"configAgeMs"`
+	// ListAgeMs is the time since the list of upstreams was known to be the store's.
+	ListAgeMs clock.Millis `json:"listAgeMs"`
+	// AnsweredAgoMs is the time since the store is known to have answered a daemon.
+	AnsweredAgoMs clock.Millis `json:"answeredAgoMs"`
+	// ReachableMs is the time since which the store has answered some daemon or other
+	// without an outage.
+	ReachableMs clock.Millis `json:"reachableMs"`
 }
 
 // Snapshot holds the configuration and the upstreams that a daemon knows, in the
@@ -66,8 +82,8 @@
 	ListVersion int64 `json:"listVersion"`
 	// Upstreams holds the entries of the list of upstreams, by ID.
 	Upstreams map[string][]byte `json:"upstreams,omitempty"`
-	// RemovedAgoMs holds, by ID, how long ago entries of upstreams were removed around a
-	// failure of the store, in ms. Such entries may come back.
+	// RemovedAgoMs holds, by ID, how long ago entries of upstreams were removed around an
+	// outage of the store, in ms. Such entries may come back.
 	RemovedAgoMs map[string]clock.Millis `json:"goneAgoMs,omitempty"`
 }
 
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -115,6 +115,11 @@
 	// NewerVersion is called when the daemon at the control address has a newer
 	// configuration or, in the same data centre, a newer list of upstreams.
 	NewerVersion func(control string)
+	// Freshness returns how up to date this daemon is, or nil if it does not know.
+	Freshness func() *Freshness
+	// Confirmed is called with the freshness of another daemon and the versions of the
+	// configuration and of the list of upstreams that it has in force.
+	Confirmed func(f Freshness, version, listVersion int64)
 	// Snapshot answers the snapshot requests of other daemons.
 	Snapshot func(SnapshotRequest) Snapshot
 	// Beliefs answers the requests of operators for this daemon's state.
@@ -384,6 +389,9 @@
 func (p *Peers) encode(s State) ([]byte, error) {
 	o := p.options
 	s.Name, s.StartedMs, s.Address, s.Control, s.DataCentre = o.Name, int64(o.StartedMs), o.Address, o.Control, o.DataCentre
+	if s.Full { // before the versions: what is fresh must not be more than they say
+		s.Freshness = p.handlers.Freshness()
+	}
 	s.Version, s.ListVersion, s.FollowsStore = p.handlers.Version(), p.handlers.ListVersion(), p.handlers.FollowsStore()
 	p.mu.Lock()
 	if s.Sequence == 0 {
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -44,6 +44,7 @@
 		Version: func() int64 { return n.version.Load() }, ListVersion: func() int64 { return 0 }, FollowsStore: func() bool { return true },
 		View: n.view, Suspects: suspects.New(), CapacityChanged: func() {}, NewerVersion: func(control string) { n.newer <- control },
 		Unreachable: func([]string) {}, ChangingRole: func([]string) {},
+		Freshness: func() *Freshness { return &Freshness{ListAgeMs: 1} }, Confirmed: func(Freshness, int64, int64) {},
 		Snapshot: func(SnapshotRequest) Snapshot { return Snapshot{Version: n.version.Load(), Config: []byte("config")} },
 		Beliefs:  func() operatorapi.DaemonView { return operatorapi.DaemonView{Daemon: name} },
 	})
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -80,6 +80,9 @@
 	for _, e := range s.Suspects {
 		p.handlers.Suspects.Merge(e, now)
 	}
+	if s.Freshness != nil {
+		p.handlers.Confirmed(*s.Freshness, s.Version, s.ListVersion)
+	}
 	newerList := s.DataCentre == p.options.DataCentre && s.ListVersion > p.handlers.ListVersion()
 	if s.Version > p.handlers.Version() || newerList {
 		p.handlers.NewerVersion(s.Control)
