What no other way confirms in time is read from the store; the hops add up to the limits

Cause: each hop by which the leaving of an upstream or a configuration travels had a bound, their sum had none below DrainMs and ConfigApplyMs. A daemon that leaves following the store to two others knew nothing new while they counted as alive without a word: 2.5 s with 3 daemons in a data centre, 3 s with 12, 6 s with 28; after that came a silent feed (2.9 s), a round of messages (1 to 2 s) and a fetch (2 s).

Change: the directory knows the age of what is in force: how long ago the store, or another daemon of the same versions, confirmed it. Above a limit, which the settings' bounds less the hops after it give, the daemon reads the topic itself, over a connection of its own. DrainMs, ConfigApplyMs and HeartbeatMs are read from the settings; bounds that the hops exceed are warned of.

An unreachable store is read 30 to 150 times a minute by each daemon for two topics.

--- a/common/directory/directory.go
+++ b/common/directory/directory.go
@@ -54,7 +54,8 @@
 
 // Store is a store of versioned tables.
 type Store interface {
-	// Read returns all entries of a topic.
+	// Read returns all entries of a topic. It opens a connection of its own, so that one
+	// that has fallen silent can't hold it up.
 	Read(ctx context.Context, topic Topic) (Page, error)
 	// Follow waits up to wait for changes after a version and returns them. The page
 	// has no entries if nothing has changed. It returns a *HistoryLostError if the
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -131,6 +131,10 @@
 	d.store = store
 	servers, closeServers := platform.NewServers()
 	d.onClose(closeServers)
+	if !directoryLimits(d.settings).Met() {
+		d.log.Warn("the settings demand changes to be in force sooner than the ways of a change add up to",
+			zap.Int64("leavingMs", int64(d.settings.LeavingGraceMs)), zap.Int64("configMs", int64(d.settings.ConfigApplyMs)))
+	}
 	started := d.clk.Now()
 	view := capacity.NewView(capacity.DefaultLimits())
 	d.view = view
@@ -142,7 +146,7 @@
 		Decoder:  inforce.Decoder{Config: platform.DecodeConfig, Upstream: platform.DecodeUpstream},
 		OnConfig: d.directoryChanged, OnUpstreams: d.directoryChanged, OnDaemon: d.addListed,
 		ShouldFollowStore: func() bool { return d.peers.ShouldFollowStore() },
-		OutageMs:          entryLifetimeBeats * d.settings.HeartbeatMs,
+		Limits:            directoryLimits(d.settings),
 	})
 	var err error
 	var closePeers func()
@@ -250,6 +254,12 @@
 	}
 }
 
+func directoryLimits(settings platform.Settings) inforce.Limits {
+	return inforce.Limits{
+		LeavingMs: settings.LeavingGraceMs, ConfigMs: settings.ConfigApplyMs, OutageMs: entryLifetimeBeats * settings.HeartbeatMs,
+	}
+}
+
 func retryBound(settings platform.Settings) retries.Bound {
 	return retries.Bound{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, WindowMs: settings.RetryWindowMs}
 }
--- /dev/null
+++ b/hemlockd/internal/directory/check.go
@@ -0,0 +1,128 @@
+package directory
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
+)
+
+// The hops of a change that no other way has brought here in time, see [Limits].
+const (
+	// checkInterval is the time between two looks at the age of a topic.
+	checkInterval = 100 * clock.Millisecond
+	// checkTimeout limits the call that reads a topic whose age is too high. The call has a
+	// connection of its own, so that a silent one does not hold it up.
+	checkTimeout = 700 * clock.Millisecond
+	// CallReach is how long a call may take to reach an upstream after the upstream was
+	// looked up in the list.
+	CallReach = 500 * clock.Millisecond
+	// processingMargin is added for the time that the daemon itself takes.
+	processingMargin = 100 * clock.Millisecond
+	// minAge is the lowest limit of a topic's age.
+	minAge = 300 * clock.Millisecond
+	// minCheckPause is the pause after a failed check; it doubles with each further one,
+	// and half of it is random, since all daemons fail together.
+	minCheckPause = 250 * clock.Millisecond
+	// maxCheckPause is the longest pause after a failed check.
+	maxCheckPause = 2 * clock.Second
+)
+
+// Limits holds the times within which changes must be in force here.
+type Limits struct {
+	// LeavingMs is the time after which no call may reach an upstream that leaves.
+	LeavingMs clock.Millis
+	// ConfigMs is the time after which a configuration must be in force.
+	ConfigMs clock.Millis
+	// OutageMs is the shortest outage of the store that can lose the entries of upstreams
+	// that are running.
+	OutageMs clock.Millis
+}
+
+// DefaultLimits returns the limits that apply where the settings give none.
+func DefaultLimits() Limits {
+	return Limits{LeavingMs: 3 * clock.Second, ConfigMs: 3 * clock.Second, OutageMs: 2400 * clock.Millisecond}
+}
+
+// withDefaults replaces the limits that are not set.
+func (l Limits) withDefaults() Limits {
+	d := DefaultLimits()
+	for _, limit := range []struct{ value, standard *clock.Millis }{
+		{&l.LeavingMs, &d.LeavingMs}, {&l.ConfigMs, &d.ConfigMs}, {&l.OutageMs, &d.OutageMs},
+	} {
+		if *limit.value <= 0 {
+			*limit.value = *limit.standard
+		}
+	}
+	return l
+}
+
+// maxAge returns the age of a topic at which the daemon reads it from the store itself.
+// With the hops after that it adds up to the topic's limit. The list of upstreams is also
+// read so early that the daemon's own silence is never taken for an outage of the store.
+func (l Limits) maxAge(topic directory.Topic) clock.Millis {
+	const ownRead = checkInterval + checkTimeout + processingMargin
+	if topic == directory.Routes {
+		return max(minAge, l.ConfigMs-ownRead)
+	}
+	return max(minAge, min(l.LeavingMs-ownRead-CallReach, l.OutageMs-checkInterval-checkTimeout))
+}
+
+// Met reports whether the hops of a change add up to no more than the limits.
+func (l Limits) Met() bool {
+	l = l.withDefaults()
+	return l.maxAge(directory.Routes) > minAge && l.maxAge(directory.Upstreams) > minAge
+}
+
+// metrics counts the reads of topics whose age was too high.
+var metrics = expvar.NewMap("directory")
+
+// checker reads a topic from the store when no other way has confirmed it for too long:
+// neither this daemon's own feed nor another daemon.
+type checker struct {
+	storeReporter
+	maxAge clock.Millis
+	apply  func(page directory.Page, full bool)
+}
+
+func (c *checker) run(ctx context.Context) {
+	pause := minCheckPause
+	for clock.Sleep(ctx, checkInterval) {
+		if !c.due() {
+			pause = minCheckPause
+			continue
+		}
+		metrics.Add("checks "+string(c.topic), 1)
+		err := c.check(ctx)
+		c.report(err)
+		if err != nil {
+			metrics.Add("checksFailed "+string(c.topic), 1)
+			clock.Sleep(ctx, pause/2+clock.Millis(rand.Int64N(int64(pause/2)+1)))
+			pause = min(maxCheckPause, pause*2)
+		}
+	}
+}
+
+// due reports whether the topic's age is above its limit.
+func (c *checker) due() bool {
+	c.d.mu.Lock()
+	defer c.d.mu.Unlock()
+	age, known := c.d.freshness.age(c.topic, c.d.o.Clock.Now())
+	return known && age > c.maxAge
+}
+
+func (c *checker) check(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout.Duration())
+	defer cancel()
+	called := c.d.o.Clock.Now()
+	page, err := c.d.o.Store.Read(ctx, c.topic)
+	if err != nil {
+		return err
+	}
+	at := c.d.storeAnswered(page, called)
+	c.apply(page, true)
+	c.d.confirm(c.topic, at)
+	return nil
+}
--- /dev/null
+++ b/hemlockd/internal/directory/check_test.go
@@ -0,0 +1,60 @@
+package directory
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
+)
+
+// TestHopsOfAChangeAddUpToTheLimits guards against a promise whose single hops are bounded
+// and whose sum is not: whatever fails, a change that the store has acknowledged is read
+// and acted upon within the limits of the settings.
+func TestHopsOfAChangeAddUpToTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) clock.Millis { return clock.Millis(rapid.Int64Range(0, 10_000).Draw(t, name)) }
+		l := Limits{LeavingMs: draw("leaving"), ConfigMs: draw("config"), OutageMs: draw("outage")}
+		if !l.Met() {
+			return
+		}
+		l = l.withDefaults()
+		known := checkInterval + checkTimeout + processingMargin
+		if sum := l.maxAge(directory.Upstreams) + known + CallReach; sum > l.LeavingMs {
+			t.Errorf("a call may reach an upstream %d ms after it has left, want at most %d", sum, l.LeavingMs)
+		}
+		if sum := l.maxAge(directory.Routes) + known; sum > l.ConfigMs {
+			t.Errorf("a configuration may be in force after %d ms, want at most %d", sum, l.ConfigMs)
+		}
+		if silence := l.maxAge(directory.Upstreams) + checkInterval + checkTimeout; silence > l.OutageMs {
+			t.Errorf("a silence of %d ms here may pass for an outage, which lasts %d", silence, l.OutageMs)
+		}
+	})
+}
+
+func TestUsersLimitsAreMet(t *testing.T) {
+	for _, l := range []Limits{DefaultLimits(), {LeavingMs: 4000, ConfigMs: 4000, OutageMs: 2400}} {
+		if !l.Met() {
+			t.Errorf("%+v are not met", l)
+		}
+	}
+	if (Limits{LeavingMs: 1000}).Met() {
+		t.Error("a limit below the sum of the hops is said to be met")
+	}
+}
+
+// TestUnreachableStoreIsNotAskedOften counts the reads of a daemon that finds nothing out
+// for a minute, as all daemons do in an outage of the store.
+func TestUnreachableStoreIsNotAskedOften(t *testing.T) {
+	inVirtualTime(t, func(b *bubble, store *feedStore) {
+		b.followsStore.Store(false)
+		store.setUnreachable(true)
+		b.pass(5 * clock.Second)
+		before := store.readCount()
+		b.pass(clock.Minute)
+		if reads := store.readCount() - before; reads < 30 || reads > 150 {
+			t.Errorf("%d reads of two topics in a minute, want 30 to 150", reads)
+		}
+	})
+}
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -2,6 +2,10 @@
 // service. It follows the platform's store, never goes back to an older configuration,
 // and fetches from other daemons what it does not get from the store.
 //
+// Changes must be in force here within [Limits], whichever way fails. The directory
+// therefore knows how old its state is: the time since the store, or another daemon of the
+// same versions, last confirmed it. Above an age it reads the store itself.
+//
 // # Usage
 //
 //	d := directory.New(options)
@@ -73,14 +77,10 @@
 	ShouldFollowStore func() bool
 	// OnDaemon is called with each entry of the list of daemons.
 	OnDaemon func(name string, raw []byte)
-	// OutageMs is the shortest outage of the store that can lose entries of upstreams that
-	// are running; 0 means DefaultOutage.
-	OutageMs clock.Millis
+	// Limits are the times within which changes must be in force.
+	Limits Limits
 }
 
-// DefaultOutage is the value of [Options.OutageMs] if the settings give none.
-const DefaultOutage = 2400 * clock.Millisecond
-
 // Directory holds the configuration in force and the list of upstreams. It is safe for
 // concurrent use.
 type Directory struct {
@@ -106,10 +106,8 @@
 
 // New returns an empty directory.
 func New(o Options) *Directory {
-	if o.OutageMs <= 0 {
-		o.OutageMs = DefaultOutage
-	}
-	d := &Directory{o: o, upstreams: newUpstreamList(), freshness: newFreshness(o.OutageMs), lastFailureMs: -1}
+	o.Limits = o.Limits.withDefaults()
+	d := &Directory{o: o, upstreams: newUpstreamList(), freshness: newFreshness(o.Limits.OutageMs), lastFailureMs: -1}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.published.Store(&map[string][]routing.Upstream{})
 	return d
@@ -119,12 +117,19 @@
 func (d *Directory) Start() func() {
 	var running sync.WaitGroup
 	follow := func(topic directory.Topic, wait clock.Millis, apply func(directory.Page, bool)) {
-		f := &follower{d: d, topic: topic, wait: wait, apply: apply}
+		f := &follower{storeReporter: storeReporter{d: d, topic: topic}, wait: wait, apply: apply}
 		running.Go(func() { f.run(d.ctx) })
 	}
+	check := func(topic directory.Topic, apply func(directory.Page, bool)) {
+		c := &checker{storeReporter: storeReporter{d: d, topic: topic}, maxAge: d.o.Limits.maxAge(topic), apply: apply}
+		running.Go(func() { c.run(d.ctx) })
+	}
+	applyUpstreams := func(page directory.Page, full bool) { d.applyUpstreams(page, full, storeSource) }
 	follow(directory.Routes, routesWait, d.applyRoutes)
-	follow(directory.Upstreams, upstreamsWait, func(page directory.Page, full bool) { d.applyUpstreams(page, full, storeSource) })
+	follow(directory.Upstreams, upstreamsWait, applyUpstreams)
 	follow(directory.Daemons, daemonsWait, d.applyDaemons)
+	check(directory.Routes, d.applyRoutes)
+	check(directory.Upstreams, applyUpstreams)
 	return func() {
 		d.cancel()
 		running.Wait()
@@ -398,14 +403,12 @@
 
 // follower follows one topic of the store.
 type follower struct {
-	d     *Directory
-	topic directory.Topic
-	wait  clock.Millis
+	storeReporter
+	wait clock.Millis
 	// apply applies a page; full reports whether it holds all entries of the topic.
 	apply   func(page directory.Page, full bool)
 	version int64 // of the last page
 	known   bool  // all entries have been read; changes after version are next
-	failing bool  // the last call failed
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -475,18 +478,25 @@
 	}
 }
 
+// storeReporter reports the results of one source of calls about a topic.
+type storeReporter struct {
+	d       *Directory
+	topic   directory.Topic
+	failing bool // the last call failed
+}
+
 // report records a failure of the store and logs each change between reachable and
 // unreachable.
-func (f *follower) report(err error) {
-	if f.d.ctx.Err() != nil {
+func (r *storeReporter) report(err error) {
+	if r.d.ctx.Err() != nil {
 		return
 	}
 	if err != nil {
-		f.d.recordStoreFailure()
+		r.d.recordStoreFailure()
 	}
-	if (err != nil) == f.failing {
+	if (err != nil) == r.failing {
 		return
 	}
-	f.failing = err != nil
-	f.d.o.Log.Info("the store changed state", zap.String("topic", string(f.topic)), zap.Bool("reachable", !f.failing), zap.Error(err))
+	r.failing = err != nil
+	r.d.o.Log.Info("the store changed state", zap.String("topic", string(r.topic)), zap.Bool("reachable", !r.failing), zap.Error(err))
 }
--- a/hemlockd/internal/directory/leaving_test.go
+++ b/hemlockd/internal/directory/leaving_test.go
@@ -16,13 +16,8 @@
 	"hemlockmux.example/common/routing"
 )
 
-const (
-	// leavingLimit is DrainMs of the users' smaller deployments.
-	leavingLimit = 3 * clock.Second
-	// callReach is how long a call may take to reach an upstream after the upstream was
-	// looked up in the list: a connection attempt and the way.
-	callReach = 500 * clock.Millisecond
-)
+// leavingLimit is DrainMs of the users' smaller deployments.
+const leavingLimit = 3 * clock.Second
 
 // feedStore is a store with a feed, as the platform's: calls wait for changes. Those that
 // wait when it falls silent get no answer, and new ones none while it is unreachable.
@@ -34,6 +29,7 @@
 	changed     chan struct{}
 	silenced    chan struct{} // closed when the calls that wait lose their connections
 	unreachable bool
+	reads       int
 }
 
 func newFeedStore(ids ...string) *feedStore {
@@ -73,9 +69,16 @@
 	s.unreachable = unreachable
 }
 
+func (s *feedStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *feedStore) Read(ctx context.Context, topic directory.Topic) (directory.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.unreachable {
 		return directory.Page{}, &directory.StatusError{Call: "read", Status: 503}
 	}
@@ -202,8 +205,8 @@
 // a call might reach it after the limit.
 func (b *bubble) expectUnusedInTime(t *testing.T, id string) {
 	t.Helper()
-	if took := b.timeUntilUnused(id, 10*clock.Second); took > leavingLimit-callReach {
-		t.Errorf("%s is used for %d ms after it has left, want at most %d", id, took, leavingLimit-callReach)
+	if took := b.timeUntilUnused(id, 10*clock.Second); took > leavingLimit-CallReach {
+		t.Errorf("%s is used for %d ms after it has left, want at most %d", id, took, leavingLimit-CallReach)
 	}
 }
 
