An engine that has begun to leave gets no run that waited for its prefill

The decode engine is chosen at admission and was called after the prefill without another look; a prefill may take the predicted time and prefillTimeoutMs more.

Change: after the prefill the group is asked whether the engine is leaving; if it is, another one is chosen.

Result: TestLeavingEngineGetsNoRunThatWaitedForItsPrefill, red before (two runs after 6.74 s, invariant noWorkToLeaving violated), is green: all four runs go to the other engine.

--- a/common/admission/engine.go
+++ b/common/admission/engine.go
@@ -154,6 +154,12 @@
 	}
 }
 
+// Leaving reports whether an engine is known to be leaving.
+func (g *Group) Leaving(name string) bool {
+	e, ok := g.engines[name]
+	return ok && e.Leaving
+}
+
 // ApplyCacheEvents applies changes to an engine's prefix cache, as the engine reports
 // them.
 func (g *Group) ApplyCacheEvents(name string, events completions.CacheEvents) {
--- a/hemlockd/e2e/leaving_test.go
+++ b/hemlockd/e2e/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -85,3 +86,33 @@
 	header := "[upstreams." + upstream + "]\n"
 	return replaceOnce(system, header, header+"leaving = true\n")
 }
+
+// TestLeavingEngineGetsNoRunThatWaitedForItsPrefill guards against new work at an engine
+// long after it has said that it leaves: a decode engine is chosen at admission, before the
+// prefill, and was called after it without another look, however long the prefill took.
+func TestLeavingEngineGetsNoRunThatWaitedForItsPrefill(t *testing.T) {
+	d := deploy(t, options{prefill: 1, decode: 2, policy: "firstTokenMs = 60000\nprefillTimeoutMs = 20000"})
+	d.injectFault("brandon-a-prefill-1", "slow", map[string]any{"delayMs": 7000, "match": "/v1/"})
+	var calls sync.WaitGroup
+	for i := range 4 { // they are shared by both decode engines
+		calls.Go(func() {
+			if a := d.daemons[0].complete(fmt.Sprintf("c%d", i), 5); a.status != http.StatusOK {
+				t.Errorf("completion: %d %s", a.status, a.body)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond) // until all are admitted
+	d.injectFault("brandon-a-decode-1", "leave", nil)
+	left := time.Now()
+	calls.Wait()
+	runs := map[string]int{}
+	for _, e := range d.events() {
+		if e.Event == "run" {
+			runs[e.Upstream]++
+		}
+		if after := time.UnixMilli(e.AtMs).Sub(left); e.Event == "run" && e.Upstream == "brandon-a-decode-1" && after > leavingBound {
+			t.Errorf("%s got new work %v after it said that it leaves", e.Upstream, after)
+		}
+	}
+	t.Logf("runs: %v", runs)
+}
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -19,11 +19,15 @@
 var errStalled = errors.New("stream stalled: no chunk within the stall time-out")
 
 // decode streams the answer from the reserved decode engine, or from another one if that engine
-// refuses the call or is unreachable. retryPrefill reports whether the call may be started again
+// is leaving, refuses the call or is unreachable. retryPrefill reports whether the call may be started again
 // with a new prefill: no chunk has been published yet.
 func (r *Run) decode(kv completions.KVTransferParams) (retryPrefill bool, p *problem.Problem) {
 	excluded := map[string]bool{}
 	name := r.grant.Decode
+	if name != "" && r.leaving(name) { // since the admission: the prefill may have taken long
+		excluded[name] = true
+		name = ""
+	}
 	if name == "" {
 		name = r.nextDecode(excluded)
 	}
@@ -58,6 +62,12 @@
 	return delivered == 0, r.phaseProblem("decode", last)
 }
 
+// leaving reports whether an engine is known to be leaving.
+func (r *Run) leaving(name string) (leaving bool) {
+	r.group.withLock(func(a *admission.Group) { leaving = a.Leaving(name) })
+	return leaving
+}
+
 // nextDecode returns the engine to try next, without those in excluded, or "" if there is none.
 func (r *Run) nextDecode(excluded map[string]bool) (name string) {
 	r.group.withLock(func(a *admission.Group) {
