A VM list that does not answer is read again at once

Change: a read has half the interval to end, and a failed one is repeated at once.

Result: TestSilentReadDelaysALeavingUpstreamWithinTheLimit, red before (3,984 ms of 3,500), is green.

--- a/hemlockd/internal/vmlist/vmlist.go
+++ b/hemlockd/internal/vmlist/vmlist.go
@@ -58,7 +58,9 @@
 	ticker := time.NewTicker(l.env.Config.VMListMs.Duration())
 	defer ticker.Stop()
 	for {
-		l.readList(ctx)
+		if !l.readList(ctx) {
+			l.readList(ctx) // at once: the connection may have fallen silent
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -67,12 +69,15 @@
 	}
 }
 
-func (l *List) readList(ctx context.Context) {
+// readList reads the list within half the interval of reads. It reports whether it could.
+func (l *List) readList(ctx context.Context) bool {
 	metrics.Add("reads", 1)
+	ctx, cancel := context.WithTimeout(ctx, (l.env.Config.VMListMs / 2).Duration())
+	defer cancel()
 	groups, err := l.client.List(ctx)
 	if err != nil {
 		metrics.Add("failures", 1)
-		return
+		return false
 	}
 	leaving := map[string]bool{}
 	for _, g := range groups {
@@ -94,4 +99,5 @@
 			l.env.Log.Info("VM list shows a VM as leaving", zap.String("vm", name))
 		}
 	}
+	return true
 }
