A datagram with a bad address ends no daemon

Cause: peers.apply took for granted that the address it had just tried to add is known.

Change: addresses between daemons are IPv4 address and port and parsed as such; a message from none of these is counted as unreadable and ignored.

Result: TestBadDatagramsEndNoDaemon, red before (nil dereference, and a daemon without an address counted as alive), is green.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -319,11 +319,9 @@
 func (d *platformDaemon) addSeeds(seeds []string) {
 	for _, seed := range seeds {
 		host, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			d.log.Warn("seed in the settings is not HOST:PORT; ignoring it", zap.String("seed", seed), zap.Error(err))
-			continue
+		if err != nil || !d.peers.AddAddress(net.JoinHostPort(host, strconv.Itoa(d.settings.FirstPort))) {
+			d.log.Warn("seed in the settings is not IP:PORT; ignoring it", zap.String("seed", seed), zap.Error(err))
 		}
-		d.peers.AddAddress(net.JoinHostPort(host, strconv.Itoa(d.settings.FirstPort)))
 	}
 }
 
@@ -336,11 +334,9 @@
 // addListed adds a daemon of the list as a peer.
 func (d *platformDaemon) addListed(name string, raw []byte) {
 	var e registration
-	if err := json.Unmarshal(raw, &e); err != nil || e.Address == "" {
+	if err := json.Unmarshal(raw, &e); err != nil || !d.peers.AddAddress(e.Address) {
 		d.log.Warn("invalid entry in the list of daemons; ignoring it", zap.String("peer", name), zap.Error(err))
-		return
 	}
-	d.peers.AddAddress(e.Address)
 }
 
 // runRegistration writes this daemon's entry in the list of daemons, retrying until
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -20,6 +20,7 @@
 	"expvar"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -227,21 +228,31 @@
 }
 
 // AddAddress adds the datagram address of a daemon that may be running. It ignores
-// known addresses and this daemon's own.
-func (p *Peers) AddAddress(at string) {
-	if at == p.options.Address {
-		return
-	}
-	udp, err := net.ResolveUDPAddr("udp4", at)
-	if err != nil {
-		p.options.Log.Warn("cannot resolve the address of another daemon", zap.String("address", at), zap.Error(err))
-		return
-	}
+// known addresses and this daemon's own. It reports whether the address is valid: an IPv4
+// address with a port.
+func (p *Peers) AddAddress(at string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.addresses[at]; !ok {
-		p.addresses[at] = &peerAddress{udp: udp, lastHeardMs: p.options.Clock.Now()}
+	return p.addressLocked(at) != nil || at == p.options.Address
+}
+
+// addressLocked returns the address for datagrams with the given IP:port, and adds it if it
+// is not known. It returns nil for this daemon's own address and for an invalid one.
+func (p *Peers) addressLocked(at string) *peerAddress {
+	if a, ok := p.addresses[at]; ok {
+		return a
+	}
+	address, err := netip.ParseAddrPort(at)
+	if err != nil || !address.Addr().Is4() || address.Port() == 0 {
+		metrics.Add("badAddresses", 1)
+		return nil
+	}
+	if at == p.options.Address {
+		return nil
 	}
+	a := &peerAddress{udp: net.UDPAddrFromAddrPort(address), lastHeardMs: p.options.Clock.Now()}
+	p.addresses[at] = a
+	return a
 }
 
 // Leave notifies the other daemons that this one is shutting down.
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -175,3 +175,20 @@
 		t.Error("does not follow the store although the three daemons before it have lost it")
 	}
 }
+
+// TestBadDatagramsEndNoDaemon guards against a daemon that is ended by one datagram: an
+// address that cannot be resolved, or the daemon's own, was not among the known ones and
+// was used all the same.
+func TestBadDatagramsEndNoDaemon(t *testing.T) {
+	a := start(t, "a", 1)
+	for _, address := range []string{"", "no address", "127.0.0.1:port", "[::1]:9", a.options.Address} {
+		a.apply(State{Name: "b", StartedMs: 1, Sequence: 1, Address: address, DataCentre: "a"})
+		if alive := a.Alive(); len(alive) != 0 {
+			t.Errorf("address %q: %+v counts as alive", address, alive)
+		}
+	}
+	a.apply(State{Name: "b", StartedMs: 1, Sequence: 2, Address: "127.0.0.1:9", DataCentre: "a"})
+	if len(a.Alive()) != 1 {
+		t.Error("a good message of the same daemon is not counted")
+	}
+}
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -32,18 +32,23 @@
 	}
 }
 
-// apply applies a message of another daemon. Its runs are ignored if it was sent by an
-// earlier process or before the last full state applied, or if it is a full state and a
-// later message was applied before it. Such a message still counts as a heartbeat, if it is
-// from the daemon's current process, and the rest of its content is applied.
+// apply applies a message of another daemon. One whose address is not that of another
+// daemon is ignored. The runs are ignored if the message was sent by an earlier process or
+// before the last full state applied, or if it is a full state and a later message was
+// applied before it. Such a message still counts as a heartbeat, if it is from the daemon's
+// current process, and the rest of its content is applied.
 func (p *Peers) apply(s State) {
 	if s.Name == p.options.Name {
 		return
 	}
 	now := p.options.Clock.Now()
-	p.AddAddress(s.Address)
 	p.mu.Lock()
-	a := p.addresses[s.Address]
+	a := p.addressLocked(s.Address)
+	if a == nil {
+		p.mu.Unlock()
+		metrics.Add("unreadable", 1)
+		return
+	}
 	a.heard, a.lastHeardMs, a.local = true, now, s.DataCentre == p.options.DataCentre
 	d, known := p.daemons[s.Name]
 	restarted := known && (s.StartedMs > d.startedMs || s.StartedMs != d.startedMs && now-d.LastHeardMs > restartSilence)
