An older entry of an upstream that the store carries out late is ignored

Cause: the entry in the store was taken as it came. The platform's page says that a write without an answer may be carried out seconds later, so an upstream's ready entry may come after the one in which it says that it leaves, or after its removal.

Change: entries of one process of an upstream (born) are ordered by their Sequence; an older one is logged and ignored, for a minute also after a removal. Those of two processes are not compared, since the wall clock may be set back between them.

--- a/common/routing/routing.go
+++ b/common/routing/routing.go
@@ -164,4 +164,6 @@
 	// StartedMs is when the upstream started (Unix ms); it distinguishes a restarted
 	// upstream from its predecessor.
 	StartedMs clock.Millis
+	// Sequence orders the entries that one process of the upstream writes.
+	Sequence int64
 }
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -246,6 +246,11 @@
 			d.upstreams.remove(e.Key, keep, now)
 			continue
 		}
+		if d.upstreams.outdated(u) {
+			log.Info("entry of an upstream is older than the one in force; ignoring it", zap.String("upstream", u.ID),
+				zap.Int64("sequence", u.Sequence), zap.Bool("leaving", u.Leaving))
+			continue
+		}
 		if d.upstreams.put(u, e.Value) {
 			log.Info("upstream added to the list or changed", zap.String("upstream", u.ID), zap.String("service", u.Service),
 				zap.String("address", u.Address), zap.Bool("leaving", u.Leaving), zap.String("role", string(u.Role)))
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -12,6 +12,30 @@
 // upstreamList is the list of upstreams. It is not safe for concurrent use.
 type upstreamList struct {
 	entries map[string]*listEntry
+	// newest holds, by ID, the newest entry that the upstream has written, also for a
+	// while after its removal.
+	newest map[string]entryOrder
+}
+
+// removedMemory is how long it is remembered what a removed upstream has written last. The
+// store may carry out a write seconds after it was sent.
+const removedMemory = clock.Minute
+
+// entryOrder says which of two entries of an upstream was written later.
+type entryOrder struct {
+	startedMs clock.Millis // of the upstream's process; 0 if the entry does not say
+	sequence  int64        // within the process
+	removedMs clock.Millis // when the upstream was removed; 0 otherwise
+}
+
+// before reports whether an entry was written before another one of the same process. Those
+// of two processes are not compared, since the wall clock may be set back between them.
+func (o entryOrder) before(other entryOrder) bool {
+	return o.startedMs != 0 && o.startedMs == other.startedMs && o.sequence < other.sequence
+}
+
+func orderOf(u routing.Upstream) entryOrder {
+	return entryOrder{startedMs: u.StartedMs, sequence: u.Sequence}
 }
 
 type listEntry struct {
@@ -23,14 +47,26 @@
 }
 
 func newUpstreamList() *upstreamList {
-	return &upstreamList{entries: map[string]*listEntry{}}
+	return &upstreamList{entries: map[string]*listEntry{}, newest: map[string]entryOrder{}}
 }
 
-// put adds or replaces an entry and reports whether it changed anything.
+// outdated reports whether an entry was written before one that is known.
+func (l *upstreamList) outdated(u routing.Upstream) bool { return orderOf(u).before(l.newest[u.ID]) }
+
+// put adds or replaces an entry, unless it is outdated, and reports whether it changed
+// more than the entry's place in the order.
 func (l *upstreamList) put(u routing.Upstream, raw []byte) bool {
+	if l.outdated(u) {
+		return false
+	}
+	l.newest[u.ID] = orderOf(u)
 	old, ok := l.entries[u.ID]
 	l.entries[u.ID] = &listEntry{upstream: u, raw: raw}
-	return !ok || old.upstream != u || old.removedMs != 0
+	if !ok {
+		return true
+	}
+	u.Sequence = old.upstream.Sequence
+	return old.upstream != u || old.removedMs != 0
 }
 
 // remove removes an entry. If keep is set, an upstream that has not said that it leaves
@@ -40,6 +76,7 @@
 	if !ok {
 		return
 	}
+	l.remember(id, now)
 	if e.upstream.Leaving || !keep {
 		delete(l.entries, id)
 		return
@@ -49,6 +86,14 @@
 	}
 }
 
+// remember keeps what a removed upstream has written last for removedMemory.
+func (l *upstreamList) remember(id string, now clock.Millis) {
+	order := l.newest[id]
+	order.removedMs = now
+	l.newest[id] = order
+	maps.DeleteFunc(l.newest, func(_ string, o entryOrder) bool { return o.removedMs != 0 && now-o.removedMs > removedMemory })
+}
+
 // keepOnly removes all upstreams that are not among entries, as remove does, and returns
 // the IDs of those newly removed.
 func (l *upstreamList) keepOnly(entries []directory.Entry, keep bool, now clock.Millis) (removed []string) {
