make red: deafDaemons, noPeers and noSweep break the mechanism, not the start

Cause: the switches wrote loadMs, probeMs or vmListMs a second time into the daemon's file, which then did not start; the proofs were red for that reason alone.

Change: the intervals are options of the test deployments; noPeers does not wait for daemons to see each other.

--- a/hemlockd/e2e/deployment_test.go
+++ b/hemlockd/e2e/deployment_test.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -74,6 +75,10 @@
 	policy      string   // TOML lines added to [policy]
 	service     string   // TOML lines added to [services.order-desk]
 	daemon      string   // TOML lines added to each daemon's file
+	loadMs      int      // interval of load reports, default 200
+	probeMs     int      // interval of probes, default 200
+	vmListMs    int      // interval of reads of the VM list, default 500
+	unconverged bool     // do not wait until the daemons see each other
 	team        string   // TOML lines added to the team's file
 }
 
@@ -185,7 +190,9 @@
 	for _, daemon := range d.daemons {
 		daemon.waitReady()
 	}
-	d.waitConverged()
+	if !opts.unconverged {
+		d.waitConverged()
+	}
 	return d
 }
 
@@ -209,11 +216,12 @@
 daemonKey = %q
 bootstrapHash = %q
 platformTimeoutMs = 500
-loadMs = 200
-probeMs = 200
-vmListMs = 500
+loadMs = %d
+probeMs = %d
+vmListMs = %d
 %s
-`, m.name, dc, m.callers, m.operators, listen, m.advertise, table, objects, vms, daemonKey, settings.HashKey(operatorKey), d.opts.daemon))
+`, m.name, dc, m.callers, m.operators, listen, m.advertise, table, objects, vms, daemonKey, settings.HashKey(operatorKey),
+		cmp.Or(d.opts.loadMs, 200), cmp.Or(d.opts.probeMs, 200), cmp.Or(d.opts.vmListMs, 500), d.opts.daemon))
 	return m
 }
 
--- a/hemlockd/e2e/leaving_test.go
+++ b/hemlockd/e2e/leaving_test.go
@@ -24,7 +24,7 @@
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
 	opts := options{prefill: 2, decode: 2, services: 2}
 	if mechanismDisabled("deafDaemons") {
-		opts.daemon = "loadMs = 3600000\nvmListMs = 3600000"
+		opts.loadMs, opts.vmListMs = 3_600_000, 3_600_000
 	}
 	d := deploy(t, opts)
 	stop := runWorkers(4, func(w, i int) {
--- a/hemlockd/e2e/memory_test.go
+++ b/hemlockd/e2e/memory_test.go
@@ -25,7 +25,7 @@
 func TestMemoryIsReleased(t *testing.T) {
 	opts := options{daemons: 3, decode: 1, model: "prefillTokenUs = 100\nstepBaseMs = 50.0\nstepPerSlotMs = 0.0\nslots = 2\ntransferMBps = 400.0\nkvTokenKB = 64.0", policy: "firstTokenMs = 20000\nbetweenTokensMs = 100.0"}
 	if mechanismDisabled("noSweep") {
-		opts.daemon = "loadMs = 3600000"
+		opts.loadMs = 3_600_000
 	}
 	d := deploy(t, opts)
 	promptOfTokens := func(n int) string { return string(make([]byte, 0)) + fmt.Sprintf("%0*d", 4*n, 7) }
--- a/hemlockd/e2e/verdict_test.go
+++ b/hemlockd/e2e/verdict_test.go
@@ -19,7 +19,7 @@
 func TestVerdictOutlivesItsDaemon(t *testing.T) {
 	opts := options{daemons: 3}
 	if mechanismDisabled("noPeers") {
-		opts.daemon = "probeMs = 3600000"
+		opts.probeMs, opts.unconverged = 3_600_000, true
 	}
 	d := deploy(t, opts)
 	survivor := d.daemons[2]
