Freshness between daemons is short, never in the future, and denies no outage unseen

Change: ages below zero count as zero; a daemon answers only for the time since it first heard of the store; two of the four fields are left out.

--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -386,9 +386,11 @@
 	if !configKnown || !listKnown {
 		return nil
 	}
-	return &peers.Freshness{
-		ConfigAgeMs: configAge, ListAgeMs: listAge, AnsweredAgoMs: now - d.freshness.answeredMs, ReachableMs: now - d.freshness.reachableSinceMs,
+	f := &peers.Freshness{ConfigAgeMs: configAge, ListAgeMs: listAge}
+	if ago := now - d.freshness.surelyReachableSince(); ago < outageMemory {
+		f.OutageAgoMs = max(1, ago)
 	}
+	return f
 }
 
 // Confirm applies what another daemon, which has the given versions in force, knows of its
@@ -397,12 +399,17 @@
 	now := d.o.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.freshness.reachableFor(now-f.ReachableMs, now-f.AnsweredAgoMs, now)
+	ago := func(age clock.Millis) clock.Millis { return now - max(0, age) }
+	reachableSince := ago(f.OutageAgoMs)
+	if f.OutageAgoMs == 0 {
+		reachableSince = ago(outageMemory)
+	}
+	d.freshness.reachableFor(reachableSince, ago(min(f.ConfigAgeMs, f.ListAgeMs)), now)
 	if version <= d.Version() {
-		d.freshness.confirm(directory.Routes, now-f.ConfigAgeMs)
+		d.freshness.confirm(directory.Routes, ago(f.ConfigAgeMs))
 	}
 	if listVersion <= d.listVersion.Load() {
-		d.freshness.confirm(directory.Upstreams, now-f.ListAgeMs)
+		d.freshness.confirm(directory.Upstreams, ago(f.ListAgeMs))
 	}
 }
 
--- a/hemlockd/internal/directory/freshness.go
+++ b/hemlockd/internal/directory/freshness.go
@@ -12,6 +12,9 @@
 // within two seconds of its end.
 const removalGrace = 2200 * clock.Millisecond
 
+// outageMemory is how long other daemons are told of an outage of the store.
+const outageMemory = 10 * clock.Second
+
 // freshness records how up to date what the store holds is known here: since when, and up
 // to when. Times of all daemons count, as far as they tell each other. It is not safe for
 // concurrent use.
@@ -23,6 +26,8 @@
 	// once hasAnswered is set.
 	answeredMs  clock.Millis
 	hasAnswered bool
+	// watchedSinceMs is the time since which an outage would be known here.
+	watchedSinceMs clock.Millis
 	// reachableSinceMs is the time since which the store has answered some daemon or other
 	// without an outage; before the first known outage it is far in the past.
 	reachableSinceMs clock.Millis
@@ -44,7 +49,7 @@
 // answered records that the store answered a daemon at a time.
 func (f *freshness) answered(at clock.Millis) {
 	if !f.hasAnswered {
-		f.answeredMs, f.hasAnswered = at, true
+		f.answeredMs, f.watchedSinceMs, f.hasAnswered = at, at, true
 		return
 	}
 	if at-f.answeredMs >= f.outageMs {
@@ -59,9 +64,15 @@
 	f.answered(at)
 	if now-at < f.outageMs { // else there may have been an outage since
 		f.reachableSinceMs = min(f.reachableSinceMs, since)
+		f.watchedSinceMs = min(f.watchedSinceMs, since)
 	}
 }
 
+// surelyReachableSince returns the time since which the store is known to have had no outage.
+func (f *freshness) surelyReachableSince() clock.Millis {
+	return max(f.reachableSinceMs, f.watchedSinceMs)
+}
+
 // age returns the time since the entries in force of a topic were last known to be the
 // store's, or false if they never were.
 func (f *freshness) age(topic directory.Topic, now clock.Millis) (clock.Millis, bool) {
--- a/hemlockd/internal/directory/freshness_test.go
+++ b/hemlockd/internal/directory/freshness_test.go
@@ -123,6 +123,36 @@
 	}
 }
 
+// TestOtherDaemonsConfirmOnlyWhatIsInForceHere checks which ages a message of another
+// daemon sets: those of versions that are not newer than the ones in force, and none that
+// lie in the future.
+func TestOtherDaemonsConfirmOnlyWhatIsInForceHere(t *testing.T) {
+	now := clock.NewManual(clock.Minute)
+	d := newTestDirectory(&fakeStore{})
+	d.o.Clock = now.Clock()
+	d.applyConfig([]byte("7"), "test")
+	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false)}}, true, storeSource)
+	ages := func() (config, list clock.Millis) {
+		if f := d.Freshness(); f != nil {
+			return f.ConfigAgeMs, f.ListAgeMs
+		}
+		return -1, -1
+	}
+	d.Confirm(peers.Freshness{ConfigAgeMs: 100, ListAgeMs: 200}, 8, 91)
+	if config, list := ages(); config != -1 || list != -1 {
+		t.Errorf("newer versions elsewhere give ages of %d and %d ms, want none", config, list)
+	}
+	d.Confirm(peers.Freshness{ConfigAgeMs: 100, ListAgeMs: 200}, 7, 89)
+	if config, list := ages(); config != 100 || list != 200 {
+		t.Errorf("ages %d and %d ms, want 100 and 200", config, list)
+	}
+	now.Advance(clock.Second)
+	d.Confirm(peers.Freshness{ConfigAgeMs: 5000, ListAgeMs: -5000}, 7, 90)
+	if config, list := ages(); config != 1100 || list != 0 {
+		t.Errorf("ages %d and %d ms, want 1100, which is known, and 0", config, list)
+	}
+}
+
 // TestChangesThatTheListIncludesAreNotAppliedAgain guards against old changes that come
 // from the store after another daemon has sent a newer list.
 func TestChangesThatTheListIncludesAreNotAppliedAgain(t *testing.T) {
@@ -153,6 +183,30 @@
 	}
 }
 
+// TestFreshDaemonDeniesNoOutage starts a daemon just after an outage, of which it cannot
+// know: others must go on keeping what the outage may have removed.
+func TestFreshDaemonDeniesNoOutage(t *testing.T) {
+	now := clock.NewManual(clock.Minute)
+	fresh := newTestDirectory(&fakeStore{})
+	fresh.o.Clock = now.Clock()
+	fresh.storeAnswered(directory.Page{}, now.Clock().Now())
+	fresh.confirm(directory.Routes, now.Clock().Now())
+	fresh.confirm(directory.Upstreams, now.Clock().Now())
+	old := newTestDirectory(&fakeStore{})
+	old.o.Clock = now.Clock()
+	old.freshness = steady(clock.Second, 50*clock.Second)
+	old.storeAnswered(directory.Page{}, now.Clock().Now())
+	now.Advance(100)
+	old.Confirm(*fresh.Freshness(), 0, 0)
+	if !old.freshness.mayLackEntries(now.Clock().Now()) {
+		t.Error("a daemon that has just started denied the outage before its start")
+	}
+	now.Advance(outageMemory)
+	if f := fresh.Freshness(); f.OutageAgoMs != 0 {
+		t.Errorf("outage %d ms ago, want none lately", f.OutageAgoMs)
+	}
+}
+
 func TestStoreTimeIsBetweenTheCallAndTheArrival(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var c storeClock
--- a/hemlockd/internal/directory/leaving_test.go
+++ b/hemlockd/internal/directory/leaving_test.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"go.uber.org/zap"
-
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/directory"
-	"hemlockmux.example/common/routing"
 )
 
 // leavingLimit is DrainMs of the users' smaller deployments.
@@ -151,20 +147,9 @@
 		b.followsStore.Store(true)
 		ctx, stopTime := context.WithCancel(context.Background())
 		go b.runTime(ctx)
-		b.Directory = New(Options{
-			Log: zap.NewNop(), Clock: b.time.Clock(), Store: store,
-			Decoder: Decoder{
-				Config: func(raw []byte) (*routing.Config, error) {
-					cfg := &routing.Config{Raw: raw}
-					return cfg, json.Unmarshal(raw, &cfg.Version)
-				},
-				Upstream: func(id string, raw []byte) (routing.Upstream, error) {
-					return routing.Upstream{ID: id, Service: "s", Leaving: string(raw) == "leaving"}, nil
-				},
-			},
-			OnConfig: func() {}, OnUpstreams: func() {}, OnDaemon: func(string, []byte) {},
-			ShouldFollowStore: func() bool { return b.followsStore.Load() },
-		})
+		b.Directory = newTestDirectory(store)
+		b.o.Clock = b.time.Clock()
+		b.o.ShouldFollowStore = func() bool { return b.followsStore.Load() }
 		stop := b.Start()
 		b.pass(100)
 		test(b, store)
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -60,14 +60,12 @@
 // daemons have told it. All times count back from when the message is sent.
 type Freshness struct {
 	// ConfigAgeMs is the time since the configuration in force was known to be the store's.
-	ConfigAgeMs clock.Millis `json:"configAgeMs"`
+	ConfigAgeMs clock.Millis `json:"configMs"`
 	// ListAgeMs is the time since the list of upstreams was known to be the store's.
-	ListAgeMs clock.Millis `json:"listAgeMs"`
-	// AnsweredAgoMs is the time since the store is known to have answered a daemon.
-	AnsweredAgoMs clock.Millis `json:"answeredAgoMs"`
-	// ReachableMs is the time since which the store has answered some daemon or other
-	// without an outage.
-	ReachableMs clock.Millis `json:"reachableMs"`
+	ListAgeMs clock.Millis `json:"listMs"`
+	// OutageAgoMs is the time since which the store is known to have answered some daemon or
+	// other without an outage; 0 if that is long.
+	OutageAgoMs clock.Millis `json:"outageAgoMs,omitempty"`
 }
 
 // Snapshot holds the configuration and the upstreams that a daemon knows, in the
