TestPlatformControlCost counts what daemons read since nothing confirmed it

Cause: whether daemons at rest confirm each other in time showed nowhere; and the stand-in's feed gave the time at which a call began waiting, not that of its answer.

Change: the test prints the reads of lists and configurations a second; the feed's answer bears its own time.

--- a/hemlockd/e2e/usersplatform_scale_test.go
+++ b/hemlockd/e2e/usersplatform_scale_test.go
@@ -42,38 +42,52 @@
 	for _, d := range p.daemons {
 		p.waitReady(d)
 	}
-	totalSent := func() float64 {
-		total := 0.0
+	total := func() (sum controlMetrics) {
 		for _, d := range p.daemons {
-			total += p.sentBytes(d, ports[4])
+			m := p.controlMetrics(d, ports[4])
+			sum.Peers.SentBytes += m.Peers.SentBytes
+			sum.Directory.RouteChecks += m.Directory.RouteChecks
+			sum.Directory.UpstreamChecks += m.Directory.UpstreamChecks
 		}
-		return total
+		return sum
 	}
 	time.Sleep(3 * time.Second) // until all daemons know each other
-	before := totalSent()
+	before := total()
 	time.Sleep(controlMeasurement)
-	bytesPerSecond := (totalSent() - before) / float64(n) / controlMeasurement.Seconds()
-	t.Logf("%d daemons: each sent %.0f bytes a second", n, bytesPerSecond)
+	after := total()
+	perSecond := func(before, after float64) float64 {
+		return (after - before) / float64(n) / controlMeasurement.Seconds()
+	}
+	bytesPerSecond := perSecond(before.Peers.SentBytes, after.Peers.SentBytes)
+	t.Logf("%d daemons: each sent %.0f bytes a second to others and read from the store, since nothing confirmed them, %.2f lists of upstreams and %.2f configurations a second",
+		n, bytesPerSecond, perSecond(before.Directory.UpstreamChecks, after.Directory.UpstreamChecks),
+		perSecond(before.Directory.RouteChecks, after.Directory.RouteChecks))
 	if bytesPerSecond == 0 {
 		t.Error("daemons sent each other no bytes")
 	}
 }
 
-// sentBytes returns the number of bytes that a daemon has sent to other daemons.
-func (p *usersPlatform) sentBytes(d *platformDaemon, port int) float64 {
+// controlMetrics are the metrics of a daemon that tell the cost of control.
+type controlMetrics struct {
+	Peers struct {
+		SentBytes float64 `json:"sentBytes"`
+	} `json:"peers"`
+	Directory struct {
+		RouteChecks    float64 `json:"checks routes"`
+		UpstreamChecks float64 `json:"checks upstreams"`
+	} `json:"directory"`
+}
+
+// controlMetrics fetches the metrics of a daemon.
+func (p *usersPlatform) controlMetrics(d *platformDaemon, port int) (m controlMetrics) {
 	p.t.Helper()
 	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", d.ip, port))
 	if err != nil {
 		p.t.Fatal(err)
 	}
 	defer resp.Body.Close()
-	var metrics struct {
-		Peers struct {
-			SentBytes float64 `json:"sentBytes"`
-		} `json:"peers"`
-	}
-	if err := decodeJSON(resp.Body, &metrics); err != nil {
+	if err := decodeJSON(resp.Body, &m); err != nil {
 		p.t.Fatal(err)
 	}
-	return metrics.Peers.SentBytes
+	return m
 }
--- a/standin/internal/usersplatform/store.go
+++ b/standin/internal/usersplatform/store.go
@@ -205,6 +205,9 @@
 		select {
 		case <-changed:
 		case <-deadline:
+			s.mu.Lock()
+			answer = s.pageLocked(nil)
+			s.mu.Unlock()
 			reply(w, http.StatusOK, answer)
 			return
 		case <-r.Context().Done():
