A request that is repeated after a crash is admitted as a crash suspect

Cause: whether a request is a suspect was asked once, at its first admission. One that became a suspect in its first attempt was repeated as if it were none, and could share an engine with the request that crashes engines; a second death refused it.

Change: before an attempt after a crash the request leaves its group and queues anew as a suspect, which shares no engine with another, and waits for one as any other request does.

--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -221,7 +221,7 @@
 // is complete.
 func (r *Run) serve() *problem.Problem {
 	k := r.keeper
-	if p := r.admit(); p != nil {
+	if p := r.admit(r.call.ArrivedMs); p != nil {
 		return p
 	}
 	k.budget.RecordFirstAttempt()
@@ -240,19 +240,35 @@
 			return p
 		}
 		metrics.Add("repeatedPrefills", 1)
-		if p := r.backoff(attempt); p != nil {
+		if gone := r.backoff(attempt); gone != nil {
+			return gone
+		}
+		if !r.readmitSuspect() {
 			return p
 		}
 	}
 }
 
-// admit queues the call in its group and waits until the group admits or refuses it.
-func (r *Run) admit() *problem.Problem {
+// readmitSuspect queues a request anew if an engine crashed during it, so that the next attempt
+// shares its engines with no other suspect. It returns false if the request is not admitted.
+func (r *Run) readmitSuspect() bool {
+	k := r.keeper
+	now := k.env.Clock.Now()
+	if !k.suspects.Suspected(r.call.Digest, now) {
+		return true
+	}
+	r.group.decide(func(a *admission.Group) []admission.Decision { return a.Done(r.call.RequestID, now) })
+	return r.admit(now) == nil
+}
+
+// admit queues the call, which arrived at the given time, in its group and waits until the group
+// admits or refuses it.
+func (r *Run) admit(arrivedMs clock.Millis) *problem.Problem {
 	k, now := r.keeper, r.keeper.env.Clock.Now()
 	decided := make(chan admission.Decision, 1)
 	work := admission.Work{
 		ID: r.call.RequestID, Priority: r.call.Priority, PromptTokens: r.call.PromptTokens,
-		OutputTokens: r.call.OutputTokens, Hashes: r.call.PrefixHashes, ArrivedMs: r.call.ArrivedMs,
+		OutputTokens: r.call.OutputTokens, Hashes: r.call.PrefixHashes, ArrivedMs: arrivedMs,
 		Suspect: k.suspects.Suspected(r.call.Digest, now), Allowed: r.call.AllowedEngines,
 	}
 	r.group.mu.Lock()
