The sum counts a message's way; limits follow the settings; a list of unknown age is read

Cause: three ways that the sum of a change had left out, found by listing them for the postmortem: what another daemon's message confirms is older by the message's way (up to 500 ms on a full link); limits were those of the start, whatever the settings said later; a daemon with a list from another daemon read it only once a message had told its age.

Change: 500 ms more in the sum, waits of 600 and 900 ms at the store so that daemons confirm each other within it; SetLimits at a reload; an unknown age is read at once.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -131,10 +131,7 @@
 	d.store = store
 	servers, closeServers := platform.NewServers()
 	d.onClose(closeServers)
-	if !directoryLimits(d.settings).Met() {
-		d.log.Warn("the settings demand changes to be in force sooner than the ways of a change add up to",
-			zap.Int64("leavingMs", int64(d.settings.LeavingGraceMs)), zap.Int64("configMs", int64(d.settings.ConfigApplyMs)))
-	}
+	d.checkLimits(d.settings)
 	started := d.clk.Now()
 	view := capacity.NewView(capacity.DefaultLimits())
 	d.view = view
@@ -244,10 +241,20 @@
 	}
 }
 
-// reload applies those of the new settings that can change while the daemon runs:
-// the seeds and the retry budget. Changed addresses need a restart.
+// checkLimits warns of times within which changes must be in force that can't be kept.
+func (d *platformDaemon) checkLimits(settings platform.Settings) {
+	if !directoryLimits(settings).Met() {
+		d.log.Warn("the settings demand changes to be in force sooner than the ways of a change add up to",
+			zap.Int64("leavingMs", int64(settings.LeavingGraceMs)), zap.Int64("configMs", int64(settings.ConfigApplyMs)))
+	}
+}
+
+// reload applies those of the new settings that can change while the daemon runs: the
+// seeds, the limits of changes and the retry budget. Changed addresses need a restart.
 func (d *platformDaemon) reload(settings platform.Settings) {
 	d.addSeeds(settings.Seeds)
+	d.checkLimits(settings)
+	d.directory.SetLimits(directoryLimits(settings))
 	d.retries.SetBound(retryBound(settings))
 	if settings.Callers != d.settings.Callers || settings.Ready != d.settings.Ready || settings.Daemons != d.settings.Daemons || settings.StoreAddress != d.settings.StoreAddress {
 		d.log.Warn("changed addresses take effect only after a restart")
--- a/hemlockd/internal/directory/check.go
+++ b/hemlockd/internal/directory/check.go
@@ -16,6 +16,9 @@
 	// checkTimeout limits the call that reads a topic whose age is too high. The call has a
 	// connection of its own, so that a silent one does not hold it up.
 	checkTimeout = 700 * clock.Millisecond
+	// messageDelay is how long a message of another daemon may be on its way. What it
+	// confirms is older by that time than it says.
+	messageDelay = 500 * clock.Millisecond
 	// CallReach is how long a call may take to reach an upstream after the upstream was
 	// looked up in the list.
 	CallReach = 500 * clock.Millisecond
@@ -63,7 +66,7 @@
 // With the hops after that it adds up to the topic's limit. The list of upstreams is also
 // read so early that the daemon's own silence is never taken for an outage of the store.
 func (l Limits) maxAge(topic directory.Topic) clock.Millis {
-	const ownRead = checkInterval + checkTimeout + processingMargin
+	const ownRead = messageDelay + checkInterval + checkTimeout + processingMargin
 	if topic == directory.Routes {
 		return max(minAge, l.ConfigMs-ownRead)
 	}
@@ -83,8 +86,7 @@
 // neither this daemon's own feed nor another daemon.
 type checker struct {
 	storeReporter
-	maxAge clock.Millis
-	apply  func(page directory.Page, full bool)
+	apply func(page directory.Page, full bool)
 }
 
 func (c *checker) run(ctx context.Context) {
@@ -105,12 +107,17 @@
 	}
 }
 
-// due reports whether the topic's age is above its limit.
+// due reports whether the topic's age is above its limit, or not known although there are
+// entries, which then came from another daemon.
 func (c *checker) due() bool {
+	ready := c.d.Ready()
 	c.d.mu.Lock()
 	defer c.d.mu.Unlock()
 	age, known := c.d.freshness.age(c.topic, c.d.o.Clock.Now())
-	return known && age > c.maxAge
+	if !known {
+		return ready
+	}
+	return age > c.d.limits.maxAge(c.topic)
 }
 
 func (c *checker) check(ctx context.Context) error {
--- a/hemlockd/internal/directory/check_test.go
+++ b/hemlockd/internal/directory/check_test.go
@@ -20,7 +20,7 @@
 			return
 		}
 		l = l.withDefaults()
-		known := checkInterval + checkTimeout + processingMargin
+		known := messageDelay + checkInterval + checkTimeout + processingMargin
 		if sum := l.maxAge(directory.Upstreams) + known + CallReach; sum > l.LeavingMs {
 			t.Errorf("a call may reach an upstream %d ms after it has left, want at most %d", sum, l.LeavingMs)
 		}
@@ -58,3 +58,31 @@
 		}
 	})
 }
+
+// TestUnconfirmedListIsReadAtOnce guards a daemon that has its list from another daemon and
+// hears from nobody how old it is.
+func TestUnconfirmedListIsReadAtOnce(t *testing.T) {
+	inVirtualTime(t, func(b *bubble, store *feedStore) {
+		b.followsStore.Store(false)
+		b.pass(clock.Second)
+		b.mu.Lock()
+		delete(b.freshness.confirmedMs, directory.Upstreams)
+		b.mu.Unlock()
+		store.set("a", true)
+		if took := b.timeUntilUnused("a", 10*clock.Second); took > 2*checkInterval {
+			t.Errorf("read after %d ms, want at most %d", took, 2*checkInterval)
+		}
+	})
+}
+
+func TestNewLimitsApplyAtOnce(t *testing.T) {
+	inVirtualTime(t, func(b *bubble, store *feedStore) {
+		b.followsStore.Store(false)
+		b.SetLimits(Limits{LeavingMs: 2500})
+		b.pass(10 * clock.Second)
+		store.set("a", true)
+		if took := b.timeUntilUnused("a", 10*clock.Second); took > 2500-CallReach {
+			t.Errorf("used for %d ms, want at most %d", took, 2500-CallReach)
+		}
+	})
+}
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -32,8 +32,8 @@
 const (
 	// routesWait and upstreamsWait are how long the store is asked to wait for changes.
 	// Each answer also tells that there are none, which other daemons rely on.
-	routesWait    = 1300 * clock.Millisecond
-	upstreamsWait = 750 * clock.Millisecond
+	routesWait    = 900 * clock.Millisecond
+	upstreamsWait = 600 * clock.Millisecond
 	// answerMargin is added to a wait to give the time-out of the call.
 	answerMargin = 600 * clock.Millisecond
 	// readTimeout limits the call that reads all entries of a topic.
@@ -77,7 +77,7 @@
 	ShouldFollowStore func() bool
 	// OnDaemon is called with each entry of the list of daemons.
 	OnDaemon func(name string, raw []byte)
-	// Limits are the times within which changes must be in force.
+	// Limits are the times within which changes must be in force, see SetLimits.
 	Limits Limits
 }
 
@@ -95,6 +95,7 @@
 	mu        sync.Mutex // serializes changes
 	upstreams *upstreamList
 	freshness *freshness
+	limits    Limits
 	// storeClock converts the times in the store's answers.
 	storeClock storeClock
 	// lastFailureMs is when a call to the store last failed, or -1.
@@ -106,13 +107,22 @@
 
 // New returns an empty directory.
 func New(o Options) *Directory {
-	o.Limits = o.Limits.withDefaults()
-	d := &Directory{o: o, upstreams: newUpstreamList(), freshness: newFreshness(o.Limits.OutageMs), lastFailureMs: -1}
+	d := &Directory{o: o, upstreams: newUpstreamList(), freshness: newFreshness(), lastFailureMs: -1}
+	d.SetLimits(o.Limits)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.published.Store(&map[string][]routing.Upstream{})
 	return d
 }
 
+// SetLimits replaces the times within which changes must be in force. Those that are not
+// set get their defaults.
+func (d *Directory) SetLimits(l Limits) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.limits = l.withDefaults()
+	d.freshness.outageMs = d.limits.OutageMs
+}
+
 // Start starts to follow the store and returns the function that stops it.
 func (d *Directory) Start() func() {
 	var running sync.WaitGroup
@@ -121,7 +131,7 @@
 		running.Go(func() { f.run(d.ctx) })
 	}
 	check := func(topic directory.Topic, apply func(directory.Page, bool)) {
-		c := &checker{storeReporter: storeReporter{d: d, topic: topic}, maxAge: d.o.Limits.maxAge(topic), apply: apply}
+		c := &checker{storeReporter: storeReporter{d: d, topic: topic}, apply: apply}
 		running.Go(func() { c.run(d.ctx) })
 	}
 	applyUpstreams := func(page directory.Page, full bool) { d.applyUpstreams(page, full, storeSource) }
--- a/hemlockd/internal/directory/freshness.go
+++ b/hemlockd/internal/directory/freshness.go
@@ -35,8 +35,8 @@
 	outageMs clock.Millis
 }
 
-func newFreshness(outage clock.Millis) *freshness {
-	return &freshness{confirmedMs: map[directory.Topic]clock.Millis{}, outageMs: outage, reachableSinceMs: math.MinInt32}
+func newFreshness() *freshness {
+	return &freshness{confirmedMs: map[directory.Topic]clock.Millis{}, outageMs: DefaultLimits().OutageMs, reachableSinceMs: math.MinInt32}
 }
 
 // confirm records that the entries in force of a topic were the store's at a time.
--- a/hemlockd/internal/directory/freshness_test.go
+++ b/hemlockd/internal/directory/freshness_test.go
@@ -10,12 +10,12 @@
 	"hemlockmux.example/hemlockd/internal/peers"
 )
 
-const testOutage = 2400 * clock.Millisecond
+var testOutage = DefaultLimits().OutageMs
 
 // steady returns what is known after the store has answered at every half second between
 // two times.
 func steady(from, to clock.Millis) *freshness {
-	f := newFreshness(testOutage)
+	f := newFreshness()
 	for at := from; at <= to; at += 500 {
 		f.answered(at)
 	}
@@ -169,14 +169,14 @@
 // TestOutageAtTheStartIsSeen starts a daemon during an outage, which has its list from
 // another daemon.
 func TestOutageAtTheStartIsSeen(t *testing.T) {
-	f := newFreshness(testOutage)
+	f := newFreshness()
 	now := 30 * clock.Second
 	f.reachableFor(0, now-testOutage, now)
 	f.answered(now + 100)
 	if !f.mayLackEntries(now + 200) {
 		t.Error("the outage that another daemon knew of is not counted")
 	}
-	f = newFreshness(testOutage)
+	f = newFreshness()
 	f.answered(now)
 	if f.mayLackEntries(now) {
 		t.Error("the first answer after the start is taken for the end of an outage")
