A daemon warns if its intervals add up to more than leavingGraceMs

Change: the sum of the hops is worked out from the intervals in force and compared with the policy at each change of the settings.

--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -131,6 +131,7 @@
 	d.configuration.OnChange = func(version int64) {
 		d.daemons.AnnounceVersion(version)
 		k.Reconcile()
+		d.checkLeavingGrace()
 	}
 	svc, closeServices := services.New(env, d.configuration, ledger, list)
 	d.onClose(closeServices)
@@ -195,6 +196,15 @@
 	return settings.DefaultSystem().Policy
 }
 
+// checkLeavingGrace warns if the settings want leaving upstreams to be without new work
+// sooner than the daemon's own intervals add up to.
+func (d *Daemon) checkLeavingGrace() {
+	if delay, grace := d.env.Config.LeavingDelayMs(), d.policy().LeavingGraceMs; delay > grace {
+		d.env.Log.Warn("leavingGraceMs is shorter than loadMs and vmListMs allow; lower these or raise it",
+			zap.Int64("delayMs", int64(delay)), zap.Int64("leavingGraceMs", int64(grace)))
+	}
+}
+
 // listen opens a port that is closed when the daemon stops.
 func (d *Daemon) listen(name, address string, handler http.Handler) (*http.Server, error) {
 	server, closePort, err := openPort(d.env.Log, name, address, handler, idleTimeout, d.failed)
--- a/hemlockd/internal/process/process.go
+++ b/hemlockd/internal/process/process.go
@@ -89,6 +89,20 @@
 	}
 }
 
+// LeavingDelayMs returns the longest time from the first signal that an upstream is leaving, by
+// its own report or by the VM list, until no new work can reach it. It adds up the hops: the
+// interval, one read without an answer, the look through the engines and the call.
+func (c Config) LeavingDelayMs() clock.Millis {
+	const (
+		reportTimeout = clock.Second
+		callReach     = 500 * clock.Millisecond
+	)
+	byReport := c.LoadMs + reportTimeout
+	byHealthCheck := 4 * c.LoadMs // checks come at twice the interval of reports
+	byList := c.VMListMs + c.VMListMs/2 + c.LoadMs
+	return max(byReport, byHealthCheck, byList) + callReach
+}
+
 // minDaemonKeyBytes is the minimum length of the daemons' shared key, in bytes.
 const minDaemonKeyBytes = 16
 
