--- a/common/platform/platform.go
+++ b/common/platform/platform.go
@@ -30,6 +30,9 @@
 	"hemlockmux.example/common/clock"
 )
 
+// maxHeadBytes bounds the head of one response.
+const maxHeadBytes = 64 << 10
+
 // maxAnswerBytes is the largest number of bytes read of one response; the rest is
 // ignored.
 const maxAnswerBytes = 64 << 20
@@ -69,6 +72,8 @@
 		MaxIdleConnsPerHost:   4,
 		IdleConnTimeout:       30 * time.Second,
 		ResponseHeaderTimeout: timeout.Duration(),
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	c := &connection{base: base, token: token, client: &http.Client{Transport: transport, Timeout: timeout.Duration()}}
 	return c, transport.CloseIdleConnections
--- a/hemlockd/internal/engines/engines.go
+++ b/hemlockd/internal/engines/engines.go
@@ -30,6 +30,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/completions"
 	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/streams"
 )
 
@@ -123,8 +124,8 @@
 // network path has dropped could swallow a call without an error.
 func NewClient() (*Client, func()) {
 	dial := (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
-	control := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}
-	work := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	control := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: process.MaxHeadBytes}
+	work := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: process.MaxHeadBytes}
 	c := &Client{control: &http.Client{Transport: control}, work: &http.Client{Transport: work}}
 	return c, func() {
 		control.CloseIdleConnections()
--- a/hemlockd/internal/process/process.go
+++ b/hemlockd/internal/process/process.go
@@ -103,6 +103,9 @@
 	return max(byReport, byHealthCheck, byList) + callReach
 }
 
+// MaxHeadBytes bounds the head of an upstream's answer.
+const MaxHeadBytes = 64 << 10
+
 // minDaemonKeyBytes is the minimum length of the daemons' shared key, in bytes.
 const minDaemonKeyBytes = 16
 
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -119,13 +119,14 @@
 // a request that has an Idempotency-Key if the connection ends before the response.
 func New(env process.Environment, cfg *configuration.Configuration, ledger *placements.Ledger, leaving LeavingChecker) (*Services, func()) {
 	dial := (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
-	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second}
+	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: process.MaxHeadBytes}
+	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: process.MaxHeadBytes}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Services{
 		env: env, configuration: cfg, ledger: ledger, leaving: leaving,
 		budget:         retries.NewBudget(settings.DefaultSystem().Policy.RetryRatio),
 		pooledClient:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
-		unpooledClient: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}, CheckRedirect: noRedirect},
+		unpooledClient: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
 		health:         map[string]*health{},
 	}
 	done := make(chan struct{})
