The log says why a stream ended, after how many events and how long a silence

Cause: streamCut had no cause.

Change: the attempt of a stream that ended early has a cause; the line of the request has the events that were forwarded and the time without one.

--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -147,6 +147,12 @@
 	CauseMismatchedReply Cause = "foreign"
 	// CauseTimeout means that no answer came within the time allowed.
 	CauseTimeout Cause = "silent"
+	// CauseTruncated means that a stream ended in the middle of an event.
+	CauseTruncated Cause = "truncated"
+	// CauseDeadline means that the time for the whole request was over.
+	CauseDeadline Cause = "deadline"
+	// CauseCallerGone means that the caller stopped waiting.
+	CauseCallerGone Cause = "callerGone"
 	// CauseUpstreamError means that the upstream answered with an error of its own.
 	CauseUpstreamError Cause = "failed"
 )
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -75,6 +75,10 @@
 	// forecastUse is the fraction of the engine's memory that was forecast to be in use
 	// when the request was last placed; 0 if it was never placed.
 	forecastUse float64
+	// events is the number of stream events forwarded.
+	events int
+	// silentMs is the time without an event before the last stream that ended early.
+	silentMs clock.Millis
 }
 
 func (x *exchange) now() clock.Millis { return x.d.opts.Clock.Now() }
@@ -296,6 +300,12 @@
 	if x.forecastUse > 0 {
 		fields = append(fields, zap.Float64("forecast", x.forecastUse))
 	}
+	if x.events > 0 {
+		fields = append(fields, zap.Int("events", x.events))
+	}
+	if x.silentMs > 0 {
+		fields = append(fields, zap.Int64("silentMs", int64(x.silentMs)))
+	}
 	if x.refusalBasis != "" {
 		fields = append(fields, zap.String("basis", x.refusalBasis))
 	}
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -33,7 +33,9 @@
 	// lastEventID is the id of the last event that the caller has received, in this
 	// request or before. An engine continues after it; empty means from the beginning.
 	lastEventID string
-	eventCount  int // events forwarded
+	// lastEventMs is when the last event was forwarded, or the current engine's answer
+	// began.
+	lastEventMs clock.Millis
 	// ctx is the context of the call to the current engine.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -65,7 +67,9 @@
 		return m.prepareRetry()
 	}
 	m.possibleRuns++
+	m.stream.lastEventMs = m.now()
 	err := m.forwardEvents(reply)
+	m.recordStreamEnd(err)
 	u, _ := m.upstream(m.run.Engine)
 	if err == nil {
 		m.d.health.recordResult(u.ID, true)
@@ -90,6 +94,31 @@
 	return m.prepareRetry()
 }
 
+// recordStreamEnd adds the end of an engine's stream to the attempt that began it.
+func (m *modelRun) recordStreamEnd(err error) {
+	last := &m.attempts[len(m.attempts)-1]
+	last.EndMs = m.now()
+	if err != nil {
+		last.Cause = string(m.streamEndCause(err))
+		m.silentMs = m.now() - m.stream.lastEventMs
+	}
+}
+
+// streamEndCause returns why a stream ended early.
+func (m *modelRun) streamEndCause(err error) calls.Cause {
+	switch {
+	case m.callerGone():
+		return calls.CauseCallerGone
+	case m.ctx.Err() != nil:
+		return calls.CauseDeadline
+	case m.stream.ctx.Err() != nil:
+		return calls.CauseTimeout
+	case errors.Is(err, errPartialEvent):
+		return calls.CauseTruncated
+	}
+	return calls.CauseConnectionLost
+}
+
 // forwardNonStream forwards an answer with a status other than 200, or returns true if
 // the request may be sent to another engine instead.
 func (m *modelRun) forwardNonStream(reply *calls.Reply) bool {
@@ -145,10 +174,11 @@
 	if id != "" {
 		m.stream.lastEventID = id
 	}
-	if m.stream.eventCount == 0 {
+	if m.events == 0 {
 		m.d.latencies.recordValue(latencyFirstEvent, m.now()-m.arrivedMs)
 	}
-	m.stream.eventCount++
+	m.events++
+	m.stream.lastEventMs = m.now()
 	m.run.GeneratedTokens += m.spec.EventTokens
 	m.d.opts.View.Progress(m.run.ID, m.run.GeneratedTokens, m.now())
 	if m.run.Decoding {
