--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -80,9 +82,13 @@
 	acceptedPrefills map[string]int
 	// results counts the prefill results handed out, freedResults those released.
 	results, freedResults int
+	// prefillTime is how long all prefills but the first take.
+	prefillTime time.Duration
 	// reservations counts the reservations made, canceledReservations those released.
 	reservations, canceledReservations int
 	failProbes                         bool
+	// decode, if set, makes the answers of decode calls without a fault.
+	decode func(ctx context.Context, to routing.Upstream, d calls.Delivery) *calls.Reply
 }
 
 func newFakeUpstreams(choose func(string, int) int) *fakeUpstreams {
@@ -100,7 +106,7 @@
 	return n, err
 }
 
-func (f *fakeUpstreams) Send(_ context.Context, call *calls.Call, to routing.Upstream, d calls.Delivery) (*calls.Reply, error) {
+func (f *fakeUpstreams) Send(ctx context.Context, call *calls.Call, to routing.Upstream, d calls.Delivery) (*calls.Reply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	fault := f.choose("fault in "+string(d.Phase), faultCount)
@@ -123,6 +129,9 @@
 	if fault == faultLostAfterRun {
 		return fail(calls.CauseConnectionLost, calls.Unknown)
 	}
+	if f.decode != nil && d.Phase == calls.PhaseDecode && fault == faultNone {
+		return f.decode(ctx, to, d), nil
+	}
 	body := "whole"
 	if d.Phase == calls.PhaseDecode {
 		body = eventsAfter(eventsUpTo(d.ResumeAfter))
@@ -154,6 +163,11 @@
 func (f *fakeUpstreams) Prefill(_ context.Context, call *calls.Call, to routing.Upstream, _ calls.Delivery) (calls.KVSource, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.results > 0 && f.prefillTime > 0 {
+		f.mu.Unlock()
+		time.Sleep(f.prefillTime)
+		f.mu.Lock()
+	}
 	fail := func(cause calls.Cause) (calls.KVSource, error) {
 		return calls.KVSource{}, &calls.Error{
 			Upstream: to.ID, Phase: calls.PhasePrefill, Cause: cause, Outcome: calls.NotRun, Err: errors.New("injected fault"),
@@ -275,12 +289,24 @@
 	return call
 }
 
+// newRequest returns a caller's request.
+func newRequest(id, path string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
+	r.Header.Set("Id", id)
+	return r
+}
+
+// route returns the route with the name, to be changed by a test.
+func (s *setup) route(name string) *routing.Route {
+	routes := s.dispatcher.opts.Directory.Table().Config.Routes
+	return &routes[slices.IndexFunc(routes, func(r routing.Route) bool { return r.Name == name })]
+}
+
 // ask sends one request and returns the answer, and whether the connection was closed
 // before the answer was complete.
 func (s *setup) ask(id, path string) (recorder *httptest.ResponseRecorder, cut bool) {
 	recorder = httptest.NewRecorder()
-	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
-	r.Header.Set("Id", id)
+	r := newRequest(id, path)
 	defer func() {
 		if err := recover(); err != nil {
 			if err != http.ErrAbortHandler {
