A stream's status is written with its first event, not before

What callers saw: the connection closed with nothing sent, for a request that an engine had begun to answer.

Cause: the header was written as soon as the engine's header was there. If the engine then crashed, fell silent or ended inside its first event, and the request could not go on elsewhere, there was no way left to say so but to close the connection; the status had not even left the buffer.

Change: the header is written with the first event, or at the end of an empty stream.

Evidence: TestStreamThatFailsBeforeItsFirstEventIsAnswered, red before ("cut true, status 200"), green now.

--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -140,17 +140,11 @@
 		stallTimer = time.AfterFunc(stallTimeout.Duration(), m.stream.cancel)
 		defer stallTimer.Stop()
 	}
-	if !m.answered {
-		// If the stream is resumed, it is longer than the first engine's part.
-		if m.route.Resumable {
-			reply.Header.Del("Content-Length")
-		}
-		m.writeHeader(reply)
-	}
 	reader := bufio.NewReaderSize(reply.Body, eventBufferBytes)
 	for {
 		event, id, err := readEvent(reader)
 		if err == io.EOF && (len(event) == 0 || reply.Framed) {
+			m.beginAnswer(reply)
 			return m.write(event)
 		}
 		if err == io.EOF {
@@ -162,6 +156,7 @@
 		if stallTimer != nil {
 			stallTimer.Reset(stallTimeout.Duration())
 		}
+		m.beginAnswer(reply)
 		if err := m.write(event); err != nil {
 			return err
 		}
@@ -169,6 +164,20 @@
 	}
 }
 
+// beginAnswer writes the header of the caller's answer, unless that has been done. It must
+// not be called before there is an event, or the end of the stream, to be forwarded: until
+// then a failure can still be told by a status.
+func (m *modelRun) beginAnswer(reply *calls.Reply) {
+	if m.answered {
+		return
+	}
+	// If the stream is resumed, it is longer than the first engine's part.
+	if m.route.Resumable {
+		reply.Header.Del("Content-Length")
+	}
+	m.writeHeader(reply)
+}
+
 // recordEvent updates the progress of the run after an event was forwarded.
 func (m *modelRun) recordEvent(id string) {
 	if id != "" {
