A stream that ends inside an event has been broken off, whatever its framing

What callers saw: an answer that looked complete, without its last event or with half of it.

Cause: bytes after the last complete event counted as part of the answer if the answer had a length or came in chunks. An engine that stops in the middle of an event can close its answer properly.

Change: a stream is whole only if it ends with a blank line. One that does not goes on at another engine where it may, and the caller's connection is closed early where it may not. Nothing uses calls.Reply.Framed any more.

Evidence: TestStreamThatEndsInsideAnEventIsBroken, red before ("looks complete"), green now. The test now cuts at three places instead of the last byte alone; the case of an answer with neither length nor chunks is the same code path since Framed is gone.

--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -181,9 +181,6 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	// Framed is true if the end of the body is marked (by a length or chunked
-	// encoding), so that a truncated body can be told from a complete one.
-	Framed bool
 	// Sealed is true if the answer carries the upstream's seal.
 	Sealed bool
 }
--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -136,7 +136,7 @@
 	if d.Phase == calls.PhaseDecode {
 		body = eventsAfter(eventsUpTo(d.ResumeAfter))
 	}
-	reply := &calls.Reply{Status: http.StatusOK, Header: http.Header{}, Framed: true, Sealed: true}
+	reply := &calls.Reply{Status: http.StatusOK, Header: http.Header{}, Sealed: true}
 	reply.Body = io.NopCloser(strings.NewReader(body))
 	switch fault {
 	case faultTruncatedBody:
--- a/hemlockd/internal/dispatch/lost_answers_test.go
+++ b/hemlockd/internal/dispatch/lost_answers_test.go
@@ -46,7 +46,7 @@
 	reader, writer := io.Pipe()
 	s.writer = writer
 	go s.run(ctx)
-	return &calls.Reply{Status: http.StatusOK, Header: http.Header{}, Framed: true, Sealed: true, Body: reader}
+	return &calls.Reply{Status: http.StatusOK, Header: http.Header{}, Sealed: true, Body: reader}
 }
 
 // noFaults lets all calls succeed.
@@ -242,23 +242,23 @@
 // TestStreamThatEndsInsideAnEventIsBroken guards against a stream that ends in the middle
 // of an event and is passed on as complete because its end was marked.
 func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
-	for _, framed := range []bool{true, false} {
+	whole := eventsAfter(0)
+	// All but the blank line; in the middle of the last event; in the middle of another.
+	for _, end := range []int{len(whole) - 1, len(whole) - 5, len(whole)/2 + 3} {
 		s := newSetup(noFaults)
 		s.upstreams.decode = func(ctx context.Context, _ routing.Upstream, d calls.Delivery) *calls.Reply {
-			all := eventsAfter(eventsUpTo(d.ResumeAfter))
+			rest := eventsAfter(eventsUpTo(d.ResumeAfter))
 			if d.ResumeAfter == "" {
-				all = all[:len(all)-1] // the last event lacks the blank line that ends it
+				rest = rest[:end]
 			}
-			reply := (&slowStream{pieces: []string{all}}).newReply(ctx)
-			reply.Framed = framed
-			return reply
+			return (&slowStream{pieces: []string{rest}}).newReply(ctx)
 		}
 		answer, cut := s.ask("r", "/resumable/x")
-		if cut || answer.Body.String() != eventsAfter(0) {
-			t.Errorf("framed %v: cut %v, answer %q", framed, cut, answer.Body.String())
+		if cut || answer.Body.String() != whole {
+			t.Errorf("ends after %d bytes: cut %v, answer %q", end, cut, answer.Body.String())
 		}
 		if _, cut := s.ask("once", "/once/x"); !cut {
-			t.Errorf("framed %v: a stream that may not be resumed ends inside an event and looks complete", framed)
+			t.Errorf("ends after %d bytes: a stream that may not be resumed looks complete", end)
 		}
 	}
 }
@@ -269,7 +269,7 @@
 	long := strings.Repeat("x", 2*maxBufferedBytes+1)
 	s := newSetup(noFaults)
 	s.upstreams.decode = func(context.Context, routing.Upstream, calls.Delivery) *calls.Reply {
-		return &calls.Reply{Status: http.StatusBadRequest, Header: http.Header{}, Framed: true, Sealed: true, Body: io.NopCloser(strings.NewReader(long))}
+		return &calls.Reply{Status: http.StatusBadRequest, Header: http.Header{}, Sealed: true, Body: io.NopCloser(strings.NewReader(long))}
 	}
 	if answer, cut := s.ask("r", "/once/x"); cut || answer.Body.String() != long {
 		t.Errorf("cut %v, %d bytes of %d", cut, answer.Body.Len(), len(long))
@@ -282,7 +282,7 @@
 	for _, status := range []int{0, 99, 101, 600, 999} {
 		s := newSetup(noFaults)
 		s.upstreams.decode = func(context.Context, routing.Upstream, calls.Delivery) *calls.Reply {
-			return &calls.Reply{Status: status, Header: http.Header{}, Framed: true, Sealed: true, Body: io.NopCloser(strings.NewReader("x"))}
+			return &calls.Reply{Status: status, Header: http.Header{}, Sealed: true, Body: io.NopCloser(strings.NewReader("x"))}
 		}
 		answer, cut := s.ask("r", "/once/x")
 		if cut || answer.Code != http.StatusBadGateway || s.verdicts.all["r"].Outcome != verdict.OutcomeUnknown {
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -143,12 +143,9 @@
 	reader := bufio.NewReaderSize(reply.Body, eventBufferBytes)
 	for {
 		event, id, err := readEvent(reader)
-		if err == io.EOF && (len(event) == 0 || reply.Framed) {
-			m.beginAnswer(reply)
-			return m.write(event)
-		}
 		if err == io.EOF {
-			return errPartialEvent
+			m.beginAnswer(reply)
+			return nil
 		}
 		if err != nil {
 			return err
@@ -213,7 +210,8 @@
 }
 
 // readEvent reads one event and returns its unchanged bytes and its id. Events end
-// with a blank line. Bytes after the last complete event are returned with io.EOF.
+// with a blank line; a stream that ends without one has been broken off, even if its
+// length was as announced, and the result is errPartialEvent.
 func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
 	for {
 		line, err := r.ReadSlice('\n')
@@ -224,8 +222,11 @@
 		if err == bufio.ErrBufferFull {
 			continue
 		}
+		if err == io.EOF && len(event) > 0 {
+			return nil, "", errPartialEvent
+		}
 		if err != nil {
-			return event, id, err
+			return nil, "", err
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
