An upstream's invalid status is a failed call, not a panic

What callers saw: the connection closed with no answer.

Cause: net/http parses any three digits as a status, but refuses to send one below 100 with a panic; 101 and those from 600 on are no final answers either. They went straight to WriteHeader.

Change: a status outside 200 to 599 is treated as an answer that belongs to no call.

Evidence: TestInvalidStatusIsAFailure, red before ("panic: invalid WriteHeader code 0"), green now.

--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -164,14 +165,18 @@
 	if err != nil {
 		return nil, err
 	}
+	failure := func(cause calls.Cause, err error) error {
+		return &calls.Error{Upstream: u.ID, Phase: calls.PhaseRun, Cause: cause, Outcome: calls.Unknown, Err: err}
+	}
+	if !validStatus(reply.Status) {
+		_ = reply.Body.Close()
+		return nil, failure(calls.CauseMismatchedReply, fmt.Errorf("status %d is not that of an answer", reply.Status))
+	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
 	partial := len(body) == maxBufferedBytes
 	if !partial || err != nil {
 		_ = reply.Body.Close()
 	}
-	failure := func(cause calls.Cause, err error) error {
-		return &calls.Error{Upstream: u.ID, Phase: calls.PhaseRun, Cause: cause, Outcome: calls.Unknown, Err: err}
-	}
 	if err != nil {
 		return nil, failure(calls.CauseConnectionLost, err)
 	}
@@ -186,6 +191,10 @@
 	return &bufferedReply{reply: reply, body: body, partial: partial}, nil
 }
 
+// validStatus reports whether an upstream's status can be that of a final answer. Others
+// can't be sent to a caller.
+func validStatus(status int) bool { return status >= http.StatusOK && status < 600 }
+
 // impliesNotRun reports whether a caller may conclude from the status that its request
 // was not run.
 func impliesNotRun(status int) bool {
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -124,7 +124,7 @@
 func (m *modelRun) forwardNonStream(reply *calls.Reply) bool {
 	m.possibleRuns++
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
-	if err != nil || impliesNotRun(reply.Status) || m.answered {
+	if err != nil || !validStatus(reply.Status) || impliesNotRun(reply.Status) || m.answered {
 		m.outcome = calls.Unknown
 		return m.prepareRetry()
 	}
