A long answer of another status to a streaming request is passed on whole

What callers saw: an answer with a status other than 200 that ended after 256 KiB, under the upstream's own Content-Length, so that their connection broke.

Cause: the buffer's size was taken for the answer's.

Change: the rest is passed on from the upstream, as for plain calls.

Evidence: TestLongAnswerOfAnotherStatusIsWhole, red before (262,144 of 524,289 bytes), green now.

--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -128,7 +128,7 @@
 		m.outcome = calls.Unknown
 		return m.prepareRetry()
 	}
-	m.deliver(&bufferedReply{reply: reply, body: body})
+	m.deliver(&bufferedReply{reply: reply, body: body, partial: len(body) == maxBufferedBytes})
 	return false
 }
 
