A silent stream keeps its engine until another one is ready to go on

What callers saw: a stream that stopped after 2 s without an event, its connection closed, though its engine was only slow and would have gone on; before the first event, a closed connection with nothing sent.

Cause: a resumable stream was cancelled as soon as it had been silent for 2 s. Only then was it asked whether it may be repeated (attempts, retry budget) and whether there is room elsewhere; if not, there was nothing left to answer with. A caller that read slowly made its stream silent too, since the time of writing counted.

Ruled out: leaving silent streams alone (an engine that has died without a word would hold its callers to their time limits); a longer limit (callers leave after 3.6 s).

Change: while the silent engine keeps the stream, the rest is placed at another engine and prefilled there, within attempts and budget. Only when that is ready, and the first engine has said nothing meanwhile, is its call cancelled. If it speaks again, what was prepared is freed. Events are read by a goroutine of their own, so time spent on writing to the caller does not count.

--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -33,20 +33,25 @@
 	capacityRetryAfter = 1500 * clock.Millisecond
 )
 
+// placement is a run with what has been prepared for it at its engines.
+type placement struct {
+	run capacity.Run
+	// prefillResult is the result of the prefill until a decode engine fetches it.
+	prefillResult *calls.KVSource
+	// resultExpiresMs is when the prefill engine discards the result.
+	resultExpiresMs clock.Millis
+	// reservation is an unused reservation at the run's engine, or nil.
+	reservation *reservation
+}
+
 // modelRun serves one request to a model, with a prefill and a decode phase.
 type modelRun struct {
 	*exchange
+	placement
 	ctx  context.Context
 	spec *routing.EngineSpec
-	run  capacity.Run
 	// excluded holds the engines that the request must not be placed at again.
 	excluded map[string]bool
-	// prefillResult is the result of the prefill until a decode engine fetches it.
-	prefillResult *calls.KVSource
-	// resultExpiresMs is when the prefill engine discards the result.
-	resultExpiresMs clock.Millis
-	// reservation is an unused reservation at the run's engine, or nil.
-	reservation *reservation
 	// refusedReservations counts the reservations that engines refused.
 	refusedReservations int
 	// prefillCalls counts the calls to prefill engines, except those that could not be
@@ -57,6 +62,8 @@
 	// possibleRuns counts the decode calls that ran or may have run.
 	possibleRuns int
 	stream       streamState
+	// continuation is where a silent stream goes on, until it does.
+	continuation *placement
 }
 
 // serve runs the request at one engine after another, as far as it may be repeated,
@@ -98,11 +105,11 @@
 	return n
 }
 
-// attempt places the request at an engine, waiting for capacity up to queueTimeout,
-// and runs it there to the last event. It returns true if the stream failed and may
+// attempt places the request at an engine, unless that has been done, waiting for capacity
+// up to queueTimeout, and runs it there to the last event. It returns true if the stream failed and may
 // continue at another engine; otherwise the request has been answered.
 func (m *modelRun) attempt(queueTimeout clock.Millis) bool {
-	if !m.placeAndReserve(queueTimeout) {
+	if m.run.Engine == "" && !m.placeAndReserve(queueTimeout) {
 		m.refusalBasis = m.capacityBasis()
 		m.giveUp(reasonNoCapacity)
 		return false
@@ -246,6 +253,7 @@
 	failed := m.recordAttempt(u.ID, calls.PhaseDecode, start, err)
 	if failed == nil {
 		m.prefillResult = nil
+		m.stream.attempt = len(m.attempts) - 1
 		return reply, nil
 	}
 	m.stream.stop()
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -8,7 +8,6 @@
 	"expvar"
 	"io"
 	"net/http"
-	"time"
 
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
@@ -21,9 +20,11 @@
 const (
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 1 << 20
-	// stallTimeout is the time without an event after which an engine's stream counts
-	// as lost, if the stream can continue at another engine.
+	// stallTimeout is the time without an event after which the stream of an engine is
+	// moved to another one, if it may be and one can take it.
 	stallTimeout = 2 * clock.Second
+	// moveInterval is the time between two tries to move a silent stream.
+	moveInterval = 500 * clock.Millisecond
 	// eventBufferBytes is the size of the buffer for reading events.
 	eventBufferBytes = 4 << 10
 )
@@ -36,6 +37,8 @@
 	// lastEventMs is when the last event was forwarded, or the current engine's answer
 	// began.
 	lastEventMs clock.Millis
+	// attempt is the index of the stream's attempt among those of the request.
+	attempt int
 	// ctx is the context of the call to the current engine.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -87,16 +90,28 @@
 	m.startCrashCheck(u)
 	m.excluded[m.run.Engine] = true
 	m.stream.stop()
-	m.run.PromptTokens += m.run.GeneratedTokens
-	m.run.MaxTokens = max(1, m.run.MaxTokens-m.run.GeneratedTokens)
-	m.run.ExpectedTokens = max(1, m.run.ExpectedTokens-m.run.GeneratedTokens)
-	m.run.GeneratedTokens, m.run.Decoding = 0, false
+	if m.continuation != nil {
+		m.moveToContinuation()
+		return true
+	}
+	m.run = m.restOfRun()
 	return m.prepareRetry()
 }
 
+// restOfRun returns the run as it goes on at another engine: what has been generated is
+// part of its prompt there.
+func (m *modelRun) restOfRun() capacity.Run {
+	rest := m.run
+	rest.PromptTokens += rest.GeneratedTokens
+	rest.MaxTokens = max(1, rest.MaxTokens-rest.GeneratedTokens)
+	rest.ExpectedTokens = max(1, rest.ExpectedTokens-rest.GeneratedTokens)
+	rest.GeneratedTokens, rest.Decoding = 0, false
+	return rest
+}
+
 // recordStreamEnd adds the end of an engine's stream to the attempt that began it.
 func (m *modelRun) recordStreamEnd(err error) {
-	last := &m.attempts[len(m.attempts)-1]
+	last := &m.attempts[m.stream.attempt]
 	last.EndMs = m.now()
 	if err != nil {
 		last.Cause = string(m.streamEndCause(err))
@@ -111,7 +126,7 @@
 		return calls.CauseCallerGone
 	case m.ctx.Err() != nil:
 		return calls.CauseDeadline
-	case m.stream.ctx.Err() != nil:
+	case errors.Is(err, errSilent):
 		return calls.CauseTimeout
 	case errors.Is(err, errPartialEvent):
 		return calls.CauseTruncated
@@ -132,32 +147,25 @@
 	return false
 }
 
-// forwardEvents forwards events, each when it is complete, until the stream ends. If
-// the stream is resumable, it is canceled when no event comes within stallTimeout.
+// forwardEvents forwards events, each when it is complete, until the stream ends or goes
+// on at another engine.
 func (m *modelRun) forwardEvents(reply *calls.Reply) error {
-	var stallTimer *time.Timer
-	if m.route.Resumable {
-		stallTimer = time.AfterFunc(stallTimeout.Duration(), m.stream.cancel)
-		defer stallTimer.Stop()
-	}
-	reader := bufio.NewReaderSize(reply.Body, eventBufferBytes)
+	reader := &eventReader{body: reply.Body, events: make(chan streamEvent), done: m.stream.ctx.Done()}
+	go reader.run()
 	for {
-		event, id, err := readEvent(reader)
-		if err == io.EOF {
+		e := m.nextEvent(reader.events)
+		if e.err == io.EOF {
 			m.beginAnswer(reply)
 			return nil
 		}
-		if err != nil {
-			return err
-		}
-		if stallTimer != nil {
-			stallTimer.Reset(stallTimeout.Duration())
+		if e.err != nil {
+			return e.err
 		}
 		m.beginAnswer(reply)
-		if err := m.write(event); err != nil {
+		if err := m.write(e.data); err != nil {
 			return err
 		}
-		m.recordEvent(id)
+		m.recordEvent(e.id)
 	}
 }
 
@@ -209,6 +217,35 @@
 	return http.NewResponseController(m.w).Flush()
 }
 
+// streamEvent is one event of a stream, or the end of the stream.
+type streamEvent struct {
+	data []byte // unchanged, with the blank line
+	id   string
+	err  error // io.EOF at the end of a whole stream
+}
+
+// eventReader reads a stream's events in the background.
+type eventReader struct {
+	body   io.Reader
+	events chan streamEvent
+	done   <-chan struct{} // closed when no further events are wanted
+}
+
+func (r *eventReader) run() {
+	reader := bufio.NewReaderSize(r.body, eventBufferBytes)
+	for {
+		data, id, err := readEvent(reader)
+		select {
+		case r.events <- streamEvent{data, id, err}:
+		case <-r.done:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // readEvent reads one event and returns its unchanged bytes and its id. Events end
 // with a blank line; a stream that ends without one has been broken off, even if its
 // length was as announced, and the result is errPartialEvent.
