A slow upstream is left only for another one that may be tried

What callers saw: 502 for an idempotent call 0.5 s after it was sent, though 1.5 s were left and the upstream was only slow; and an answer above 256 KiB that broke off midway at the same moment.

Cause: the time-out of an attempt ended the call first and looked for another upstream, an attempt and a retry of the budget afterwards: the same order as with silent streams. It also covered the rest of a long answer that was already on its way to the caller.

Change: when the time of an attempt is over, the call is ended only if another upstream is there, an attempt is left and the retry has been taken from the budget. The rest of a long answer has the time of the whole request. A stored answer that is replaced by a later one is closed.

Evidence: TestSlowAnswerIsAwaitedIfNoOtherUpstreamMayBeTried (three cases, all 502 before) and TestLongAnswerIsNotBoundByTheAttemptsTimeout (262,145 of 524,290 bytes before), green now; TestSlowUpstreamIsLeftForAnother holds what was right before.

--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -89,6 +89,8 @@
 	failProbes                         bool
 	// decode, if set, makes the answers of decode calls without a fault.
 	decode func(ctx context.Context, to routing.Upstream, d calls.Delivery) *calls.Reply
+	// plain, if set, answers plain calls without a fault.
+	plain func(ctx context.Context) (*calls.Reply, error)
 }
 
 func newFakeUpstreams(choose func(string, int) int) *fakeUpstreams {
@@ -132,6 +134,11 @@
 	if f.decode != nil && d.Phase == calls.PhaseDecode && fault == faultNone {
 		return f.decode(ctx, to, d), nil
 	}
+	if f.plain != nil && d.Phase == calls.PhaseRun && fault == faultNone {
+		f.mu.Unlock()
+		defer f.mu.Lock()
+		return f.plain(ctx)
+	}
 	body := "whole"
 	if d.Phase == calls.PhaseDecode {
 		body = eventsAfter(eventsUpTo(d.ResumeAfter))
--- a/hemlockd/internal/dispatch/lost_answers_test.go
+++ b/hemlockd/internal/dispatch/lost_answers_test.go
@@ -290,3 +290,75 @@
 		}
 	}
 }
+
+// TestSlowAnswerIsAwaitedIfNoOtherUpstreamMayBeTried guards against an idempotent call that
+// is given up at a slow upstream although it may go to no other one.
+func TestSlowAnswerIsAwaitedIfNoOtherUpstreamMayBeTried(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(*setup)
+	}{
+		{"no attempt left", func(s *setup) { s.route("lookup").MaxAttempts = 1 }},
+		{"no other upstream", func(s *setup) {
+			dir := s.dispatcher.opts.Directory.(*fakeDirectory)
+			dir.upstreams["plain"] = dir.upstreams["plain"][:1]
+		}},
+		{"retry budget used up", func(s *setup) {
+			for s.dispatcher.opts.Retries.Take("plain", s.dispatcher.opts.Clock.Now()) {
+				continue
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSetup(noFaults)
+			s.upstreams.plain = func(ctx context.Context) (*calls.Reply, error) { return slowPlain(ctx, 800*time.Millisecond, "whole") }
+			c.prepare(s)
+			answer, cut := s.ask("r", "/lookup/x")
+			if cut || answer.Code != http.StatusOK || answer.Body.String() != "whole" {
+				t.Errorf("cut %v, status %d, answer %q", cut, answer.Code, answer.Body.String())
+			}
+		})
+	}
+}
+
+// TestSlowUpstreamIsLeftForAnother checks that an idempotent call goes to another upstream
+// if the first one is slow and it may.
+func TestSlowUpstreamIsLeftForAnother(t *testing.T) {
+	s := newSetup(noFaults)
+	first := true
+	s.upstreams.plain = func(ctx context.Context) (*calls.Reply, error) {
+		if first {
+			first = false
+			return slowPlain(ctx, time.Minute, "late")
+		}
+		return slowPlain(ctx, 0, "whole")
+	}
+	answer, cut := s.ask("r", "/lookup/x")
+	if cut || answer.Body.String() != "whole" || s.upstreams.arrivals["r"] != 2 {
+		t.Errorf("cut %v, %d arrivals, answer %q", cut, s.upstreams.arrivals["r"], answer.Body.String())
+	}
+}
+
+// TestLongAnswerIsNotBoundByTheAttemptsTimeout guards against an answer that is longer than
+// the buffer and is cut when the time for one attempt is over, midway to the caller.
+func TestLongAnswerIsNotBoundByTheAttemptsTimeout(t *testing.T) {
+	half := strings.Repeat("x", maxBufferedBytes+1)
+	s := newSetup(noFaults)
+	s.upstreams.plain = func(ctx context.Context) (*calls.Reply, error) {
+		return (&slowStream{pieces: []string{half, half}, pause: 800 * time.Millisecond}).newReply(ctx), nil
+	}
+	if answer, cut := s.ask("r", "/lookup/x"); cut || answer.Body.Len() != 2*len(half) {
+		t.Errorf("cut %v, %d bytes of %d", cut, answer.Body.Len(), 2*len(half))
+	}
+}
+
+// slowPlain answers a plain call after a time, or fails when the call is cancelled.
+func slowPlain(ctx context.Context, after time.Duration, body string) (*calls.Reply, error) {
+	select {
+	case <-ctx.Done():
+		return nil, &calls.Error{Phase: calls.PhaseRun, Cause: calls.CauseConnectionLost, Outcome: calls.Unknown, Err: ctx.Err()}
+	case <-time.After(after):
+	}
+	return &calls.Reply{Status: http.StatusOK, Header: http.Header{}, Sealed: true, Body: io.NopCloser(strings.NewReader(body))}, nil
+}
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
@@ -20,8 +22,8 @@
 	// maxUpstreamsTried limits the upstreams that one call is sent to, including those
 	// that refuse it or can't be reached.
 	maxUpstreamsTried = 4
-	// attemptTimeoutFactor times the target latency is the time-out of an idempotent
-	// call at one upstream, after which another is tried.
+	// attemptTimeoutFactor times the target latency is the time after which an
+	// idempotent call at one upstream is ended, if another may be tried.
 	attemptTimeoutFactor = 1.75
 	// failureRateCostMs is the cost of a failure rate of 1 when upstreams are compared,
 	// in ms of round-trip time.
@@ -44,6 +46,8 @@
 	reply   *calls.Reply
 	body    []byte
 	partial bool // the rest of the body is still to be read from reply
+	// cancel ends the call of a partial answer; nil if it ends otherwise.
+	cancel context.CancelFunc
 }
 
 // servePlain sends the call to one upstream after another, as far as it may be
@@ -52,20 +56,28 @@
 	tried := map[string]bool{}
 	var fallback *bufferedReply
 	runs, reached, reason := 0, false, reasonNoUpstream
+	paid := false // the next call has been taken from the retry budget
 	for len(tried) < maxUpstreamsTried && x.remainingMs() > 0 && !x.callerGone() {
 		u, ok := x.chooseUpstream(tried)
-		if !ok || runs >= x.route.MaxAttempts || reached && !x.d.opts.Retries.Take(x.service, x.now()) {
+		if !ok || runs >= x.route.MaxAttempts || reached && !paid && !x.d.opts.Retries.Take(x.service, x.now()) {
 			break
 		}
 		tried[u.ID] = true
 		start := x.now()
-		answer, err := x.sendPlain(ctx, u)
+		_, others := x.chooseUpstream(tried)
+		mayMoveOn := x.route.Kind == routing.Idempotent && others && len(tried) < maxUpstreamsTried && runs+1 < x.route.MaxAttempts
+		var answer *bufferedReply
+		var err error
+		answer, paid, err = x.sendPlain(ctx, u, mayMoveOn)
 		failed := x.recordAttempt(u.ID, calls.PhaseRun, start, err)
 		if failed == nil && !(answer.reply.Status >= http.StatusInternalServerError && x.route.Repeatable()) {
 			x.deliver(answer)
 			return
 		}
 		if failed == nil {
+			if fallback != nil {
+				fallback.close()
+			}
 			fallback = answer
 			reached, runs = true, runs+1
 			continue
@@ -115,25 +127,41 @@
 	return best, found
 }
 
+// moveOn ends a call at a slow upstream when the next one has been taken from the retry
+// budget. Until then the call goes on: it is the only one.
+type moveOn struct {
+	x      *exchange
+	cancel context.CancelFunc
+	paid   atomic.Bool
+}
+
+func (m *moveOn) run() {
+	if m.x.d.opts.Retries.Take(m.x.service, m.x.now()) {
+		m.paid.Store(true)
+		m.cancel()
+	}
+}
+
 // sendPlain sends the call to one upstream, buffers its answer and records the result
-// for later choices.
-func (x *exchange) sendPlain(ctx context.Context, u routing.Upstream) (*bufferedReply, error) {
+// for later choices. If mayMoveOn is set, the call is ended when the upstream is slow and
+// the retry budget allows another one; paid reports that it has been taken from the budget.
+func (x *exchange) sendPlain(ctx context.Context, u routing.Upstream, mayMoveOn bool) (answer *bufferedReply, paid bool, err error) {
 	defer x.d.health.beginCall(u.ID)()
-	attemptCtx, cancel := context.WithCancel(ctx)
-	if x.route.Kind == routing.Idempotent {
-		attemptTimeout := clock.Millis(attemptTimeoutFactor * float64(x.route.TargetLatencyMs))
-		if attemptTimeout > 0 && attemptTimeout < x.remainingMs() {
-			attemptCtx, cancel = context.WithTimeout(ctx, attemptTimeout.Duration())
-		}
+	ctx, cancel := context.WithCancel(ctx)
+	m := &moveOn{x: x, cancel: cancel}
+	attemptTimeout := clock.Millis(attemptTimeoutFactor * float64(x.route.TargetLatencyMs))
+	if mayMoveOn && attemptTimeout > 0 {
+		timer := time.AfterFunc(attemptTimeout.Duration(), m.run)
+		defer timer.Stop() // the rest of a long answer takes the time it takes
 	}
-	answer, err := x.sendAndBuffer(attemptCtx, u)
+	answer, err = x.sendAndBuffer(ctx, u)
 	if err != nil || !answer.partial {
 		cancel()
 	} else {
-		context.AfterFunc(ctx, cancel)
+		answer.cancel = cancel
 	}
 	x.recordResult(u, err)
-	return answer, err
+	return answer, err != nil && m.paid.Load(), err
 }
 
 // recordResult updates the upstream's health with the result of a call. It ignores
@@ -205,6 +233,17 @@
 	return false
 }
 
+// close ends the call of a partial answer.
+func (b *bufferedReply) close() {
+	if !b.partial {
+		return
+	}
+	_ = b.reply.Body.Close()
+	if b.cancel != nil {
+		b.cancel()
+	}
+}
+
 // deliver forwards an answer to the caller.
 func (x *exchange) deliver(answer *bufferedReply) {
 	x.outcome = calls.Ran
@@ -216,7 +255,7 @@
 	if !answer.partial {
 		return
 	}
-	defer func() { _ = answer.reply.Body.Close() }()
+	defer answer.close()
 	if _, err := io.Copy(x.w, answer.reply.Body); err != nil {
 		x.abort(reasonStreamCut)
 	}
