A request whose handling panics is answered

What callers saw: nothing; no panic is known since invalid statuses are refused. A bug would close the connection without an answer, and the request's record would say nothing of it.

Cause: net/http ends a connection whose handler panics.

Change: if nothing of an answer has been sent, the caller gets 500 with the outcome unknown; a line with the stack and a counter name the request.

Evidence: TestPanicIsAnswered, red before (the panic ended the test), green now.

--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -141,6 +141,7 @@
 	defer d.openRequests.Add(-1)
 	x := &exchange{d: d, w: w, r: r, call: d.opts.ReadCall(r), arrivedMs: d.opts.Clock.Now(), outcome: calls.NotRun}
 	defer x.conclude()
+	defer x.answerPanic()
 	x.serve()
 }
 
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -36,6 +36,7 @@
 	reasonStreamCut   = "streamCut"
 	reasonServed      = "served"
 	reasonUnreachable = "upstreamsUnreachable"
+	reasonInternal    = "internal"
 )
 
 const (
@@ -252,6 +253,25 @@
 	panic(http.ErrAbortHandler)
 }
 
+// answerPanic answers a request whose handling panicked, if nothing of an answer has been
+// sent. Otherwise the connection is closed, as by abort.
+func (x *exchange) answerPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	metrics.Add("panics", 1)
+	x.d.opts.Log.Error("handling a request panicked", zap.String("request", x.call.ID), zap.Any("cause", cause), zap.Stack("stack"))
+	if x.answered {
+		x.abort(reasonInternal)
+	}
+	x.outcome = calls.Unknown
+	x.respondError(http.StatusInternalServerError, reasonInternal, 0)
+}
+
 // recordAttempt adds a finished attempt to the request's verdict and updates the
 // outcome. It returns the *calls.Error in err, or nil.
 func (x *exchange) recordAttempt(upstream string, phase calls.Phase, startMs clock.Millis, err error) *calls.Error {
--- a/hemlockd/internal/dispatch/lost_answers_test.go
+++ b/hemlockd/internal/dispatch/lost_answers_test.go
@@ -362,3 +362,14 @@
 	}
 	return &calls.Reply{Status: http.StatusOK, Header: http.Header{}, Sealed: true, Body: io.NopCloser(strings.NewReader(body))}, nil
 }
+
+// TestPanicIsAnswered guards against a bug that ends a request with a closed connection and
+// no answer, although none of the answer has been sent.
+func TestPanicIsAnswered(t *testing.T) {
+	s := newSetup(noFaults)
+	s.upstreams.plain = func(context.Context) (*calls.Reply, error) { panic("injected") }
+	answer, cut := s.ask("r", "/order/x")
+	if cut || answer.Code != http.StatusInternalServerError || s.verdicts.all["r"].Reason != reasonInternal {
+		t.Errorf("cut %v, status %d, verdict %+v", cut, answer.Code, s.verdicts.all["r"])
+	}
+}
