Ports have a drain of their own, still http.Server.Shutdown

No change of behaviour: the doors close a port through its method drain, and servePort serves an open listener, so that tests can bring their own.

--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -54,8 +54,8 @@
 	keeper        *keeper.Keeper
 	recorder      *verdicts.Recorder
 	operators     *operators.Operators
-	callersPort   *http.Server
-	operatorsPort *http.Server
+	callersPort   *port
+	operatorsPort *port
 	failed        chan error
 	cleanup       []func() // run in reverse
 }
@@ -206,12 +206,12 @@
 }
 
 // listen opens a port that is closed when the daemon stops.
-func (d *Daemon) listen(name, address string, handler http.Handler) (*http.Server, error) {
-	server, closePort, err := openPort(d.env.Log, name, address, handler, idleTimeout, d.failed)
+func (d *Daemon) listen(name, address string, handler http.Handler) (*port, error) {
+	p, closePort, err := openPort(d.env.Log, name, address, handler, idleTimeout, d.failed)
 	if err == nil {
 		d.onClose(closePort)
 	}
-	return server, err
+	return p, err
 }
 
 // runPolls polls the platform's settings while this daemon is one of the two pollers
@@ -249,7 +249,7 @@
 	}
 	ctx, cancel := context.WithTimeout(hard, d.env.Config.DrainMs.Duration())
 	defer cancel()
-	err := d.callersPort.Shutdown(ctx)
+	err := d.callersPort.drain(ctx)
 	for err == nil && d.keeper.Active() > 0 && ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -63,8 +63,8 @@
 	peers        *peers.Peers
 	dispatcher   *dispatch.Dispatcher
 	store        *platform.Store
-	callers      *http.Server
-	ready        *http.Server
+	callers      *port
+	ready        *port
 	failed       chan error
 	retries      *retries.ServiceBudgets
 	stopping     chan struct{} // closed when the shutdown begins
@@ -205,12 +205,12 @@
 }
 
 // listen opens a port that is closed when the daemon stops.
-func (d *platformDaemon) listen(name, address string, handler http.Handler) (*http.Server, error) {
-	server, closePort, err := openPort(d.log, name, address, handler, callerIdleTimeout, d.failed)
+func (d *platformDaemon) listen(name, address string, handler http.Handler) (*port, error) {
+	p, closePort, err := openPort(d.log, name, address, handler, callerIdleTimeout, d.failed)
 	if err == nil {
 		d.onClose(closePort)
 	}
-	return server, err
+	return p, err
 }
 
 // serveReady answers the balancer's readiness checks.
@@ -379,7 +379,7 @@
 	case <-time.After(shutdownListenTime.Duration()):
 	case <-ctx.Done():
 	}
-	if err := d.callers.Shutdown(ctx); err != nil {
+	if err := d.callers.drain(ctx); err != nil {
 		d.log.Warn("drain ended with requests in flight", zap.Int("open", d.dispatcher.OpenRequests()), zap.Error(err))
 	}
 }
--- a/hemlockd/internal/app/port.go
+++ b/hemlockd/internal/app/port.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -22,20 +23,27 @@
 	failed   chan<- error // receives the error if the server ends without being closed
 }
 
-// openPort opens a port and serves it. It returns the server and a function that
+// openPort opens a port and serves it. It returns the port and a function that
 // closes it.
-func openPort(log *zap.Logger, name, address string, handler http.Handler, idle clock.Millis, failed chan<- error) (*http.Server, func(), error) {
+func openPort(log *zap.Logger, name, address string, handler http.Handler, idle clock.Millis, failed chan<- error) (*port, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
-	server := &http.Server{
+	p, closePort := servePort(log, name, listener, handler, idle, failed)
+	return p, closePort, nil
+}
+
+// servePort serves a port on an open listener. It returns the port and a function
+// that closes it.
+func servePort(log *zap.Logger, name string, listener net.Listener, handler http.Handler, idle clock.Millis, failed chan<- error) (*port, func()) {
+	p := &port{name: name, listener: listener, failed: failed}
+	p.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idle.Duration(),
 		ErrorLog: zap.NewStdLog(log),
 	}
-	p := &port{name: name, server: server, listener: listener, failed: failed}
 	go p.run()
-	return server, func() { _ = server.Close() }, nil
+	return p, func() { _ = p.server.Close() }
 }
 
 func (p *port) run() {
@@ -43,3 +51,7 @@
 		p.failed <- fmt.Errorf("serve port for %s: %w", p.name, err)
 	}
 }
+
+// drain stops accepting connections and waits until no request is in flight or ctx
+// ends.
+func (p *port) drain(ctx context.Context) error { return p.server.Shutdown(ctx) }
