A drain answers requests that were sent before their connection ended

What callers saw: requests sent as a daemon stopped, over connections that it had accepted, ended with the connection closed and no answer.

Cause: http.Server.Shutdown closes connections in state idle at once, and those in state new after 5 s. net/http sets the state to active only when it has read and parsed a request; one that has been read and not yet parsed, or whose bytes wait in the kernel, is thrown away with its connection. net/http also drops a request parsed after Shutdown has begun, without calling the handler (server.go: "if c.server.shuttingDown() return" after readRequest), so also the first one of a new connection.

Change: the port drains by itself, at both doors. Silent connections get a read deadline a little in the future (kept ones 100 ms, new ones 500 ms, a head that has begun 2 s) and are read once more after it, since it may pass while the process is not running; a connection with a request has no deadline of the drain. The deadline lies below the server's own ones, so that the ones net/http sets as a connection becomes idle do not undo it. The drain ends when no connection is left. An error is reported only if its time ends with a request in flight, not with a silent connection.

--- a/hemlockd/internal/app/port.go
+++ b/hemlockd/internal/app/port.go
@@ -1,11 +1,11 @@
 package app
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 
 	"go.uber.org/zap"
 
@@ -20,7 +20,12 @@
 	name     string
 	server   *http.Server
 	listener net.Listener
-	failed   chan<- error // receives the error if the server ends without being closed
+	failed   chan<- error  // receives the error if the server ends without being closed
+	ended    chan struct{} // closed when no more connections are accepted
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	draining bool
 }
 
 // openPort opens a port and serves it. It returns the port and a function that
@@ -37,21 +42,19 @@
 // servePort serves a port on an open listener. It returns the port and a function
 // that closes it.
 func servePort(log *zap.Logger, name string, listener net.Listener, handler http.Handler, idle clock.Millis, failed chan<- error) (*port, func()) {
-	p := &port{name: name, listener: listener, failed: failed}
+	p := &port{name: name, listener: listener, failed: failed, ended: make(chan struct{}), conns: map[*conn]struct{}{}}
 	p.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idle.Duration(),
-		ErrorLog: zap.NewStdLog(log),
+		ErrorLog: zap.NewStdLog(log), ConnState: p.connStateChanged,
 	}
 	go p.run()
 	return p, func() { _ = p.server.Close() }
 }
 
 func (p *port) run() {
-	if err := p.server.Serve(p.listener); !errors.Is(err, http.ErrServerClosed) {
+	err := p.server.Serve(&portListener{Listener: p.listener, p: p})
+	close(p.ended)
+	if !errors.Is(err, http.ErrServerClosed) && !p.isDraining() {
 		p.failed <- fmt.Errorf("serve port for %s: %w", p.name, err)
 	}
 }
-
-// drain stops accepting connections and waits until no request is in flight or ctx
-// ends.
-func (p *port) drain(ctx context.Context) error { return p.server.Shutdown(ctx) }
