A draining port accepts what the kernel has established before it closes its listener

What callers saw: requests sent shortly before a stopping daemon closed its listener, on new connections, ended with the connection reset and no answer.

Cause: closing a listener resets the connections that the kernel has established and that wait to be accepted, with the requests that they hold.

Change: once the drain has begun, the port goes on accepting until two waits of 20 ms in a row have found no connection; one wait alone may pass while the process is not running. In all it accepts for at most 500 ms, with shorter waits towards the end, so that connections that keep coming do not hold it up. Ending this way is no failure of the port.

Evidence: on the code before, 5 of 5 callers of TestDrainAnswersConnectionsThatWaitToBeAccepted: no answer: read tcp ...: read: connection reset by peer TestDrainEndsWhileConnectionsKeepComing passed before; it guards the new code.

Result: both pass.

--- a/hemlockd/internal/app/drain.go
+++ b/hemlockd/internal/app/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"hemlockmux.example/common/clock"
 )
@@ -11,21 +12,6 @@
 // drainPollInterval is the interval at which a drain looks for connections.
 const drainPollInterval = 10 * clock.Millisecond
 
-// portListener accepts the connections of a port and makes them known to it.
-type portListener struct {
-	net.Listener
-	p *port
-}
-
-// Accept implements [net.Listener].
-func (l *portListener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.p.addConn(inner), nil
-}
-
 func (p *port) addConn(inner net.Conn) *conn {
 	c := &conn{Conn: inner, state: http.StateNew}
 	p.mu.Lock()
@@ -48,16 +34,21 @@
 	}
 }
 
-// drain stops accepting connections and waits until none is left or ctx ends. A
-// connection that stays silent is closed after a short while; its caller may have
-// sent a request that is still on its way. The result is an error if ctx has ended
-// with a request in flight.
+// drain accepts the connections that have been established, then no more, and waits
+// until none is left or ctx ends. A connection that stays silent is closed after a
+// short while; its caller may have sent a request that is still on its way. The result
+// is an error if ctx has ended with a request in flight.
 //
-// It replaces [http.Server.Shutdown], which closes idle connections at once and drops
-// requests that have been read and not parsed.
+// It replaces [http.Server.Shutdown], which closes the listener and idle connections at
+// once and drops requests that have been read and not parsed.
 func (p *port) drain(ctx context.Context) error {
 	p.startDrain()
-	<-p.ended
+	select {
+	case <-p.ended:
+	case <-ctx.Done():
+		_ = p.listener.Close()
+		<-p.ended
+	}
 	for p.openConns() > 0 {
 		if !clock.Sleep(ctx, drainPollInterval) {
 			return p.interrupted(ctx)
@@ -66,22 +57,25 @@
 	return nil
 }
 
-// startDrain closes the listener and bounds the silence of all connections.
+// startDrain bounds the wait for connections and the silence of all connections.
 func (p *port) startDrain() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.draining = true
+	now := time.Now()
+	p.draining, p.acceptUntil = true, now.Add(acceptTime.Duration())
 	for c := range p.conns {
 		c.drain()
 	}
-	_ = p.listener.Close()
+	// Ends a wait that has begun without a deadline. It fails only if the listener is closed.
+	_ = p.listener.SetDeadline(now.Add(acceptSilence.Duration()))
 }
 
-// isDraining reports whether the drain has begun.
-func (p *port) isDraining() bool {
+// acceptsUntil reports whether the port is draining, and until when it then accepts
+// connections at most.
+func (p *port) acceptsUntil() (until time.Time, draining bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.draining
+	return p.acceptUntil, p.draining
 }
 
 func (p *port) openConns() int {
--- a/hemlockd/internal/app/drain_test.go
+++ b/hemlockd/internal/app/drain_test.go
@@ -62,12 +62,6 @@
 	return n, err
 }
 
-// deadlineListener is a listener with a deadline for accepting.
-type deadlineListener interface {
-	net.Listener
-	SetDeadline(t time.Time) error
-}
-
 // announcingListener announces each connection that it has accepted.
 type announcingListener struct {
 	deadlineListener
@@ -376,3 +370,66 @@
 		t.Errorf("with a request in flight: %v", err)
 	}
 }
+
+// heldListener does not accept before it is released, as in a process that is not
+// running.
+type heldListener struct {
+	*net.TCPListener
+	release chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.TCPListener.Accept()
+}
+
+// Guards against resetting connections that the kernel has established and that wait to
+// be accepted, with their requests, as the listener is closed.
+func TestDrainAnswersConnectionsThatWaitToBeAccepted(t *testing.T) {
+	l := &heldListener{TCPListener: listenForTest(t), release: make(chan struct{})}
+	p := openTestPort(t, l, serveAnswer)
+	callers := make([]*testCaller, 5)
+	for i := range callers {
+		callers[i] = p.dialOnly()
+		callers[i].send(testRequest)
+	}
+	done := p.startDrain()
+	time.Sleep(50 * time.Millisecond) // longer than one wait for connections
+	close(l.release)
+	for i, c := range callers {
+		if err := c.receive(); err != nil {
+			t.Errorf("caller %d: %v", i, err)
+		}
+	}
+	p.waitDrained(done, testDrainTime)
+}
+
+// Guards against a drain that accepts connections without end because they keep coming.
+func TestDrainEndsWhileConnectionsKeepComing(t *testing.T) {
+	p := openTestPort(t, listenForTest(t), serveAnswer)
+	drained := make(chan struct{})
+	dialled := make(chan int, 1)
+	go func() {
+		n := 0
+		defer func() { dialled <- n }()
+		for {
+			select {
+			case <-drained:
+				return
+			case <-p.listener.accepted: // keeps room for more
+			case <-time.After(time.Millisecond):
+				if c, err := net.Dial("tcp", p.listener.Addr().String()); err == nil {
+					n++
+					_ = c.Close()
+				}
+			}
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	done := p.startDrain()
+	p.waitDrained(done, 3*time.Second)
+	close(drained)
+	if n := <-dialled; n < 10 {
+		t.Errorf("only %d connections came", n)
+	}
+}
--- a/hemlockd/internal/app/port.go
+++ b/hemlockd/internal/app/port.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -19,13 +20,14 @@
 type port struct {
 	name     string
 	server   *http.Server
-	listener net.Listener
+	listener deadlineListener
 	failed   chan<- error  // receives the error if the server ends without being closed
 	ended    chan struct{} // closed when no more connections are accepted
 
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
-	draining bool
+	mu          sync.Mutex
+	conns       map[*conn]struct{}
+	draining    bool
+	acceptUntil time.Time // when a draining port stops accepting connections at the latest
 }
 
 // openPort opens a port and serves it. It returns the port and a function that
@@ -35,13 +37,13 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
-	p, closePort := servePort(log, name, listener, handler, idle, failed)
+	p, closePort := servePort(log, name, listener.(*net.TCPListener), handler, idle, failed)
 	return p, closePort, nil
 }
 
 // servePort serves a port on an open listener. It returns the port and a function
 // that closes it.
-func servePort(log *zap.Logger, name string, listener net.Listener, handler http.Handler, idle clock.Millis, failed chan<- error) (*port, func()) {
+func servePort(log *zap.Logger, name string, listener deadlineListener, handler http.Handler, idle clock.Millis, failed chan<- error) (*port, func()) {
 	p := &port{name: name, listener: listener, failed: failed, ended: make(chan struct{}), conns: map[*conn]struct{}{}}
 	p.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idle.Duration(),
@@ -52,9 +54,9 @@
 }
 
 func (p *port) run() {
-	err := p.server.Serve(&portListener{Listener: p.listener, p: p})
+	err := p.server.Serve(&portListener{deadlineListener: p.listener, p: p})
 	close(p.ended)
-	if !errors.Is(err, http.ErrServerClosed) && !p.isDraining() {
+	if _, draining := p.acceptsUntil(); !draining && !errors.Is(err, http.ErrServerClosed) {
 		p.failed <- fmt.Errorf("serve port for %s: %w", p.name, err)
 	}
 }
