A repeated SIGTERM no longer cuts off the requests in flight

What callers saw: answers cut off when a stopping daemon was told to stop once more; restarts come in series and overlap.

Cause: the second signal, whichever, ended the wait for requests in flight.

Change: only SIGINT after the first signal does, which an operator at a terminal sends. Whoever stops the process with SIGTERM kills it after a grace period of their own. make red's switch hardStop sends SIGTERM and then SIGINT.

--- a/hemlockd/e2e/shutdown_test.go
+++ b/hemlockd/e2e/shutdown_test.go
@@ -17,7 +17,7 @@
 // A graceful shutdown interrupts no request in flight: every daemon is replaced in
 // turn, under load, with open streams. Callers use a daemon only while /readyz
 // returns 200, as the platform's load balancer does.
-// HEMLOCK_BREAK=hardStop sends SIGTERM twice, which ends the wait for requests in
+// HEMLOCK_BREAK=hardStop sends SIGINT after SIGTERM, which ends the wait for requests in
 // flight.
 func TestRollingReplacementCutsOffNothing(t *testing.T) {
 	d := deploy(t, options{daemons: 3})
@@ -44,7 +44,7 @@
 			m.signal(syscall.SIGTERM)
 			if mechanismDisabled("hardStop") {
 				time.Sleep(100 * time.Millisecond)
-				m.signal(syscall.SIGTERM)
+				m.signal(syscall.SIGINT)
 			}
 			d.eventually(m.name+" has exited", 20*time.Second, m.exited)
 			So(m.cmd.ProcessState.ExitCode(), ShouldEqual, 0)
@@ -57,3 +57,51 @@
 		t.Logf("%d requests served while three daemons were replaced", served.Load())
 	})
 }
+
+// Guards against a repeated SIGTERM that cuts off the requests in flight: restarts come
+// in series and overlap.
+func TestSecondSIGTERMCutsOffNothing(t *testing.T) {
+	d := deploy(t, options{daemons: 1})
+	m := d.daemons[0]
+	const tokens = 400
+	done := make(chan response, 1)
+	go func() { done <- m.stream("across two signals", tokens) }()
+	d.eventually("the stream runs", 5*time.Second, func() bool { return m.metric("daemon", "keeperRuns") == 1 })
+	m.signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	m.signal(syscall.SIGTERM)
+	if defect := checkStream(<-done, tokens); defect != "" {
+		t.Errorf("stream: %s", defect)
+	}
+	d.eventually("the daemon has exited", 20*time.Second, m.exited)
+	if code := m.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// Guards against a repeated SIGTERM that cuts off the requests in flight on the users'
+// platform.
+func TestPlatformSecondSIGTERMCutsOffNothing(t *testing.T) {
+	p := deployUsersPlatform(t, 1)
+	d := p.daemons[0]
+	done := make(chan platformResponse, 1)
+	go func() { done <- p.stream(d, "across two signals", "once", 100) }()
+	p.eventually(5*time.Second, "the stream runs", func() bool { return p.runCount("across two signals") > 0 })
+	for range 2 {
+		if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if a := <-done; a.err != nil || a.body != expectedStream(100) {
+		t.Errorf("stream was cut off: status %d, error %v, %d bytes", a.status, a.err, len(a.body))
+	}
+	select {
+	case <-d.exited:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the daemon has not exited within 10 s")
+	}
+	if code := d.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -21,7 +21,7 @@
 		Name:  "hemlockd",
 		Usage: "route requests to prefill and decode engines and plain services",
 		Description: "hemlockd reads its identity from its own file and everything else from the settings in the platform's\n" +
-			"table. SIGTERM shuts it down gracefully; a second one ends the wait for requests in flight.",
+			"table. SIGTERM or SIGINT shuts it down gracefully; SIGINT after that ends the wait for requests in flight.",
 		EnableShellCompletion: true,
 		Commands:              []*cli.Command{platformCommand()},
 		Flags: []cli.Flag{
@@ -73,7 +73,8 @@
 }
 
 // stopSignals cancels one context at the first signal to stop and another one at the
-// second signal.
+// first SIGINT after it. A repeated SIGTERM changes nothing: restarts overlap, and
+// whoever stops the process kills it after a grace period of their own.
 type stopSignals struct {
 	signals                chan os.Signal
 	cancelSoft, cancelHard context.CancelFunc
@@ -82,12 +83,15 @@
 func (s *stopSignals) run() {
 	<-s.signals
 	s.cancelSoft()
-	<-s.signals
-	s.cancelHard()
+	for sig := range s.signals {
+		if sig == os.Interrupt {
+			s.cancelHard()
+		}
+	}
 }
 
 // stopContexts returns a context that is cancelled by the first signal to stop and
-// another one that is cancelled by the second.
+// another one that is cancelled by SIGINT after that.
 func stopContexts() (soft, hard context.Context) {
 	s := &stopSignals{signals: make(chan os.Signal, 2)}
 	soft, s.cancelSoft = context.WithCancel(context.Background())
--- a/scripts/red.sh
+++ b/scripts/red.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs each proof with its mechanism broken by a named switch and fails unless
-# the proof notices. PROOFS names one of them; default: all.
+# the proof notices. PROOFS names one of them; default: all. hardStop sends daemons
+# SIGTERM and then SIGINT, which ends the wait for requests in flight.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 proofs="
