Own door: answers during a shutdown close the caller's connection

What callers saw: answers of a stopping daemon left their connections open; the next request over such a connection went to a daemon that was about to exit.

Cause: only the platform's door set Connection: close while draining.

Change: the own door does so from the signal to stop on, in all three places that send the headers of an answer. The port does not wrap the ResponseWriter for this: http.MaxBytesReader needs net/http's own to end the connection of a body that is too long.

--- a/hemlockd/e2e/shutdown_test.go
+++ b/hemlockd/e2e/shutdown_test.go
@@ -1,7 +1,9 @@
 package e2e
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -105,3 +107,58 @@
 		t.Errorf("exit code %d", code)
 	}
 }
+
+// sendKept sends a request over a connection that the caller would keep, and reports
+// whether the answer closes it.
+func (m *daemon) sendKept(key, path, body string) (closes bool, err error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+m.callers+path, strings.NewReader(body))
+	if err != nil {
+		return false, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Idempotency-Key", "kept")
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport, Timeout: 20 * time.Second}).Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.Close, err
+}
+
+// Guards against answers during a shutdown that leave the caller's connection open: the
+// caller would send its next request to a daemon that is about to exit.
+func TestAnswersDuringShutdownCloseTheConnection(t *testing.T) {
+	d := deploy(t, options{daemons: 1})
+	m := d.daemons[0]
+	if closes, err := m.sendKept(teamKey, "/nowhere", "{}"); closes || err != nil {
+		t.Errorf("before the shutdown: connection closed %v, error %v", closes, err)
+	}
+	inFlight := make(chan error, 1)
+	go func() {
+		closes, err := m.sendKept(teamKey, "/v1/completions", completionBody("in flight", 200, false))
+		if err == nil && !closes {
+			err = errors.New("connection left open")
+		}
+		inFlight <- err
+	}()
+	d.eventually("the completion runs", 5*time.Second, func() bool { return m.metric("daemon", "keeperRuns") == 1 })
+	m.signal(syscall.SIGTERM)
+	d.eventually("the daemon is not ready", 5*time.Second, func() bool { return m.status("/readyz") != http.StatusOK })
+	for _, r := range []struct{ name, key, path, body string }{
+		{"plain service", teamKey, "/services/order-desk/placements", "{}"},
+		{"completion", teamKey, "/v1/completions", completionBody("p", 5, false)},
+		{"stream", teamKey, "/v1/completions", completionBody("p", 5, true)},
+		{"unknown key", "no such key", "/v1/completions", "{}"},
+		{"unknown path", teamKey, "/nowhere", "{}"},
+	} {
+		if closes, err := m.sendKept(r.key, r.path, r.body); !closes || err != nil {
+			t.Errorf("%s: connection closed %v, error %v", r.name, closes, err)
+		}
+	}
+	if err := <-inFlight; err != nil {
+		t.Errorf("completion in flight at the signal: %v", err)
+	}
+}
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -54,6 +54,7 @@
 	keeper        *keeper.Keeper
 	recorder      *verdicts.Recorder
 	operators     *operators.Operators
+	callers       *callers.Callers
 	callersPort   *port
 	operatorsPort *port
 	failed        chan error
@@ -135,14 +136,14 @@
 	}
 	svc, closeServices := services.New(env, d.configuration, ledger, list)
 	d.onClose(closeServices)
-	front := callers.New(env, callers.Dependencies{
+	d.callers = callers.New(env, callers.Dependencies{
 		Configuration: d.configuration, Daemons: d.daemons, Keeper: k, Services: svc, HandOff: handOff,
 		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
 	})
 	closeDaemons, err := d.daemons.Start(daemons.Handlers{
 		HandOff:      handoff.NewServer(cfg.DataCentre, d.configuration, k, svc, recorder.AcceptCopies),
 		AcceptCopies: recorder.AcceptCopies, FindVerdict: recorder.Find,
-		StoredUpTo: recorder.StoredUpTo, LendCapacity: front.Lend, RecentSuspects: recentSuspects(env, sus), MergeSuspects: mergeSuspects(env, sus),
+		StoredUpTo: recorder.StoredUpTo, LendCapacity: d.callers.Lend, RecentSuspects: recentSuspects(env, sus), MergeSuspects: mergeSuspects(env, sus),
 		DaemonDied: func(m membership.Member) {
 			k.CancelRunsOf(daemons.RunID(m))
 			recorder.DaemonDied(daemons.RunID(m), m.Name)
@@ -166,7 +167,7 @@
 	if d.operatorsPort, err = d.listen("operators", cfg.Operators, d.operators.Handler()); err != nil {
 		return err
 	}
-	if d.callersPort, err = d.listen("callers", cfg.Callers, front.Handler()); err != nil {
+	if d.callersPort, err = d.listen("callers", cfg.Callers, d.callers.Handler()); err != nil {
 		return err
 	}
 	d.publish()
@@ -241,6 +242,7 @@
 // most the configured time or until hard is done.
 func (d *Daemon) drain(hard context.Context) {
 	d.env.Log.Info("draining", zap.Int("open", d.recorder.OpenCount()))
+	d.callers.Drain()
 	d.operators.Drain()
 	d.daemons.Leave()
 	select {
--- a/hemlockd/internal/callers/buffered.go
+++ b/hemlockd/internal/callers/buffered.go
@@ -94,6 +94,7 @@
 	if e.r.Method != http.MethodHead {
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	e.closeIfDraining()
 	e.w.WriteHeader(status)
 	if _, err := e.w.Write(body); err != nil {
 		metrics.Add("callersGone", 1)
--- a/hemlockd/internal/callers/callers.go
+++ b/hemlockd/internal/callers/callers.go
@@ -13,6 +13,7 @@
 	"expvar"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -62,6 +63,7 @@
 type Callers struct {
 	env process.Environment
 	Dependencies
+	draining atomic.Bool
 }
 
 // New returns the callers' port.
@@ -69,6 +71,10 @@
 	return &Callers{env: env, Dependencies: deps}
 }
 
+// Drain prepares for the daemon's exit: answers close the callers' connections, so that
+// callers reconnect to other daemons.
+func (c *Callers) Drain() { c.draining.Store(true) }
+
 // Handler serves the port.
 func (c *Callers) Handler() http.Handler {
 	r := chi.NewRouter()
@@ -161,11 +167,20 @@
 		e.endWithError(p)
 		return
 	}
+	e.closeIfDraining()
 	if err := p.Write(e.w); err != nil {
 		metrics.Add("callersGone", 1)
 	}
 }
 
+// closeIfDraining asks the caller to close the connection if the daemon is shutting
+// down. It must be called before the headers of each response are sent.
+func (e *exchange) closeIfDraining() {
+	if e.c.draining.Load() {
+		e.w.Header().Set("Connection", "close")
+	}
+}
+
 // close records the verdict; it must be called once.
 func (e *exchange) close() {
 	e.verdict.EndMs = e.c.env.Clock.Now()
--- a/hemlockd/internal/callers/stream.go
+++ b/hemlockd/internal/callers/stream.go
@@ -51,6 +51,7 @@
 		s.headersSent = true
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-store")
+		s.closeIfDraining()
 		s.w.WriteHeader(http.StatusOK)
 	}
 	s.buffer = streams.AppendEvents(s.buffer[:0], chunks)
