Own door: the write deadline of a stream ends with it

Callers saw: on a kept connection, a request that came more than 20 s after the last event of a streamed answer ran, and the connection closed without an answer.

Cause: exchange.send sets a write deadline on the connection, and net/http without a WriteTimeout never clears it. The write of a later answer failed by the old deadline.

Each exchange now clears the deadline when it begins. That is done at the begin and not at the end of a stream, so that the bytes that net/http writes after the handler, the end of the chunks, keep their bound.

--- a/hemlockd/internal/callers/callers.go
+++ b/hemlockd/internal/callers/callers.go
@@ -97,7 +97,7 @@
 	headersSent bool
 
 	controller  *http.ResponseController
-	deadlineDue time.Time // when the write deadline is to be renewed
+	deadlineDue time.Time // when the write deadline is to be renewed; see send
 }
 
 // exchange returns an HTTP handler that runs serve for each request. serve either
@@ -105,7 +105,12 @@
 func (c *Callers) exchange(serve func(*exchange) *problem.Problem) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		now := c.env.Clock.Now()
-		e := &exchange{c: c, w: w, r: r, id: verdict.NewID(c.env.Config.Name, now), tree: c.Configuration.Tree()}
+		e := &exchange{
+			c: c, w: w, r: r, id: verdict.NewID(c.env.Config.Name, now), tree: c.Configuration.Tree(),
+			controller: http.NewResponseController(w),
+		}
+		// net/http keeps the write deadline of an earlier stream on the connection.
+		_ = e.controller.SetWriteDeadline(time.Time{})
 		e.verdict = verdict.Verdict{
 			RequestID: e.id, Daemon: c.env.Config.Name, DataCentre: c.env.Config.DataCentre,
 			StartMs: now, SettingsVersion: c.Configuration.Version(),
--- a/hemlockd/internal/callers/stream.go
+++ b/hemlockd/internal/callers/stream.go
@@ -60,9 +60,6 @@
 // send writes and flushes data. It fails if the caller reads nothing for
 // writeTimeout.
 func (e *exchange) send(data []byte) error {
-	if e.controller == nil {
-		e.controller = http.NewResponseController(e.w)
-	}
 	if now := time.Now(); now.After(e.deadlineDue) {
 		_ = e.controller.SetWriteDeadline(now.Add(writeTimeout.Duration()))
 		e.deadlineDue = now.Add(deadlineRenewInterval.Duration())
