Own door: a chunk that can't be decoded is a failure of the upstream

Callers saw: a request without stream whose engine sent a chunk that is no JSON object got a 200 with the part before that chunk as the whole answer, or the problem callerGone although the caller was there.

Cause: bufferedSink returned the decoding error like a failed write. runModelHere then took the run's own result if the run had ended (it usually has: a buffered answer is published whole), which says that all is well; otherwise, and on the hand-off's path, it said callerGone.

The sink's error is now a type of its own, *chunkError, and both paths answer it as upstreamFailed with ran yes. The path over another daemon has the same lines and no test of its own.

--- a/hemlockd/internal/callers/buffered.go
+++ b/hemlockd/internal/callers/buffered.go
@@ -2,13 +2,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/completions"
 	"hemlockmux.example/common/invariant"
 	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/keeper"
 	"hemlockmux.example/hemlockd/internal/streams"
 )
 
@@ -19,6 +23,25 @@
 	}
 }
 
+// chunkError reports that a chunk of an engine's answer can't be used.
+type chunkError struct {
+	// offset is the offset of the chunk.
+	offset int
+	err    error
+}
+
+// Error implements error.
+func (e *chunkError) Error() string { return fmt.Sprintf("chunk %d of the answer: %v", e.offset, e.err) }
+
+// Unwrap returns the cause.
+func (e *chunkError) Unwrap() error { return e.err }
+
+// result returns the result of a call whose answer holds the chunk: an engine ran the call.
+func (e *chunkError) result(attempts []verdict.Attempt) keeper.Result {
+	p := problem.New(problem.UpstreamFailed, "the engine's answer can't be used: %v", e).WithRan(problem.RanYes)
+	return keeper.Result{Problem: p.WithRetryAfter(clock.Second), Ran: problem.RanYes, Attempts: attempts}
+}
+
 // bufferedSink collects the chunks into one response for a caller that did not
 // request a stream.
 type bufferedSink struct {
@@ -40,7 +63,7 @@
 			return nil
 		}
 		if err := s.add(c.Data); err != nil {
-			return err
+			return &chunkError{offset: c.Offset, err: err}
 		}
 	}
 	return nil
--- a/hemlockd/internal/callers/harness_test.go
+++ b/hemlockd/internal/callers/harness_test.go
@@ -19,6 +19,7 @@
 	"hemlockmux.example/common/invariant"
 	"hemlockmux.example/common/platform"
 	"hemlockmux.example/common/platform/memory"
+	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/settings"
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/daemons"
@@ -186,3 +187,44 @@
 func completion(stream bool) string {
 	return fmt.Sprintf(`{"model":"m","prompt":"p","max_tokens":4,"stream":%t}`, stream)
 }
+
+// answer is what a caller received.
+type answer struct {
+	status  int
+	body    string
+	problem problem.Problem
+	header  http.Header
+}
+
+// call sends a request with the team's key.
+func (p *testPort) call(method, path, body string, headers ...string) (answer, error) {
+	req, err := http.NewRequest(method, p.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := (&http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, body: string(text), header: resp.Header}
+	_ = json.Unmarshal(text, &a.problem)
+	return a, err
+}
+
+// checkVerdicts fails the test if a request is still without a verdict.
+func (p *testPort) checkVerdicts() {
+	p.t.Helper()
+	for range 100 {
+		if p.recorder.OpenCount() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.t.Errorf("%d requests have no verdict", p.recorder.OpenCount())
+}
--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -185,11 +185,15 @@
 		return daemonLostResult(at, noResult.Result, noResult.Err.Error())
 	}
 	e.cancelAt(address)
+	var bad *chunkError
+	if errors.As(err, &bad) {
+		return bad.result([]verdict.Attempt{{Upstream: at.daemon, Phase: "handOff", Result: verdict.AttemptRan, Cause: bad.Error()}})
+	}
 	return callerGoneResult()
 }
 
-// cancelAt asks the daemon that runs the call to cancel it because its caller has
-// disconnected.
+// cancelAt asks the daemon that runs the call to cancel it because its answer is no longer
+// wanted.
 func (e *exchange) cancelAt(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Second.Duration())
 	defer cancel()
@@ -221,21 +225,27 @@
 	defer run.Cancel()
 	ctx, cancel := context.WithCancel(e.r.Context())
 	defer cancel()
+	var bad *chunkError
 	for chunks := range run.Chunks(ctx, 0) {
 		if err := sink.writeChunks(chunks); err != nil {
+			errors.As(err, &bad)
 			break
 		}
 	}
-	if result := run.Result(); result != nil {
+	if result := run.Result(); result != nil && bad == nil {
 		return *result
 	}
-	// The caller has disconnected: cancel the run and wait for its end. Its result
+	// The answer is no longer wanted: cancel the run and wait for its end. Its result
 	// states whether an engine ran the call.
 	run.Cancel()
 	for range run.Chunks(context.Background(), 0) {
 		continue
 	}
-	if result := run.Result(); result != nil && result.Problem != nil {
+	result := run.Result()
+	if bad != nil {
+		return bad.result(result.Attempts)
+	}
+	if result.Problem != nil {
 		return *result
 	}
 	return callerGoneResult()
--- a/hemlockd/internal/callers/stream.go
+++ b/hemlockd/internal/callers/stream.go
@@ -12,7 +12,9 @@
 
 // sink writes a response from its chunks.
 type sink interface {
-	// writeChunks adds the next chunks, which must come in order.
+	// writeChunks adds the next chunks, which must come in order. It returns a *chunkError
+	// for an answer that can't be used; any other error means that the caller has
+	// disconnected.
 	writeChunks([]streams.Chunk) error
 	// started reports whether any part of the response has been received, so that the
 	// call must not be run again elsewhere.
