--- a/hemlockd/internal/callers/buffered.go
+++ b/hemlockd/internal/callers/buffered.go
@@ -31,7 +31,9 @@
 }
 
 // Error implements error.
-func (e *chunkError) Error() string { return fmt.Sprintf("chunk %d of the answer: %v", e.offset, e.err) }
+func (e *chunkError) Error() string {
+	return fmt.Sprintf("chunk %d of the answer: %v", e.offset, e.err)
+}
 
 // Unwrap returns the cause.
 func (e *chunkError) Unwrap() error { return e.err }
