Own door: an error that an engine reports inside its stream is not a whole answer

Callers saw: a request without stream got a 200 with the beginning of the answer as the whole, when the engine reported an error as a chunk ({"error": ...}) and then [DONE], as public engines do.

Cause: bufferedSink read the members of a chunk that it knows and ignored the error.

Red before, TestErrorInStreamIsUpstreamFailure:

buffered_test.go:48: status 200, body {"id":"x","object":"text_completion", "created":0,"model":"m","choices":[{"index":0,"text":"a","finish_reason":null}]}; want upstreamFailed with ran yes

Such a chunk is now a *chunkError like one that can't be decoded. Streamed answers pass it on as it is.

--- a/hemlockd/internal/callers/buffered.go
+++ b/hemlockd/internal/callers/buffered.go
@@ -72,10 +72,16 @@
 }
 
 func (s *bufferedSink) add(data []byte) error {
-	var chunk completions.Response
+	var chunk struct {
+		completions.Response
+		Error json.RawMessage `json:"error"`
+	}
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return err
 	}
+	if len(chunk.Error) > 0 && string(chunk.Error) != "null" {
+		return fmt.Errorf("the engine reports the error %s", chunk.Error)
+	}
 	if s.answer.ID == "" {
 		s.answer = completions.Response{ID: chunk.ID, Created: chunk.Created, Model: chunk.Model}
 	}
