Own door: a service's status that is none is a failed call

Callers saw: the connection closed without an answer when an instance answered "HTTP/1.1 099 x" or 000. The call had run, and a repeat of a placement had the same end, because the answer with that status had been recorded.

Cause: net/http's client takes any three digits, and WriteHeader of its server panics below 100. A 101 was passed on as the end of HTTP on the connection, 600 and above as they were.

services.send now fails a call whose status is outside 200 to 599, with ran unknown. A repeatable call goes on to another instance, a placement is told as outcomeUnknown.

--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -41,6 +41,9 @@
 	healthTimeout = clock.Second
 	// maxResponseBytes bounds the body of a service's response.
 	maxResponseBytes = 16 << 20
+	// maxStatus is the largest status of a response that HTTP defines. A larger or smaller one can't
+	// be passed on.
+	maxStatus = 599
 	// failuresToDown is the number of consecutive health checks that must fail before an instance
 	// counts as down.
 	failuresToDown = 2
@@ -301,6 +304,9 @@
 		return nil, &callError{result: verdict.AttemptUnknown, err: err}
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return nil, &callError{result: verdict.AttemptUnknown, err: fmt.Errorf("status %d is not that of a final response", resp.StatusCode)}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, &callError{result: verdict.AttemptUnknown, err: err}
