Own door: an event of several lines reaches the caller whole

Callers saw: when an engine sent an event with several lines of data, the first line of it and a line that is no field, so a chunk that is cut and can't be decoded. Over another daemon a buffered answer failed the same way.

Cause: streams.AppendEvents wrote the data as one field, with its line ends in it.

Each line is now a data field, as server-sent events define it.

--- a/hemlockd/internal/streams/streams.go
+++ b/hemlockd/internal/streams/streams.go
@@ -8,6 +8,7 @@
 package streams
 
 import (
+	"bytes"
 	"fmt"
 	"strconv"
 )
@@ -84,13 +85,18 @@
 	return ready, nil
 }
 
+var newline = []byte("\n")
+
 // AppendEvents appends chunks to buffer as server-sent events whose ids are the chunks' offsets.
+// Each line of the data is a field of its own.
 func AppendEvents(buffer []byte, chunks []Chunk) []byte {
 	for _, c := range chunks {
 		buffer = append(buffer, "id: "...)
 		buffer = strconv.AppendInt(buffer, int64(c.Offset), 10)
-		buffer = append(buffer, "\ndata: "...)
-		buffer = append(buffer, c.Data...)
+		for line := range bytes.SplitSeq(c.Data, newline) {
+			buffer = append(buffer, "\ndata: "...)
+			buffer = append(buffer, line...)
+		}
 		buffer = append(buffer, "\n\n"...)
 	}
 	return buffer
