Own door: a panic in a handler is answered, and the request gets its verdict

Callers saw: the connection closed without an answer; the request stayed open in the records until its daemon died.

Cause: net/http's server recovers a panic, logs it and closes the connection. Nothing of ours ran then.

Red before, TestPanicIsAnswered:

before_the_answer: panic_test.go:45: no answer: Post "http://127.0.0.1:33569": EOF after_the_verdict: panic_test.go:45: no answer: Post "http://127.0.0.1:44515": EOF during_the_stream: panic_test.go:50: status 200, body "id: 0\ndata: {...}\n\n", error unexpected EOF; want status 200 and "event: error\ndata: {" panic_test.go:52: 1 requests have no verdict panic_test.go:58: 0 panics counted, want 1 after_a_wrong_head: panic_test.go:45: no answer: Post "http://127.0.0.1:39475": EOF

exchange now recovers: a problem "internal" with ran unknown (or what the verdict says, if it is recorded), as the response or as the last event of a stream; the verdict; a line with the stack; the counter callers.panics. After a part of a response with a complete body the connection is broken as before, so that the part does not look whole. The line holds "panic:", which process tests look for, so that a bug still fails them; net/http's own line did not match it.

A panic in a goroutine of its own, such as a keeper's run, still ends the process.

--- a/hemlockd/internal/callers/buffered.go
+++ b/hemlockd/internal/callers/buffered.go
@@ -126,6 +126,7 @@
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	e.w.WriteHeader(status)
+	e.answered = true
 	if _, err := e.w.Write(body); err != nil {
 		metrics.Add("callersGone", 1)
 	}
--- a/hemlockd/internal/callers/callers.go
+++ b/hemlockd/internal/callers/callers.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/completions"
@@ -95,6 +96,10 @@
 	verdict verdict.Verdict
 	// headersSent is set once the headers of a streamed response have been sent.
 	headersSent bool
+	// answered is set once the headers of a response with a complete body have been sent.
+	answered bool
+	// closed is set once the verdict has been recorded.
+	closed bool
 
 	controller  *http.ResponseController
 	deadlineDue time.Time // when the write deadline is to be renewed; see send
@@ -117,6 +122,7 @@
 		}
 		w.Header().Set(headerRequestID, e.id)
 		c.Verdicts.Open(e.verdict)
+		defer e.recoverPanic()
 		if p := e.serve(serve); p != nil {
 			e.refuse(p)
 		}
@@ -166,13 +172,45 @@
 		e.endWithError(p)
 		return
 	}
-	if err := p.Write(e.w); err != nil {
+	e.writeProblem(p)
+}
+
+// writeProblem sends a problem as the complete response.
+func (e *exchange) writeProblem(p *problem.Problem) {
+	err := p.Write(e.w)
+	e.answered = true
+	if err != nil {
 		metrics.Add("callersGone", 1)
 	}
 }
 
+// recoverPanic ends a request whose handler has panicked, which is a bug: with a problem and
+// a verdict as far as these have not been sent and recorded. After a part of a response
+// with a complete body it closes the connection, so that the part is not taken as whole.
+func (e *exchange) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	metrics.Add("panics", 1)
+	e.c.env.Log.Error("panic: the handler of a request has a bug", zap.String("request", e.id), zap.Any("cause", cause), zap.Stack("stack"))
+	p := problem.New(problem.Internal, "the daemon failed while it handled the request; this is a bug").WithRan(problem.RanUnknown)
+	switch {
+	case !e.closed:
+		e.refuse(p)
+	case e.answered || e.headersSent:
+		panic(http.ErrAbortHandler)
+	default:
+		p.RequestID, p.Ran = e.id, e.verdict.Ran
+		clear(e.w.Header()) // of the response that could not be sent
+		e.w.Header().Set(headerRequestID, e.id)
+		e.writeProblem(p)
+	}
+}
+
 // close records the verdict; it must be called once.
 func (e *exchange) close() {
+	e.closed = true
 	e.verdict.EndMs = e.c.env.Clock.Now()
 	e.c.Verdicts.Close(e.r.Context(), e.verdict)
 }
--- a/hemlockd/internal/callers/harness_test.go
+++ b/hemlockd/internal/callers/harness_test.go
@@ -54,6 +54,7 @@
 type testPort struct {
 	t             *testing.T
 	env           process.Environment
+	callers       *Callers
 	handler       http.Handler
 	server        *httptest.Server
 	configuration *configuration.Configuration
@@ -106,10 +107,11 @@
 	recorder, closeRecorder := verdicts.New(p.env, objects, noPeers{}, func() clock.Millis { return clock.Hour })
 	t.Cleanup(closeRecorder)
 	p.keeper, p.recorder = k, recorder
-	p.handler = New(p.env, Dependencies{
+	p.callers = New(p.env, Dependencies{
 		Configuration: p.configuration, Daemons: peers, Keeper: k, Services: svc, HandOff: handOff,
 		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
-	}).Handler()
+	})
+	p.handler = p.callers.Handler()
 	p.server = httptest.NewServer(p.handler)
 	t.Cleanup(p.server.Close)
 	t.Cleanup(func() {
