Own door: a slow engine that still accepts resumptions is awaited

Callers saw: an answer ended with upstreamSilent, in the middle of a stream or with a 504, while the engine still held the request and the caller still waited.

Cause: decodeOn gave up after MaxAttempts stalls, whatever the engine said to the resumptions.

Red before, TestSlowEngineIsAwaited (stall 100 ms, 2 attempts, 6 silent resumptions):

A stall now says whether the engine had accepted the call on that connection (a response with status 200 had begun). A stream whose last resumption was accepted is resumed again, each time on a new connection and with the stall bound, unless nothing of the answer has been published and the retry budget grants another prefill: then the request goes on elsewhere as before. An engine that leaves a resumption without a response, refuses it or breaks it keeps the bound of MaxAttempts; TestSilentEngineIsGivenUp holds that (it was green before). Counter: keeper.slowAwaited.

--- a/hemlockd/internal/engines/engines.go
+++ b/hemlockd/internal/engines/engines.go
@@ -100,6 +100,9 @@
 	Unreachable bool
 	// Broken is true if the connection ended during the call.
 	Broken bool
+	// Accepted is true if the engine had accepted the call: it failed after the begin of a response
+	// with status 200.
+	Accepted bool
 	// Err is the cause.
 	Err error
 }
@@ -159,7 +162,7 @@
 
 // transportError wraps a transport error. After a failed dial the call was not run; after any other
 // error it may have been.
-func transportError(e Engine, err error) error {
+func transportError(e Engine, err error) *CallError {
 	call := &CallError{Engine: e.Name, Result: verdict.AttemptUnknown, Err: err}
 	var op *net.OpError
 	switch {
@@ -228,14 +231,16 @@
 		defer resp.Body.Close()
 		for chunk, err := range ReadEvents(resp.Body) {
 			if err != nil {
-				yield(chunk, transportError(e, err))
+				err := transportError(e, err)
+				err.Accepted = true
+				yield(chunk, err)
 				return
 			}
 			if !yield(chunk, nil) || chunk.Last {
 				return
 			}
 		}
-		yield(streams.Chunk{}, &CallError{Engine: e.Name, Result: verdict.AttemptRan, Broken: true, Err: io.ErrUnexpectedEOF})
+		yield(streams.Chunk{}, &CallError{Engine: e.Name, Result: verdict.AttemptRan, Broken: true, Accepted: true, Err: io.ErrUnexpectedEOF})
 	}
 }
 
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -18,6 +18,19 @@
 // errStalled reports that no chunk of a stream arrived within the stall time-out.
 var errStalled = errors.New("stream stalled: no chunk within the stall time-out")
 
+// stallError reports a stream on which no chunk arrived within the stall time-out. It wraps
+// errStalled.
+type stallError struct {
+	// accepted is true if the engine had accepted the call on this connection.
+	accepted bool
+}
+
+// Error implements error.
+func (*stallError) Error() string { return errStalled.Error() }
+
+// Unwrap returns errStalled.
+func (*stallError) Unwrap() error { return errStalled }
+
 // decode streams the answer from the reserved decode engine, or from another one if that engine
 // is leaving, refuses the call or is unreachable. retryPrefill reports whether the call may be started again
 // with a new prefill: no chunk has been published yet.
@@ -77,7 +90,8 @@
 }
 
 // decodeOn streams the answer from one engine to its end. If the stream stalls, breaks or has a
-// gap, it is resumed on a new connection, at most MaxAttempts times in a row without a new chunk.
+// gap, it is resumed on a new connection, at most MaxAttempts times in a row without a new chunk, or
+// longer if mustAwait.
 func (r *Run) decodeOn(name string, kv completions.KVTransferParams) error {
 	k := r.keeper
 	call, err := r.newEngineCall(map[string]any{"stream": true, "kv_transfer_params": kv})
@@ -91,7 +105,10 @@
 	k.checkNotLeaving(name)
 	assembler := streams.NewAssembler(0)
 	err = r.streamOnce(name, call, engines.Fresh, assembler)
-	for resumes := 0; resumable(err) && resumes < r.tree.System.Policy.MaxAttempts && r.ctx.Err() == nil; resumes++ {
+	for resumes := 0; resumable(err) && r.ctx.Err() == nil; resumes++ {
+		if resumes >= r.tree.System.Policy.MaxAttempts && !r.mustAwait(err) {
+			break
+		}
 		metrics.Add("resumes", 1)
 		before := assembler.Next()
 		assembler = streams.NewAssembler(before)
@@ -111,6 +128,23 @@
 	return err
 }
 
+// mustAwait reports whether a stalled stream is to be resumed again: the engine still accepts that,
+// so that it is slow rather than lost, and the answer can't be generated again elsewhere.
+func (r *Run) mustAwait(err error) bool {
+	var stalled *stallError
+	if !errors.As(err, &stalled) || !stalled.accepted {
+		return false
+	}
+	r.mu.Lock()
+	published := len(r.chunks) > 0
+	r.mu.Unlock()
+	if !published && r.takeRetry() {
+		return false
+	}
+	metrics.Add("slowAwaited", 1)
+	return true
+}
+
 // resetOutput drops the chunks of a buffered answer that an earlier attempt left.
 func (r *Run) resetOutput() {
 	r.buffered = nil
@@ -155,7 +189,8 @@
 	for chunk, err := range r.keeper.client.Stream(ctx, r.engine(name), call, from) {
 		if err != nil {
 			if errors.Is(context.Cause(ctx), errStalled) {
-				return errStalled
+				var call *engines.CallError
+				return &stallError{accepted: errors.As(err, &call) && call.Accepted}
 			}
 			return err
 		}
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -48,6 +48,9 @@
 	dispatched bool // an engine ran or may have run a part of the call
 	grant      admission.Grant
 	buffered   []streams.Chunk // chunks of a buffered answer, not yet published
+	// lastAttempt is true if the attempt that runs can't be followed by another prefill.
+	lastAttempt bool
+	retryTaken  bool // the budget has granted a retry after the attempt that runs
 }
 
 // Begin starts a call, or returns the run of the same request if there is one already.
@@ -225,8 +228,8 @@
 		return p
 	}
 	k.budget.RecordFirstAttempt()
-	policy := r.tree.System.Policy
 	for attempt := 0; ; attempt++ {
+		r.lastAttempt, r.retryTaken = attempt+1 >= r.tree.System.Policy.MaxAttempts, false
 		kv, p := r.prefill()
 		if p != nil {
 			return p
@@ -236,7 +239,7 @@
 			k.suspects.RecordCompletion(r.call.Digest)
 			return nil
 		}
-		if !retryPrefill || attempt+1 >= policy.MaxAttempts || !k.budget.Take() {
+		if !retryPrefill || !r.takeRetry() {
 			return p
 		}
 		metrics.Add("repeatedPrefills", 1)
@@ -249,6 +252,13 @@
 	}
 }
 
+// takeRetry reports whether the call may be started again with a new prefill, and takes that from the
+// retry budget, once for each attempt.
+func (r *Run) takeRetry() bool {
+	r.retryTaken = r.retryTaken || !r.lastAttempt && r.keeper.budget.Take()
+	return r.retryTaken
+}
+
 // readmitSuspect queues a request anew if an engine crashed during it, so that the next attempt
 // shares its engines with no other suspect. It returns false if the request is not admitted.
 func (r *Run) readmitSuspect() bool {
