Own door: a queued request runs on an engine that was added after it

Callers saw: after a settings change that replaces or adds engines, a request that was queued before it was refused with 422 crashSuspect, and so was each repeat of it for ten minutes, though no engine had crashed.

Cause: the admission grants the engines of the settings in force, and the run looked the address up in the settings of its begin. With an empty address the call failed as "no Host in request URL", which counts as a connection that broke: twice, and the request is a crash suspect.

Red before, TestQueuedRequestRunsOnNewEngine:

settings_test.go:69: status 422, error <nil>, body {... "detail":"two upstreams crashed while running this request; it is refused until the retry time", "reason":"crashSuspect","ran":"yes", ... "retryAfterMs":600000 ...}

The address now comes from the settings in force, and from the run's own for an engine that was removed since. An attempt keeps the address that it began with, for its resumptions and its abort.

--- a/hemlockd/internal/callers/harness_test.go
+++ b/hemlockd/internal/callers/harness_test.go
@@ -114,6 +114,7 @@
 	p.handler = p.callers.Handler()
 	p.server = httptest.NewServer(p.handler)
 	t.Cleanup(p.server.Close)
+	t.Cleanup(p.server.CloseClientConnections)
 	t.Cleanup(func() {
 		p.violations.mu.Lock()
 		defer p.violations.mu.Unlock()
--- a/hemlockd/internal/keeper/attempts.go
+++ b/hemlockd/internal/keeper/attempts.go
@@ -85,12 +85,12 @@
 
 // abortFailed frees the memory that a failed attempt may hold at its engine. An attempt that never
 // ran holds none.
-func (r *Run) abortFailed(name, attemptID string, err error) {
+func (r *Run) abortFailed(e engines.Engine, attemptID string, err error) {
 	var call *engines.CallError
 	if errors.As(err, &call) && call.Result == verdict.AttemptNotRun {
 		return
 	}
-	r.keeper.abortAttempt(r.engine(name), attemptID)
+	r.keeper.abortAttempt(e, attemptID)
 }
 
 // abortAttempt aborts an attempt at an engine in the background. If the abort does not arrive, the
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -104,7 +104,8 @@
 	started := k.env.Clock.Now()
 	k.checkNotLeaving(name)
 	assembler := streams.NewAssembler(0)
-	err = r.streamOnce(name, call, engines.Fresh, assembler)
+	e := r.engine(name) // one address for all resumptions
+	err = r.streamOnce(e, call, engines.Fresh, assembler)
 	for resumes := 0; resumable(err) && r.ctx.Err() == nil; resumes++ {
 		if resumes >= r.tree.System.Policy.MaxAttempts && !r.mustAwait(err) {
 			break
@@ -112,7 +113,7 @@
 		metrics.Add("resumes", 1)
 		before := assembler.Next()
 		assembler = streams.NewAssembler(before)
-		resumed := r.streamOnce(name, call, before, assembler)
+		resumed := r.streamOnce(e, call, before, assembler)
 		if notRun(resumed) {
 			break // it is unreachable or does not know the stream: keep the earlier error
 		}
@@ -123,7 +124,7 @@
 	}
 	r.recordAttempt(name, settings.KindDecode, started, err)
 	if err != nil {
-		r.abortFailed(name, call.AttemptID, err)
+		r.abortFailed(e, call.AttemptID, err)
 	}
 	return err
 }
@@ -174,7 +175,7 @@
 }
 
 // streamOnce reads the stream on one connection, from an offset on.
-func (r *Run) streamOnce(name string, call engines.Call, from int, assembler *streams.Assembler) error {
+func (r *Run) streamOnce(e engines.Engine, call engines.Call, from int, assembler *streams.Assembler) error {
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
 	stall := r.tree.System.Policy.StallMs.Duration()
@@ -186,7 +187,7 @@
 	}
 	watchdog := newWatchdog(stall, func() { cancel(errStalled) })
 	defer watchdog.stop()
-	for chunk, err := range r.keeper.client.Stream(ctx, r.engine(name), call, from) {
+	for chunk, err := range r.keeper.client.Stream(ctx, e, call, from) {
 		if err != nil {
 			if errors.Is(context.Cause(ctx), errStalled) {
 				var call *engines.CallError
--- a/hemlockd/internal/keeper/prefill.go
+++ b/hemlockd/internal/keeper/prefill.go
@@ -11,9 +11,14 @@
 	"hemlockmux.example/hemlockd/internal/engines"
 )
 
-// engine returns the name and address of an engine under the run's settings.
+// engine returns the name and address of an engine under the settings in force, or under the run's
+// if it has been removed since. The run may be granted an engine that was added after its begin.
 func (r *Run) engine(name string) engines.Engine {
-	return engines.Engine{Name: name, Address: r.tree.System.Upstreams[name].Address}
+	u, ok := r.keeper.configuration.Tree().System.Upstreams[name]
+	if !ok {
+		u = r.tree.System.Upstreams[name]
+	}
+	return engines.Engine{Name: name, Address: u.Address}
 }
 
 // newEngineCall returns an engine call with a new attempt id. Its body is the caller's, with the
@@ -88,10 +93,11 @@
 	defer k.claims.remove(call.AttemptID)
 	started := k.env.Clock.Now()
 	k.checkNotLeaving(name)
-	result, err := k.client.Prefill(ctx, r.engine(name), call)
+	e := r.engine(name)
+	result, err := k.client.Prefill(ctx, e, call)
 	r.recordAttempt(name, settings.KindPrefill, started, err)
 	if err != nil {
-		r.abortFailed(name, call.AttemptID, err)
+		r.abortFailed(e, call.AttemptID, err)
 	}
 	return result, err
 }
