Own door: a queued request is refused in time when its engines are removed

Callers saw: a queued request without an answer, until the caller gave up, after a settings change that removed the engines of its group (or moved them to other groups).

Cause: Keeper.queueWake was never made. The sends took the default branch and the receive waited for ever, so a queue moved on only with a load report, a submission or an end. A group without engines has no load reports.

Red before, TestQueuedRequestOfRemovedEnginesIsRefused:

settings_test.go:87: the queued request got no answer (within 5 s; target 0.5 s)

--- a/hemlockd/internal/callers/settings_test.go
+++ b/hemlockd/internal/callers/settings_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hemlockmux.example/common/completions"
+	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/settings"
 )
 
@@ -71,3 +72,18 @@
 		t.Error("the queued request got no answer")
 	}
 }
+
+// TestQueuedRequestOfRemovedEnginesIsRefused guards against a queued request that waits for ever
+// once the settings have no engine for it.
+func TestQueuedRequestOfRemovedEnginesIsRefused(t *testing.T) {
+	p, _, _, queued := startAndQueue(t)
+	p.apply(2, "firstTokenMs = 500\n")
+	select {
+	case o := <-queued:
+		if o.err != nil || o.status != http.StatusServiceUnavailable || o.problem.Ran != problem.RanNo {
+			t.Errorf("status %d, error %v, body %s", o.status, o.err, o.body)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the queued request got no answer")
+	}
+}
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -145,8 +145,8 @@
 		env: env, configuration: cfg, client: client, peers: peers, leaving: leaving, suspects: sus,
 		budget: retries.NewBudget(settings.DefaultSystem().Policy.RetryRatio),
 		groups: map[string]*group{}, runs: map[string]*Run{}, watchers: map[string]*watcher{},
-		leavingSince: map[string]clock.Millis{},
-		claims:       newClaims(), ctx: ctx, cancel: cancel,
+		leavingSince: map[string]clock.Millis{}, queueWake: make(chan struct{}, 1),
+		claims: newClaims(), ctx: ctx, cancel: cancel,
 	}
 	k.done.Add(2)
 	go k.runQueues()
