Own door: an answer that came whole from another daemon is not lost with its result

Callers saw: all chunks of a streamed answer and then the error daemonLost in the place of [DONE], or a 502 for a buffered one, when the daemon that ran the request ended (or its connection broke for good) after the last chunk and before the result. A drain can do that: it waits for runs, not for the hand-off's connections (package app).

Cause: RunModel took only the result event for the end.

Red before, TestWholeAnswerNeedsNoResult:

handoff_test.go:49: 2 chunks, result {Problem:<nil> Ran: Attempts:[]}, error daemon at 127.0.0.1:33145 returned no result: 503 Service Unavailable (unknown); want the whole answer

The last chunk is published only by a decode that succeeded, so it proves the result. It is still asked for by reattaching, for the attempts in the verdict; without it the verdict has one attempt, the hand-off, as ran. Counter: handoff.resultsMissing.

--- a/hemlockd/internal/handoff/handoff.go
+++ b/hemlockd/internal/handoff/handoff.go
@@ -148,6 +148,10 @@
 			attempts = 0
 		}
 		if noResult.Result == verdict.AttemptNotRun || attempts >= maxReattachments {
+			if assembler.Done() {
+				metrics.Add("resultsMissing", 1)
+				return wholeAnswerResult(address), nil
+			}
 			if reached {
 				noResult.Result = verdict.AttemptUnknown
 			}
@@ -157,6 +161,14 @@
 	}
 }
 
+// wholeAnswerResult is the result of a request whose answer came whole from a daemon that ended before
+// it sent the result.
+func wholeAnswerResult(address string) keeper.Result {
+	return keeper.Result{Ran: problem.RanYes, Attempts: []verdict.Attempt{{
+		Upstream: address, Phase: "handOff", Result: verdict.AttemptRan, Cause: "the answer came whole, without the result",
+	}}}
+}
+
 // errStreamTimeout reports that no data was received within streamTimeout.
 var errStreamTimeout = errors.New("no data received within the stream time-out")
 
