Own door: only the caller's end is told as the caller's end

Callers saw: 499 "the caller disconnected before the answer was complete" although they waited, when the daemon that ran the request had not been reached by the front for 1.5 s, had taken the front for dead, was stopping, or sent a result that can't be decoded.

Cause: a keeper's run that is cancelled says callerGone, whatever cancelled it, and the front passed that on. An undecodable result left RunModel as an error that counts as a failed write to the caller.

While the caller waits, RunModel turns such a result into a *NoResultError with what it says of ran, so that the request goes on at another daemon if nothing of its answer was delivered, and is told as daemonLost otherwise, now with ran yes where that is known. A keeper that stops says daemonLost itself. Counter: handoff.takenForGone.

--- a/hemlockd/internal/callers/harness_test.go
+++ b/hemlockd/internal/callers/harness_test.go
@@ -59,6 +59,7 @@
 	server        *httptest.Server
 	configuration *configuration.Configuration
 	keeper        *keeper.Keeper
+	closeKeeper   func()
 	recorder      *verdicts.Recorder
 	violations    *violations
 }
@@ -106,7 +107,7 @@
 	t.Cleanup(closeObjects)
 	recorder, closeRecorder := verdicts.New(p.env, objects, noPeers{}, func() clock.Millis { return clock.Hour })
 	t.Cleanup(closeRecorder)
-	p.keeper, p.recorder = k, recorder
+	p.keeper, p.closeKeeper, p.recorder = k, closeKeeper, recorder
 	p.callers = New(p.env, Dependencies{
 		Configuration: p.configuration, Daemons: peers, Keeper: k, Services: svc, HandOff: handOff,
 		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -206,10 +206,7 @@
 }
 
 func daemonLostResult(at candidate, result verdict.AttemptResult, cause string) keeper.Result {
-	ran := problem.RanUnknown
-	if result == verdict.AttemptNotRun {
-		ran = problem.RanNo
-	}
+	ran := verdict.CombineRan([]verdict.Attempt{{Result: result}})
 	p := problem.New(problem.DaemonLost, "the daemon in %s that was to run the request gave no result", at.dataCentre)
 	return keeper.Result{
 		Problem: p.WithRan(ran).WithRetryAfter(clock.Second), Ran: ran,
--- a/hemlockd/internal/handoff/handoff.go
+++ b/hemlockd/internal/handoff/handoff.go
@@ -136,6 +136,9 @@
 	for attempts := 0; ; attempts++ {
 		before := assembler.Next()
 		result, err := c.modelOnce(ctx, address, call, assembler, sink)
+		if err == nil && ctx.Err() == nil && result.Problem != nil && result.Problem.Reason == problem.CallerGone {
+			return keeper.Result{}, takenForGone(address, result)
+		}
 		if err == nil {
 			return *result, nil
 		}
@@ -161,6 +164,20 @@
 	}
 }
 
+// takenForGone returns the error of a request that a daemon cancelled although the caller waits: it
+// could not reach this daemon for a time, took it for dead, or stops itself.
+func takenForGone(address string, result *keeper.Result) *NoResultError {
+	metrics.Add("takenForGone", 1)
+	noResult := &NoResultError{Address: address, Result: verdict.AttemptUnknown, Err: errors.New("it cancelled the request")}
+	switch result.Ran {
+	case problem.RanNo:
+		noResult.Result = verdict.AttemptNotRun
+	case problem.RanYes:
+		noResult.Result = verdict.AttemptRan
+	}
+	return noResult
+}
+
 // wholeAnswerResult is the result of a request whose answer came whole from a daemon that ended before
 // it sent the result.
 func wholeAnswerResult(address string) keeper.Result {
@@ -200,8 +217,10 @@
 		}
 		if event.Type == resultEvent {
 			var result keeper.Result
-			err := json.Unmarshal([]byte(event.Data), &result)
-			return &result, err
+			if err := json.Unmarshal([]byte(event.Data), &result); err != nil {
+				return nil, noResultError(ctx, address, err)
+			}
+			return &result, nil
 		}
 		offset, err := strconv.Atoi(event.LastEventID)
 		if err != nil {
--- a/hemlockd/internal/handoff/handoff_test.go
+++ b/hemlockd/internal/handoff/handoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -48,3 +49,29 @@
 		t.Errorf("%d chunks, result %+v, error %v; want the whole answer", chunks, result, err)
 	}
 }
+
+// TestOnlyCallerEndsRequest guards against a caller that waits and is told that it has
+// disconnected: the daemon that ran its request took it for gone, or sent no readable result.
+func TestOnlyCallerEndsRequest(t *testing.T) {
+	const gone = `{"problem":{"reason":"callerGone","ran":%q},"ran":%[1]q,"attempts":[]}`
+	for name, test := range map[string]struct {
+		data string
+		want verdict.AttemptResult
+	}{
+		"taken for gone before it ran": {fmt.Sprintf(gone, "no"), verdict.AttemptNotRun},
+		"taken for gone":               {fmt.Sprintf(gone, "unknown"), verdict.AttemptUnknown},
+		"taken for gone after it ran":  {fmt.Sprintf(gone, "yes"), verdict.AttemptRan},
+		"unreadable result":            {`{"problem":`, verdict.AttemptUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, result, err := runModel(t, "event: result\ndata: "+test.data+"\n\n")
+			var noResult *NoResultError
+			if !errors.As(err, &noResult) {
+				t.Fatalf("result %+v, error %v; want a *NoResultError", result, err)
+			}
+			if noResult.Result != test.want {
+				t.Errorf("%v, want %s", noResult, test.want)
+			}
+		})
+	}
+}
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -313,6 +313,10 @@
 	return problem.New(problem.Overloaded, "the estimated time to the first token exceeds the target of %d ms", r.tree.System.Policy.FirstTokenMs).WithRetryAfter(d.RetryAfterMs)
 }
 
+// callerGone returns the problem of a run that was cancelled: by its caller, unless this daemon stops.
 func (r *Run) callerGone() *problem.Problem {
+	if r.keeper.ctx.Err() != nil {
+		return problem.New(problem.DaemonLost, "the daemon that ran the request has stopped").WithRetryAfter(clock.Second)
+	}
 	return problem.New(problem.CallerGone, "the caller disconnected before the answer was complete")
 }
