Own door: a daemon that forgot a run does not resume its answer from another one

Callers saw: an answer put together from two generations, which looks whole.

Cause: a front that reattaches sends the offset that it has. A daemon that no longer knew the run (it had been restarted, or the run had ended more than 1.5 s before) started the request anew and sent the chunks from that offset.

A reattachment after the first chunk to an unknown run is now refused with 410, which ends the answer as daemonLost (or completes it, if its last chunk had come). Counter: handoff.forgottenRuns.

--- a/hemlockd/internal/handoff/server.go
+++ b/hemlockd/internal/handoff/server.go
@@ -77,6 +77,12 @@
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-ID")); err == nil {
 		from = last + 1
 	}
+	if _, known := s.keeper.Find(call.RequestID); from > 0 && !known {
+		// A new run would generate another answer than the one whose begin the caller has.
+		metrics.Add("forgottenRuns", 1)
+		http.Error(w, "this daemon does not know the request's run", http.StatusGone)
+		return
+	}
 	if call.FrontDataCentre == s.dataCentre {
 		s.storeCopies(daemons.CopyRequest{From: call.Front, Opened: []verdict.Verdict{openVerdict(call)}})
 	}
--- /dev/null
+++ b/hemlockd/internal/handoff/server_test.go
@@ -0,0 +1,62 @@
+package handoff
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/invariant"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/daemons"
+	"hemlockmux.example/hemlockd/internal/engines"
+	"hemlockmux.example/hemlockd/internal/keeper"
+	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/suspects"
+)
+
+// alone is the view of a daemon without others, and of upstreams none of which is leaving.
+type alone struct{}
+
+func (alone) Live(string) []string { return []string{"vm-1"} }
+
+func (alone) Alive(string) bool { return false }
+
+func (alone) Leaving(string) bool { return false }
+
+// newTestServer returns the handler of a daemon whose settings hold a model without engines.
+func newTestServer(t *testing.T) (http.Handler, *keeper.Keeper) {
+	cfg := process.DefaultConfig()
+	cfg.Name, cfg.DataCentre = "vm-1", "a"
+	log := zap.NewNop()
+	env := process.Environment{Log: log, Clock: clock.System(), Config: cfg, Invariants: invariant.New(log), Incarnation: 1}
+	c := configuration.New(env)
+	_, err := c.Apply(configuration.Delta{Version: 1, Nodes: []settings.Node{{Path: settings.SystemPath, Version: 1, Text: "[models.m]\n" +
+		"[operators.ops]\nkeyHash = \"" + settings.HashKey("operator") + "\"\n"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, closeClient := engines.NewClient()
+	t.Cleanup(closeClient)
+	k, closeKeeper := keeper.New(env, c, client, alone{}, alone{}, suspects.New())
+	t.Cleanup(closeKeeper)
+	return NewServer("a", c, k, nil, func(daemons.CopyRequest) daemons.CopyAnswer { return daemons.CopyAnswer{} }), k
+}
+
+// TestForgottenRunIsNotResumed guards against an answer that is put together from two
+// generations: a daemon that no longer knows a request ran it again and sent the end of that.
+func TestForgottenRunIsNotResumed(t *testing.T) {
+	handler, k := newTestServer(t)
+	r := httptest.NewRequest(http.MethodPost, "/models", strings.NewReader(`{"model":"m","prompt":"p"}`))
+	r.Header.Set(headerCall, `{"requestId":"r","model":"m"}`)
+	r.Header.Set("Last-Event-ID", "0")
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, r)
+	if _, found := k.Find("r"); found || w.Code != http.StatusGone {
+		t.Errorf("status %d, run started %t; want status %d and no run", w.Code, found, http.StatusGone)
+	}
+}
