Own door: a body that comes incomplete over the hand-off is refused as such

Callers saw: nothing that we know of; the callers' port takes bodies up to 64 MiB, so the limit of 65 MiB is met by a fault only. A body above it ran cut, and one that could not be read got an empty 200, which the front told as "may have run" though it had not.

readCall now answers 413 and 400, and RunService takes a 4xx status for a call that was not run.

--- a/hemlockd/internal/handoff/handoff.go
+++ b/hemlockd/internal/handoff/handoff.go
@@ -299,6 +299,9 @@
 		return services.Outcome{}, noResultError(ctx, address, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode >= 400 && resp.StatusCode < 500 { // see readCall
+		return services.Outcome{}, &NoResultError{Address: address, Result: verdict.AttemptNotRun, Err: errors.New(resp.Status)}
+	}
 	var result serviceResult
 	if err := json.NewDecoder(resp.Body).Decode(&result); err != nil {
 		return services.Outcome{}, noResultError(ctx, address, err)
--- a/hemlockd/internal/handoff/server.go
+++ b/hemlockd/internal/handoff/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -46,15 +47,24 @@
 	return r
 }
 
-// readCall decodes the call header into out and reads the body. It answers a malformed header with
-// status 400.
+// readCall decodes the call header into out and reads the body. It answers a malformed header or a
+// body that can't be read with status 400, a body that is too long with 413.
 func readCall(w http.ResponseWriter, r *http.Request, out any) ([]byte, bool) {
 	if err := json.Unmarshal([]byte(r.Header.Get(headerCall)), out); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return nil, false
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	return body, err == nil
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return nil, false
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil, false
+	}
+	return body, true
 }
 
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
--- a/hemlockd/internal/handoff/server_test.go
+++ b/hemlockd/internal/handoff/server_test.go
@@ -1,10 +1,13 @@
 package handoff
 
 import (
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"go.uber.org/zap"
 
@@ -60,3 +63,31 @@
 		t.Errorf("status %d, run started %t; want status %d and no run", w.Code, found, http.StatusGone)
 	}
 }
+
+// zeros is a reader without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestIncompleteBodyIsRefused guards against a request that runs with a part of its body, and
+// against an empty response with status 200 to one whose body can't be read.
+func TestIncompleteBodyIsRefused(t *testing.T) {
+	handler, _ := newTestServer(t)
+	for _, path := range []string{"/models", "/services"} {
+		for name, test := range map[string]struct {
+			body io.Reader
+			want int
+		}{
+			"too long":   {io.LimitReader(zeros{}, maxBodyBytes+1), http.StatusRequestEntityTooLarge},
+			"unreadable": {iotest.ErrReader(errors.New("connection reset")), http.StatusBadRequest},
+		} {
+			r := httptest.NewRequest(http.MethodPost, path, test.body)
+			r.Header.Set(headerCall, `{"requestId":"r","model":"m"}`)
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, r)
+			if w.Code != test.want {
+				t.Errorf("%s, %s: status %d, body %s; want status %d", path, name, w.Code, w.Body, test.want)
+			}
+		}
+	}
+}
