Own door: a slow instance is awaited if no other one goes on with the call

Callers saw: a repeatable call to a service ended with 502 after a third of the service's timeoutMs (at MaxAttempts 3), although that setting is "the longest wait for the service's answer", the caller waited and no other instance could take the call.

Cause: each attempt had timeoutMs divided by MaxAttempts, also the only and the last one.

Red before, TestSlowInstanceIsAwaited (timeoutMs 900):

the_only_instance: services_test.go:91: upstreamFailed (ran: unknown): service "s" did not answer: Get "http://127.0.0.1:45863/x": context deadline exceeded (0.31 s) the_last_instance: the same (0.61 s)

An attempt is now left after its share only if another instance is available, attempts are left and the retry budget grants one; otherwise it goes on until timeoutMs has passed since the begin of the call. TestSilentInstanceIsLeft holds the bounds (green before).

--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -14,12 +14,14 @@
 	"expvar"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -159,13 +161,15 @@
 }
 
 // runIdempotent runs an idempotent call, and repeats it on another instance after a failure while
-// MaxAttempts and the retry budget allow it.
+// MaxAttempts and the retry budget allow it. All attempts together take at most the service's
+// time-out.
 func (s *Services) runIdempotent(ctx context.Context, tree *settings.Tree, service settings.Service, call Call) Outcome {
 	var out Outcome
 	var last error
 	excluded := map[string]bool{}
 	s.budget.SetRatio(tree.System.Policy.RetryRatio)
 	s.budget.RecordFirstAttempt()
+	deadline := s.env.Clock.Now() + service.TimeoutMs
 	for attempt := range tree.System.Policy.MaxAttempts {
 		name, ok := s.choose(tree, call, excluded)
 		if !ok {
@@ -175,19 +179,21 @@
 		if attempt > 0 {
 			client = s.unpooledClient // the pooled connection may be dead
 		}
-		timeout := service.TimeoutMs / clock.Millis(tree.System.Policy.MaxAttempts)
-		answer, err := s.callOnce(ctx, client, name, tree, call, timeout, &out)
+		excluded[name] = true
+		final := attempt+1 >= tree.System.Policy.MaxAttempts
+		attemptCtx, left, stop := s.leaveWhenSilent(ctx, tree, service, call, maps.Clone(excluded), final)
+		answer, err := s.callOnce(attemptCtx, client, name, tree, call, deadline-s.env.Clock.Now(), &out)
+		stop()
 		if err == nil {
 			out.Answer = answer
 			return out
 		}
 		last = err
-		excluded[name] = true
 		if ctx.Err() != nil {
 			out.Problem = problem.New(problem.CallerGone, "the caller disconnected before the service answered").WithRan(verdict.CombineRan(out.Attempts))
 			return out
 		}
-		if attempt+1 >= tree.System.Policy.MaxAttempts || !s.budget.Take() {
+		if final || s.env.Clock.Now() >= deadline || !left.Load() && !s.budget.Take() {
 			break
 		}
 		wait := retries.Backoff(attempt, rand.New(rand.NewPCG(rand.Uint64(), 0)))
@@ -203,6 +209,25 @@
 	return out
 }
 
+// leaveWhenSilent returns a context for one attempt. It ends after the attempt's share of the service's
+// time-out if another instance is to go on then, which sets left: the attempt is not the final one,
+// another instance is available and the retry budget grants the attempt.
+func (s *Services) leaveWhenSilent(ctx context.Context, tree *settings.Tree, service settings.Service, call Call, excluded map[string]bool, final bool) (_ context.Context, left *atomic.Bool, stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	left = &atomic.Bool{}
+	share := service.TimeoutMs / clock.Millis(tree.System.Policy.MaxAttempts)
+	timer := time.AfterFunc(share.Duration(), func() {
+		if _, other := s.choose(tree, call, excluded); !final && other && s.budget.Take() {
+			left.Store(true)
+			cancel()
+		}
+	})
+	return ctx, left, func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
 // instances returns the names of the service's instances in this data centre that the team may use,
 // sorted.
 func (s *Services) instances(tree *settings.Tree, call Call) []string {
--- /dev/null
+++ b/hemlockd/internal/services/services_test.go
@@ -0,0 +1,108 @@
+package services
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/invariant"
+	"hemlockmux.example/common/platform/memory"
+	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/settings"
+	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/placements"
+	"hemlockmux.example/hemlockd/internal/process"
+)
+
+// noSignals reports no upstream as leaving.
+type noSignals struct{}
+
+func (noSignals) Leaving(string) bool { return false }
+
+// newTestServices returns the services of a daemon with instances of service s that are
+// served by the handlers. Calls may be repeated and time out after 900 ms.
+func newTestServices(t *testing.T, policy string, instances ...http.HandlerFunc) *Services {
+	cfg := process.DefaultConfig()
+	cfg.Name, cfg.DataCentre = "vm-1", "a"
+	log := zap.NewNop()
+	env := process.Environment{Log: log, Clock: clock.System(), Config: cfg, Invariants: invariant.New(log), Incarnation: 1}
+	var text strings.Builder
+	fmt.Fprintf(&text, "[policy]\n%s\n[services.s]\nrepeatable = true\ntimeoutMs = 900\n[dataCentres.a]\n[operators.ops]\nkeyHash = %q\n", policy, settings.HashKey("operator"))
+	for i, serve := range instances {
+		mux := http.NewServeMux()
+		mux.HandleFunc("/health", func(http.ResponseWriter, *http.Request) {})
+		mux.HandleFunc("/", serve)
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		t.Cleanup(server.CloseClientConnections)
+		fmt.Fprintf(&text, "[upstreams.s%d]\nkind = \"service\"\nservice = \"s\"\naddress = %q\ndataCentre = \"a\"\n", i, server.Listener.Addr())
+	}
+	c := configuration.New(env)
+	_, err := c.Apply(configuration.Delta{Version: 1, Nodes: []settings.Node{
+		{Path: settings.SystemPath, Version: 1, Text: text.String()},
+		{Path: settings.TeamsPrefix + "t", Version: 1, Text: "services = [\"s\"]\n"},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ledger, closeLedger := placements.New(env, memory.New(), func() clock.Millis { return 1 })
+	t.Cleanup(closeLedger)
+	s, closeServices := New(env, c, ledger, noSignals{})
+	t.Cleanup(closeServices)
+	return s
+}
+
+func get() Call {
+	return Call{RequestID: "r", Team: "t", Service: "s", Method: http.MethodGet, Path: "/x", Header: http.Header{}}
+}
+
+// after returns a handler that answers after a delay.
+func after(delay time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(delay):
+		case <-r.Context().Done():
+		}
+		_, _ = fmt.Fprint(w, "ok")
+	}
+}
+
+// TestSlowInstanceIsAwaited guards against a call that fails after a part of the service's
+// time-out although no other instance goes on with it.
+func TestSlowInstanceIsAwaited(t *testing.T) {
+	for name, test := range map[string]struct {
+		policy    string
+		instances []http.HandlerFunc
+	}{
+		"the only instance": {"", []http.HandlerFunc{after(600 * time.Millisecond)}},
+		"the last instance": {"retryRatio = 1.0", []http.HandlerFunc{after(5 * time.Second), after(500 * time.Millisecond)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out := newTestServices(t, test.policy, test.instances...).Run(t.Context(), get())
+			if out.Problem != nil {
+				t.Errorf("%v", out.Problem)
+			}
+		})
+	}
+}
+
+// TestSilentInstanceIsLeft guards against a call that waits for a silent instance for the whole
+// time-out although another one can go on with it, or waits longer than the time-out.
+func TestSilentInstanceIsLeft(t *testing.T) {
+	started := time.Now()
+	out := newTestServices(t, "", after(time.Minute), after(0)).Run(t.Context(), get())
+	if elapsed := time.Since(started); out.Problem != nil || elapsed > 700*time.Millisecond {
+		t.Errorf("problem %v after %v", out.Problem, elapsed)
+	}
+	started = time.Now()
+	out = newTestServices(t, "", after(time.Minute)).Run(t.Context(), get())
+	if elapsed := time.Since(started); out.Problem == nil || out.Problem.Reason != problem.UpstreamFailed || elapsed > 1300*time.Millisecond {
+		t.Errorf("problem %v after %v", out.Problem, elapsed)
+	}
+}
