Own door: a caller that leaves between two attempts is recorded as gone

Seen in verdicts only, as the caller has left: upstreamFailed instead of callerGone.

Cause: when the wait before the next attempt was cut by the caller's end, the loop went on and relied on the next attempt to notice; with no instance left there was none.

Red before, TestCallerGoneDuringBackoff:

services_test.go:137: no call was recorded as callerGone

The caller's end is now looked at once, after the loop.

--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -189,18 +189,18 @@
 			return out
 		}
 		last = err
-		if ctx.Err() != nil {
-			out.Problem = problem.New(problem.CallerGone, "the caller disconnected before the service answered").WithRan(verdict.CombineRan(out.Attempts))
-			return out
-		}
-		if final || s.env.Clock.Now() >= deadline || !left.Load() && !s.budget.Take() {
+		if ctx.Err() != nil || final || s.env.Clock.Now() >= deadline || !left.Load() && !s.budget.Take() {
 			break
 		}
 		wait := retries.Backoff(attempt, rand.New(rand.NewPCG(rand.Uint64(), 0)))
 		if !clock.Sleep(ctx, wait) {
-			continue // the next attempt fails at once and returns CallerGone
+			break
 		}
 	}
+	if ctx.Err() != nil {
+		out.Problem = problem.New(problem.CallerGone, "the caller disconnected before the service answered").WithRan(verdict.CombineRan(out.Attempts))
+		return out
+	}
 	if last == nil {
 		out.Problem = problem.New(problem.NoUpstream, "no instance of service %q is available in %s", call.Service, s.env.Config.DataCentre).WithRetryAfter(clock.Second)
 		return out
--- a/hemlockd/internal/services/services_test.go
+++ b/hemlockd/internal/services/services_test.go
@@ -1,10 +1,12 @@
 package services
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -106,3 +108,31 @@
 		t.Errorf("problem %v after %v", out.Problem, elapsed)
 	}
 }
+
+// TestCallerGoneDuringBackoff guards against a call whose caller has disconnected and that is
+// recorded as failed by its service. The wait has a random length, hence the tries.
+func TestCallerGoneDuringBackoff(t *testing.T) {
+	aborted := make(chan struct{}, 1)
+	s := newTestServices(t, "retryRatio = 1.0", func(http.ResponseWriter, *http.Request) {
+		aborted <- struct{}{}
+		panic(http.ErrAbortHandler)
+	})
+	try := func() Outcome {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var caller sync.WaitGroup
+		defer caller.Wait()
+		caller.Go(func() {
+			<-aborted
+			time.Sleep(2 * time.Millisecond)
+			cancel()
+		})
+		return s.Run(ctx, get())
+	}
+	for range 100 {
+		if p := try().Problem; p != nil && p.Reason == problem.CallerGone && p.Ran == problem.RanUnknown {
+			return
+		}
+	}
+	t.Errorf("no call was recorded as %s", problem.CallerGone)
+}
