Platform's clients: a response above 64 MiB is an error, not its first 64 MiB

Seen by nobody that we know of: a longer object, list or row was cut without an error.

It is now an *UnavailableError with the status, so that it is not asked for twice.

--- a/common/platform/platform.go
+++ b/common/platform/platform.go
@@ -33,8 +33,7 @@
 // maxHeadBytes bounds the head of one response.
 const maxHeadBytes = 64 << 10
 
-// maxAnswerBytes is the largest number of bytes read of one response; the rest is
-// ignored.
+// maxAnswerBytes bounds the body of one response; a longer one is not usable.
 const maxAnswerBytes = 64 << 20
 
 // UnavailableError reports that the platform gave no usable response.
@@ -106,10 +105,14 @@
 		return 0, nil, &UnavailableError{Op: op, MayHaveTakenEffect: !neverSent(err), Err: err}
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return 0, nil, &UnavailableError{Op: op, MayHaveTakenEffect: true, Err: err}
 	}
+	if len(answer) > maxAnswerBytes {
+		err := fmt.Errorf("the response is longer than %d bytes", maxAnswerBytes)
+		return resp.StatusCode, nil, &UnavailableError{Op: op, MayHaveTakenEffect: true, Err: err}
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		err := fmt.Errorf("status %d", resp.StatusCode)
 		return resp.StatusCode, nil, &UnavailableError{Op: op, MayHaveTakenEffect: true, Err: err}
