Own door: an answer whose end is not marked is passed on without a mark

Callers saw: a 200 with a length that proves it whole, when an instance had sent neither length nor chunks and ended (a process that is killed closes its connections like one that is done) in the middle of the body. A placement's replay repeated it.

Cause: services.send read the body up to the connection's end, and writeResponse added its length.

Red before, TestUnframedAnswerStaysUnframed:

services_test.go:56: /services/s/x: status 200, body "part", error <nil>, end marked true; want it false (and for /services/once/x, first and replayed)

Whether such an answer is whole can't be known, and refusing all of them would refuse services that are right by HTTP. The caller now gets it as the instance sent it: its end is the end of the connection. The record of a placement keeps that (unframed). Engines are not concerned: a stream without its last event is resumed or failed.

--- a/hemlockd/internal/callers/buffered.go
+++ b/hemlockd/internal/callers/buffered.go
@@ -120,9 +120,10 @@
 	return nil
 }
 
-// writeResponse sends a response with a complete body.
+// writeResponse sends a response with a complete body, with its length unless the header has a
+// transfer encoding.
 func (e *exchange) writeResponse(status int, body []byte) {
-	if e.r.Method != http.MethodHead {
+	if e.r.Method != http.MethodHead && e.w.Header().Get("Transfer-Encoding") == "" {
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	e.w.WriteHeader(status)
--- a/hemlockd/internal/callers/harness_test.go
+++ b/hemlockd/internal/callers/harness_test.go
@@ -233,6 +233,7 @@
 	body    string
 	problem problem.Problem
 	header  http.Header
+	framed  bool // the end of the body was marked
 }
 
 // call sends a request with the team's key.
@@ -251,7 +252,7 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	a := answer{status: resp.StatusCode, body: string(text), header: resp.Header}
+	a := answer{status: resp.StatusCode, body: string(text), header: resp.Header, framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0}
 	_ = json.Unmarshal(text, &a.problem)
 	return a, err
 }
--- a/hemlockd/internal/callers/services.go
+++ b/hemlockd/internal/callers/services.go
@@ -51,6 +51,10 @@
 	for key, values := range out.Answer.Header {
 		e.w.Header()[key] = values
 	}
+	if out.Answer.Unframed {
+		// Makes net/http mark the end of the body by that of the connection too.
+		e.w.Header().Set("Transfer-Encoding", "identity")
+	}
 	e.succeed(out.Answer.Status)
 	e.writeResponse(out.Answer.Status, out.Answer.Body)
 	return nil
--- a/hemlockd/internal/callers/services_test.go
+++ b/hemlockd/internal/callers/services_test.go
@@ -34,3 +34,30 @@
 		})
 	}
 }
+
+// TestUnframedAnswerStaysUnframed guards against an answer that an instance's end may have cut, with
+// neither length nor chunks, and that the caller gets as provably whole.
+func TestUnframedAnswerStaysUnframed(t *testing.T) {
+	for name, test := range map[string]struct {
+		head string
+		want bool
+	}{
+		"neither": {"", false},
+		"length":  {"Content-Length: 4\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := rawInstance(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+test.head+"\r\npart")
+			p := newTestPort(t, "",
+				upstream("s1", settings.KindService, "s", address), upstream("o1", settings.KindService, "once", address))
+			for range 2 { // the second placement is a replay
+				for _, path := range []string{"/services/s/x", "/services/once/x"} {
+					a, err := p.call(http.MethodPost, path, "", "Idempotency-Key", "k")
+					if err != nil || a.status != http.StatusOK || a.body != "part" || a.framed != test.want {
+						t.Errorf("%s: status %d, body %q, error %v, end marked %t; want it %t", path, a.status, a.body, err, a.framed, test.want)
+					}
+				}
+			}
+			p.checkVerdicts()
+		})
+	}
+}
--- a/hemlockd/internal/placements/ledger.go
+++ b/hemlockd/internal/placements/ledger.go
@@ -78,6 +78,9 @@
 	Body []byte `json:"body"`
 	// BodyOmitted is true if the body was too long to be recorded.
 	BodyOmitted bool `json:"omitted,omitempty"`
+	// Unframed is true if only the end of the service's connection marked the end of the body, so
+	// that it may be cut.
+	Unframed bool `json:"unframed,omitempty"`
 }
 
 // LimitBody returns the answer as it is recorded: without its body if that is longer than limit, in
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -343,5 +343,6 @@
 	for _, key := range append([]string{"Date", "X-Request-Id"}, hopHeaders...) {
 		header.Del(key)
 	}
-	return &placements.Answer{Status: resp.StatusCode, Header: header, Body: body}, nil
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
+	return &placements.Answer{Status: resp.StatusCode, Header: header, Body: body, Unframed: unframed}, nil
 }
