Own door: a drain waits for the requests that other daemons handed over

Callers saw: a 502 daemonLost, ran unknown, for a placement that an instance had run, when the daemon of the other data centre that called the instance was replaced as planned. Likewise daemonLost in the place of the end of a model's answer, if the port closed between the run's end and the writing of its result.

Cause: a drain waits for its own callers and for the keeper's runs, and then closes the daemons' port. A service call handed over is neither.

handoff.Server counts its requests up to the end of their response, and drain waits until there are none, within the bounds that it has.

--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -52,6 +52,7 @@
 	store         *settings.Store
 	daemons       *daemons.Daemons
 	keeper        *keeper.Keeper
+	handOff       *handoff.Server
 	recorder      *verdicts.Recorder
 	operators     *operators.Operators
 	callersPort   *http.Server
@@ -139,8 +140,9 @@
 		Configuration: d.configuration, Daemons: d.daemons, Keeper: k, Services: svc, HandOff: handOff,
 		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
 	})
+	d.handOff = handoff.NewServer(cfg.DataCentre, d.configuration, k, svc, recorder.AcceptCopies)
 	closeDaemons, err := d.daemons.Start(daemons.Handlers{
-		HandOff:      handoff.NewServer(cfg.DataCentre, d.configuration, k, svc, recorder.AcceptCopies),
+		HandOff:      d.handOff,
 		AcceptCopies: recorder.AcceptCopies, FindVerdict: recorder.Find,
 		StoredUpTo: recorder.StoredUpTo, LendCapacity: front.Lend, RecentSuspects: recentSuspects(env, sus), MergeSuspects: mergeSuspects(env, sus),
 		DaemonDied: func(m membership.Member) {
@@ -250,11 +252,11 @@
 	ctx, cancel := context.WithTimeout(hard, d.env.Config.DrainMs.Duration())
 	defer cancel()
 	err := d.callersPort.Shutdown(ctx)
-	for err == nil && d.keeper.Active() > 0 && ctx.Err() == nil {
+	for err == nil && (d.keeper.Active() > 0 || d.handOff.InFlight() > 0) && ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 	}
 	open := d.recorder.OpenCount()
-	cut := err != nil || open > 0 || d.keeper.Active() > 0
+	cut := err != nil || open > 0 || d.keeper.Active() > 0 || d.handOff.InFlight() > 0
 	if cut {
 		d.env.Log.Warn("drain ended with requests in flight", zap.Int("open", open), zap.Error(err))
 	}
--- a/hemlockd/internal/handoff/server.go
+++ b/hemlockd/internal/handoff/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -27,8 +28,12 @@
 // maxBodyBytes bounds the body of a request that is handed over.
 const maxBodyBytes = 65 << 20
 
-// Server serves the requests that other daemons hand over to this one.
+// Server serves the requests that other daemons hand over to this one. It is the handler for the
+// daemons' port.
 type Server struct {
+	http.Handler
+	inFlight atomic.Int64
+
 	configuration *configuration.Configuration
 	keeper        *keeper.Keeper
 	services      *services.Services
@@ -36,15 +41,28 @@
 	storeCopies   func(daemons.CopyRequest) daemons.CopyAnswer
 }
 
-// NewServer returns the handler for the daemons' port. storeCopies stores copies of the verdicts on
+// NewServer returns the server. storeCopies stores copies of the verdicts on
 // requests that run here for another daemon of this data centre.
-func NewServer(dataCentre string, cfg *configuration.Configuration, k *keeper.Keeper, s *services.Services, storeCopies func(daemons.CopyRequest) daemons.CopyAnswer) http.Handler {
+func NewServer(dataCentre string, cfg *configuration.Configuration, k *keeper.Keeper, s *services.Services, storeCopies func(daemons.CopyRequest) daemons.CopyAnswer) *Server {
 	server := &Server{configuration: cfg, keeper: k, services: s, dataCentre: dataCentre, storeCopies: storeCopies}
 	r := chi.NewRouter()
+	r.Use(server.count)
 	r.Post("/models", server.model)
 	r.Post("/services", server.service)
 	r.Post("/cancel", server.cancel)
-	return r
+	server.Handler = r
+	return server
+}
+
+// InFlight returns the number of requests of other daemons whose response has not been written.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+func (s *Server) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
 }
 
 // readCall decodes the call header into out and reads the body. It answers a malformed header or a
