Own door: a daemon that stops records the outcomes of its placements first

Callers saw: outcomeUnknown for a repeat of a placement that had been answered, for good, when the daemon that ran it had stopped as planned just after the answer. The recorded answer was lost.

Cause: the answer's record is written in the background (so that the caller need not wait), and the function that stops the ledger cut that at once. A released claim stayed started the same way.

Red before, TestCloseWaitsForOutcomes (a table that takes 50 ms):

close_test.go:42: the record is "started", error <nil>; want "finished"

Stopping now waits for outcomes that are not recorded, at most twice the platform's time-out; what is left then is logged and counted (placements.unsettledAtStop).

--- a/hemlockd/internal/placements/ledger.go
+++ b/hemlockd/internal/placements/ledger.go
@@ -27,6 +27,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -151,17 +152,35 @@
 	table Table
 	batch *batcher
 	ctx   context.Context
+	// settling is the number of outcomes that are not recorded yet.
+	settling atomic.Int64
 	// initialBackoff is the base of the exponential backoff between writes.
 	initialBackoff clock.Millis
 }
 
-// New returns a ledger and the function that stops it. interval returns the minimum time between two
+// New returns a ledger and the function that stops it, after the outcomes that are not recorded yet or
+// twice the platform's time-out, whichever is first. interval returns the minimum time between two
 // transactions.
 func New(env process.Environment, table Table, interval func() clock.Millis) (*Ledger, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Ledger{env: env, table: table, ctx: ctx, batch: newBatcher(table, interval), initialBackoff: initialSettleBackoff}
 	go l.batch.run(ctx)
-	return l, cancel
+	return l, func() {
+		l.awaitSettled(2 * env.Config.PlatformTimeoutMs)
+		cancel()
+	}
+}
+
+// awaitSettled waits until all outcomes are recorded, at most the given time.
+func (l *Ledger) awaitSettled(limit clock.Millis) {
+	for deadline := l.env.Clock.Now() + limit; l.settling.Load() > 0; {
+		if l.env.Clock.Now() >= deadline {
+			metrics.Add("unsettledAtStop", l.settling.Load())
+			l.env.Log.Error("placement outcomes could not be recorded before the stop", zap.Int64("outcomes", l.settling.Load()))
+			return
+		}
+		_ = clock.Sleep(l.ctx, 5*clock.Millisecond)
+	}
 }
 
 // Claim tries to create the record, or to take over a released one. If the response to a write was
@@ -198,6 +217,7 @@
 	if uncertain {
 		// This attempt never dispatches the call, so withdraw the record that it may have
 		// written.
+		l.settling.Add(1)
 		go l.runWithdraw(key, record)
 	}
 	return Claim{}, &UnavailableError{Err: lastErr}
@@ -227,6 +247,7 @@
 func (l *Ledger) Finish(claim Claim, answer Answer) {
 	record := claim.Record
 	record.State, record.Answer = Finished, &answer
+	l.settling.Add(1)
 	go l.runSettle(claim.Key, claim.revision, record)
 }
 
@@ -235,11 +256,13 @@
 func (l *Ledger) Release(claim Claim) {
 	record := claim.Record
 	record.State = Released
+	l.settling.Add(1)
 	go l.runSettle(claim.Key, claim.revision, record)
 }
 
 // runSettle replaces the attempt's own record; it retries until the table confirms the write.
 func (l *Ledger) runSettle(key string, revision int64, record Record) {
+	defer l.settling.Add(-1)
 	wait := l.initialBackoff
 	for range maxSettleWrites {
 		result, err := l.batch.submit(l.ctx, key, platform.Unchanged(key, revision), record)
@@ -266,6 +289,7 @@
 // runWithdraw releases a record that may have been written. If the record doesn't exist yet, it
 // inserts a released one, so that the condition of a write still in transit fails.
 func (l *Ledger) runWithdraw(key string, record Record) {
+	defer l.settling.Add(-1)
 	record.State = Released
 	wait := l.initialBackoff
 	condition := platform.Absent(key)
