Own door: maxAttempts 1 forbids awaiting a slow engine

The proof noResume (scripts/red.sh: TestAnswerIsWhole with maxAttempts 1) no longer noticed that streams are not resumed, since resumed stalled ones without end:

HEMLOCK_BREAK=noResume go test -count=1 -run TestAnswerIsWhole . : ok

--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -130,10 +130,11 @@
 }
 
 // mustAwait reports whether a stalled stream is to be resumed again: the engine still accepts that,
-// so that it is slow rather than lost, and the answer can't be generated again elsewhere.
+// so that it is slow rather than lost, and the answer can't be generated again elsewhere. A MaxAttempts of
+// 1 forbids that.
 func (r *Run) mustAwait(err error) bool {
 	var stalled *stallError
-	if !errors.As(err, &stalled) || !stalled.accepted {
+	if !errors.As(err, &stalled) || !stalled.accepted || r.tree.System.Policy.MaxAttempts == 1 {
 		return false
 	}
 	r.mu.Lock()
