Own door: the transfer of a handed-over body counts as progress

Callers saw: daemonLost for each request whose body took longer than 1.2 s to the daemon of another data centre: above about 1 MB over a slow path, if the settings allow such bodies.

Cause: the watchdog of the hand-off's stream starts before the request is sent and only the response's data moved it on, so it cut the transfer, twice more by reattaching.

Each part of the body that is sent now moves the watchdog on too.

--- a/hemlockd/internal/handoff/handoff.go
+++ b/hemlockd/internal/handoff/handoff.go
@@ -202,6 +202,9 @@
 	}
 	watchdog := time.AfterFunc(streamTimeout.Duration(), func() { cancel(errStreamTimeout) })
 	defer watchdog.Stop()
+	progress := func() { watchdog.Reset(streamTimeout.Duration()) }
+	req.Body = io.NopCloser(&activityReader{Reader: req.Body, onData: progress})
+	req.GetBody = nil // it would return a body that reports no progress
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return nil, noResultError(ctx, address, err)
@@ -210,7 +213,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &NoResultError{Address: address, Result: verdict.AttemptNotRun, Err: errors.New(resp.Status)}
 	}
-	body := &activityReader{Reader: resp.Body, onData: func() { watchdog.Reset(streamTimeout.Duration()) }}
+	body := &activityReader{Reader: resp.Body, onData: progress}
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return nil, noResultError(ctx, address, err)
--- a/hemlockd/internal/handoff/handoff_test.go
+++ b/hemlockd/internal/handoff/handoff_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -75,3 +76,26 @@
 		})
 	}
 }
+
+// TestSlowUploadIsProgress guards against a request that is told as daemonLost because the transfer of
+// its body takes longer than the wait for the response's next data.
+func TestSlowUploadIsProgress(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for part := make([]byte, 1<<20); ; {
+			if _, err := io.ReadFull(r.Body, part); err != nil {
+				break
+			}
+			time.Sleep(80 * time.Millisecond)
+		}
+		_, _ = fmt.Fprint(w, wholeAnswer+"event: result\ndata: {\"ran\":\"yes\"}\n\n")
+	}))
+	defer server.Close()
+	client, closeClient := NewClient(process.Config{DaemonKey: "k"})
+	defer closeClient()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	call := keeper.Call{RequestID: "r", Body: make([]byte, 32<<20)}
+	if _, err := client.RunModel(ctx, server.Listener.Addr().String(), call, func([]streams.Chunk) error { return nil }); err != nil {
+		t.Error(err)
+	}
+}
