--- a/hemlockd/internal/callers/stream.go
+++ b/hemlockd/internal/callers/stream.go
@@ -12,7 +12,9 @@
 
 // sink writes a response from its chunks.
 type sink interface {
-	// writeChunks adds the next chunks, which must come in order.
+	// writeChunks adds the next chunks, which must come in order. It returns a *chunkError
+	// for an answer that can't be used; any other error means that the caller has
+	// disconnected.
 	writeChunks([]streams.Chunk) error
 	// started reports whether any part of the response has been received, so that the
 	// call must not be run again elsewhere.
@@ -61,9 +63,6 @@
 // send writes and flushes data. It fails if the caller reads nothing for
 // writeTimeout.
 func (e *exchange) send(data []byte) error {
-	if e.controller == nil {
-		e.controller = http.NewResponseController(e.w)
-	}
 	if now := time.Now(); now.After(e.deadlineDue) {
 		_ = e.controller.SetWriteDeadline(now.Add(writeTimeout.Duration()))
 		e.deadlineDue = now.Add(deadlineRenewInterval.Duration())
--- a/hemlockd/internal/handoff/handoff.go
+++ b/hemlockd/internal/handoff/handoff.go
@@ -136,6 +136,9 @@
 	for attempts := 0; ; attempts++ {
 		before := assembler.Next()
 		result, err := c.modelOnce(ctx, address, call, assembler, sink)
+		if err == nil && ctx.Err() == nil && result.Problem != nil && result.Problem.Reason == problem.CallerGone {
+			return keeper.Result{}, takenForGone(address, result)
+		}
 		if err == nil {
 			return *result, nil
 		}
@@ -148,6 +151,10 @@
 			attempts = 0
 		}
 		if noResult.Result == verdict.AttemptNotRun || attempts >= maxReattachments {
+			if assembler.Done() {
+				metrics.Add("resultsMissing", 1)
+				return wholeAnswerResult(address), nil
+			}
 			if reached {
 				noResult.Result = verdict.AttemptUnknown
 			}
@@ -157,6 +164,28 @@
 	}
 }
 
+// takenForGone returns the error of a request that a daemon cancelled although the caller waits: it
+// could not reach this daemon for a time, took it for dead, or stops itself.
+func takenForGone(address string, result *keeper.Result) *NoResultError {
+	metrics.Add("takenForGone", 1)
+	noResult := &NoResultError{Address: address, Result: verdict.AttemptUnknown, Err: errors.New("it cancelled the request")}
+	switch result.Ran {
+	case problem.RanNo:
+		noResult.Result = verdict.AttemptNotRun
+	case problem.RanYes:
+		noResult.Result = verdict.AttemptRan
+	}
+	return noResult
+}
+
+// wholeAnswerResult is the result of a request whose answer came whole from a daemon that ended before
+// it sent the result.
+func wholeAnswerResult(address string) keeper.Result {
+	return keeper.Result{Ran: problem.RanYes, Attempts: []verdict.Attempt{{
+		Upstream: address, Phase: "handOff", Result: verdict.AttemptRan, Cause: "the answer came whole, without the result",
+	}}}
+}
+
 // errStreamTimeout reports that no data was received within streamTimeout.
 var errStreamTimeout = errors.New("no data received within the stream time-out")
 
@@ -173,6 +202,9 @@
 	}
 	watchdog := time.AfterFunc(streamTimeout.Duration(), func() { cancel(errStreamTimeout) })
 	defer watchdog.Stop()
+	progress := func() { watchdog.Reset(streamTimeout.Duration()) }
+	req.Body = io.NopCloser(&activityReader{Reader: req.Body, onData: progress})
+	req.GetBody = nil // it would return a body that reports no progress
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return nil, noResultError(ctx, address, err)
@@ -181,15 +213,17 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &NoResultError{Address: address, Result: verdict.AttemptNotRun, Err: errors.New(resp.Status)}
 	}
-	body := &activityReader{Reader: resp.Body, onData: func() { watchdog.Reset(streamTimeout.Duration()) }}
+	body := &activityReader{Reader: resp.Body, onData: progress}
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return nil, noResultError(ctx, address, err)
 		}
 		if event.Type == resultEvent {
 			var result keeper.Result
-			err := json.Unmarshal([]byte(event.Data), &result)
-			return &result, err
+			if err := json.Unmarshal([]byte(event.Data), &result); err != nil {
+				return nil, noResultError(ctx, address, err)
+			}
+			return &result, nil
 		}
 		offset, err := strconv.Atoi(event.LastEventID)
 		if err != nil {
@@ -268,6 +302,9 @@
 		return services.Outcome{}, noResultError(ctx, address, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode >= 400 && resp.StatusCode < 500 { // see readCall
+		return services.Outcome{}, &NoResultError{Address: address, Result: verdict.AttemptNotRun, Err: errors.New(resp.Status)}
+	}
 	var result serviceResult
 	if err := json.NewDecoder(resp.Body).Decode(&result); err != nil {
 		return services.Outcome{}, noResultError(ctx, address, err)
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -18,6 +18,19 @@
 // errStalled reports that no chunk of a stream arrived within the stall time-out.
 var errStalled = errors.New("stream stalled: no chunk within the stall time-out")
 
+// stallError reports a stream on which no chunk arrived within the stall time-out. It wraps
+// errStalled.
+type stallError struct {
+	// accepted is true if the engine had accepted the call on this connection.
+	accepted bool
+}
+
+// Error implements error.
+func (*stallError) Error() string { return errStalled.Error() }
+
+// Unwrap returns errStalled.
+func (*stallError) Unwrap() error { return errStalled }
+
 // decode streams the answer from the reserved decode engine, or from another one if that engine
 // is leaving, refuses the call or is unreachable. retryPrefill reports whether the call may be started again
 // with a new prefill: no chunk has been published yet.
@@ -77,7 +90,8 @@
 }
 
 // decodeOn streams the answer from one engine to its end. If the stream stalls, breaks or has a
-// gap, it is resumed on a new connection, at most MaxAttempts times in a row without a new chunk.
+// gap, it is resumed on a new connection, at most MaxAttempts times in a row without a new chunk, or
+// longer if mustAwait.
 func (r *Run) decodeOn(name string, kv completions.KVTransferParams) error {
 	k := r.keeper
 	call, err := r.newEngineCall(map[string]any{"stream": true, "kv_transfer_params": kv})
@@ -90,12 +104,16 @@
 	started := k.env.Clock.Now()
 	k.checkNotLeaving(name)
 	assembler := streams.NewAssembler(0)
-	err = r.streamOnce(name, call, engines.Fresh, assembler)
-	for resumes := 0; resumable(err) && resumes < r.tree.System.Policy.MaxAttempts && r.ctx.Err() == nil; resumes++ {
+	e := r.engine(name) // one address for all resumptions
+	err = r.streamOnce(e, call, engines.Fresh, assembler)
+	for resumes := 0; resumable(err) && r.ctx.Err() == nil; resumes++ {
+		if resumes >= r.tree.System.Policy.MaxAttempts && !r.mustAwait(err) {
+			break
+		}
 		metrics.Add("resumes", 1)
 		before := assembler.Next()
 		assembler = streams.NewAssembler(before)
-		resumed := r.streamOnce(name, call, before, assembler)
+		resumed := r.streamOnce(e, call, before, assembler)
 		if notRun(resumed) {
 			break // it is unreachable or does not know the stream: keep the earlier error
 		}
@@ -106,11 +124,29 @@
 	}
 	r.recordAttempt(name, settings.KindDecode, started, err)
 	if err != nil {
-		r.abortFailed(name, call.AttemptID, err)
+		r.abortFailed(e, call.AttemptID, err)
 	}
 	return err
 }
 
+// mustAwait reports whether a stalled stream is to be resumed again: the engine still accepts that,
+// so that it is slow rather than lost, and the answer can't be generated again elsewhere. A MaxAttempts of
+// 1 forbids that.
+func (r *Run) mustAwait(err error) bool {
+	var stalled *stallError
+	if !errors.As(err, &stalled) || !stalled.accepted || r.tree.System.Policy.MaxAttempts == 1 {
+		return false
+	}
+	r.mu.Lock()
+	published := len(r.chunks) > 0
+	r.mu.Unlock()
+	if !published && r.takeRetry() {
+		return false
+	}
+	metrics.Add("slowAwaited", 1)
+	return true
+}
+
 // resetOutput drops the chunks of a buffered answer that an earlier attempt left.
 func (r *Run) resetOutput() {
 	r.buffered = nil
@@ -140,7 +176,7 @@
 }
 
 // streamOnce reads the stream on one connection, from an offset on.
-func (r *Run) streamOnce(name string, call engines.Call, from int, assembler *streams.Assembler) error {
+func (r *Run) streamOnce(e engines.Engine, call engines.Call, from int, assembler *streams.Assembler) error {
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	defer cancel(nil)
 	stall := r.tree.System.Policy.StallMs.Duration()
@@ -152,10 +188,11 @@
 	}
 	watchdog := newWatchdog(stall, func() { cancel(errStalled) })
 	defer watchdog.stop()
-	for chunk, err := range r.keeper.client.Stream(ctx, r.engine(name), call, from) {
+	for chunk, err := range r.keeper.client.Stream(ctx, e, call, from) {
 		if err != nil {
 			if errors.Is(context.Cause(ctx), errStalled) {
-				return errStalled
+				var call *engines.CallError
+				return &stallError{accepted: errors.As(err, &call) && call.Accepted}
 			}
 			return err
 		}
