TestSettingsSpreadAndNeverRevert waits until the killed daemon has exited

Cause: the test killed a daemon and started it again at once; the new process could find the port still bound ("bind: address already in use" in the daemon's log) and ended, and the test failed after 15 s with "brandon-a-2 is healthy".

Change: it waits for the exit of the old process, as the soak does. No bound is changed.

--- a/hemlockd/e2e/settings_test.go
+++ b/hemlockd/e2e/settings_test.go
@@ -121,6 +121,7 @@
 		d.injectFault("table", "down", nil)
 		m := d.daemons[1]
 		m.kill()
+		d.eventually(m.name+" has been killed", 5*time.Second, m.exited) // else its port may still be bound
 		m.start()
 		m.waitReady()
 		So(m.settingsVersion(), ShouldEqual, version)
