Stand-ins: parts of prompts that crash engines; answers that end with the connection

Change: users' platform: PUT /crash-parts, GET /crashes, the fields parts and crashed of an arrival; server faults untilClose and endAfter. Own door: fault crashOnPart. A crash of a stand-in that is down already no longer counts or restarts it twice.

--- a/standin/internal/app/app.go
+++ b/standin/internal/app/app.go
@@ -13,6 +13,7 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -123,7 +124,11 @@
 			if err != nil {
 				return err
 			}
-			s.OnCrash = func() { go server.restart() }
+			s.OnCrash = func() {
+				if server.crash() {
+					go server.restart(restartDelay)
+				}
+			}
 			continue
 		}
 		e, closeEngine := engine.New(engine.Config{Name: name, Kind: u.Kind, Model: system.Models[u.Model], Seed: seed}, cluster, a.events, injector)
@@ -133,9 +138,11 @@
 		if err != nil {
 			return err
 		}
-		e.OnCrash = func() {
-			e.Reset()
-			go server.restart()
+		e.OnCrash = func(downFor time.Duration) {
+			if server.crash() {
+				e.Reset()
+				go server.restart(cmp.Or(downFor, restartDelay))
+			}
 		}
 	}
 	return nil
@@ -217,6 +224,7 @@
 	mu     sync.Mutex
 	http   *http.Server
 	closed bool
+	down   bool // crashed and not yet restarted
 }
 
 func (s *server) start() error {
@@ -232,6 +240,7 @@
 	s.http = &http.Server{
 		Handler: s.faults.Middleware(s.handler), ConnContext: s.faults.ConnContext, ErrorLog: zap.NewStdLog(s.log),
 	}
+	s.down = false
 	go s.run(s.http, listener)
 	return nil
 }
@@ -242,13 +251,22 @@
 	}
 }
 
-// restart closes the listener and all connections and listens again after
-// restartDelay.
-func (s *server) restart() {
+// crash marks the server as down; false means that it was down already.
+func (s *server) crash() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wasDown := s.down
+	s.down = true
+	return !wasDown
+}
+
+// restart closes the listener and all connections and listens again after the given
+// time.
+func (s *server) restart(after time.Duration) {
 	s.mu.Lock()
 	_ = s.http.Close()
 	s.mu.Unlock()
-	time.Sleep(restartDelay)
+	time.Sleep(after)
 	if err := s.start(); err != nil {
 		s.log.Error("restart of a stand-in failed", zap.String("name", s.name), zap.Error(err))
 	}
--- a/standin/internal/engine/decode.go
+++ b/standin/internal/engine/decode.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"hemlockmux.example/common/completions"
@@ -69,7 +70,11 @@
 	}
 	e.log.Write(eventlog.Event{Event: eventlog.Run, Upstream: e.cfg.Name, RequestID: j.requestID, Attempt: j.attemptID, Phase: settings.KindDecode})
 	if _, ok := e.faults.Consume(fault.CrashOn, j.prompt); ok {
-		e.OnCrash()
+		e.OnCrash(0)
+		panic(http.ErrAbortHandler)
+	}
+	if f, ok := e.faults.ConsumeParts(promptParts(j.req, j.prompt)); ok {
+		e.OnCrash(time.Duration(f.RestartMs) * time.Millisecond)
 		panic(http.ErrAbortHandler)
 	}
 	e.mu.Lock()
@@ -79,6 +84,19 @@
 	e.stream(w, r, j, 0)
 }
 
+// promptParts returns the parts of a prompt: the contents of the messages, or the
+// paragraphs of the prompt, which blank lines separate. The last is the request's own.
+func promptParts(req completions.Request, prompt string) []string {
+	if len(req.Messages) == 0 {
+		return strings.Split(prompt, "\n\n")
+	}
+	var parts []string
+	for _, m := range req.Messages {
+		parts = append(parts, m.Content)
+	}
+	return parts
+}
+
 // resume continues a stream after the event with the id last.
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request, attemptID, last string) {
 	offset, err := strconv.Atoi(last)
--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -84,8 +84,9 @@
 	cluster *Cluster
 	log     *eventlog.Log
 	faults  *fault.Injector
-	// OnCrash is called when a request crashes the engine.
-	OnCrash func()
+	// OnCrash is called when a request crashes the engine. downFor is how long it is
+	// to stay down, 0 for the usual time.
+	OnCrash func(downFor time.Duration)
 
 	mu         sync.Mutex
 	jobs       map[string]*job // by attempt ID: running requests and those that ended recently
@@ -125,7 +126,7 @@
 // New starts an engine and returns the function that stops it.
 func New(cfg Config, cluster *Cluster, log *eventlog.Log, faults *fault.Injector) (*Engine, func()) {
 	e := &Engine{
-		cfg: cfg, cluster: cluster, log: log, faults: faults, OnCrash: func() {},
+		cfg: cfg, cluster: cluster, log: log, faults: faults, OnCrash: func(time.Duration) {},
 		jobs: map[string]*job{}, cache: newCache(cfg.Model.Pieces / 2), events: newEventFeed(),
 		random: rand.New(rand.NewPCG(cfg.Seed, 1)),
 		wake:   make(chan struct{}, 1), stop: make(chan struct{}),
--- a/standin/internal/engine/prefill.go
+++ b/standin/internal/engine/prefill.go
@@ -103,7 +103,7 @@
 		Tokens: work, Cached: j.cachedTokens,
 	})
 	if _, ok := e.faults.Consume(fault.CrashOn, j.prompt); ok {
-		e.OnCrash()
+		e.OnCrash(0)
 		return
 	}
 	span := m.PrefillBaseMs.Duration() + time.Duration(int64(work)*m.PrefillTokenUs)*time.Microsecond
--- a/standin/internal/fault/fault.go
+++ b/standin/internal/fault/fault.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,6 +39,9 @@
 	Silent Kind = "silent"
 	// CrashOn crashes the upstream when a prompt or a request body contains Match.
 	CrashOn Kind = "crashOn"
+	// CrashOnPart crashes a decode engine that begins a prompt one of whose parts, but
+	// the last, is one of Texts; see the package engine for what a part is.
+	CrashOnPart Kind = "crashOnPart"
 	// Reorder swaps neighbouring chunks.
 	Reorder Kind = "reorder"
 	// Duplicate sends chunks twice.
@@ -69,6 +73,11 @@
 	// Match limits the fault to requests whose text contains it: the path, the
 	// prompt, the body or the attempt ID, depending on Kind.
 	Match string `json:"match,omitempty"`
+	// Texts are the parts of prompts at which CrashOnPart acts.
+	Texts []string `json:"texts,omitempty"`
+	// RestartMs is the time from a crash by CrashOnPart until the engine listens
+	// again, in milliseconds; 0 means the time that other crashes take.
+	RestartMs int64 `json:"restartMs,omitempty"`
 }
 
 type active struct {
@@ -113,10 +122,22 @@
 // Consume returns the fault of a kind if it is in force and text contains its Match.
 // Each such call uses up one occurrence of a fault that has a Count.
 func (i *Injector) Consume(kind Kind, text string) (Fault, bool) {
+	return i.consumeIf(kind, func(f Fault) bool { return strings.Contains(text, f.Match) })
+}
+
+// ConsumeParts is Consume for CrashOnPart: it returns the fault if one of the parts,
+// but the last, is one of its Texts.
+func (i *Injector) ConsumeParts(parts []string) (Fault, bool) {
+	return i.consumeIf(CrashOnPart, func(f Fault) bool {
+		return len(parts) > 1 && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool { return slices.Contains(f.Texts, part) })
+	})
+}
+
+func (i *Injector) consumeIf(kind Kind, strikes func(Fault) bool) (Fault, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	a, ok := i.faults[kind]
-	if !ok || !strings.Contains(text, a.Match) {
+	if !ok || !strikes(a.Fault) {
 		return Fault{}, false
 	}
 	if !a.expires.IsZero() && time.Now().After(a.expires) {
--- a/standin/internal/usersplatform/admin.go
+++ b/standin/internal/usersplatform/admin.go
@@ -19,18 +19,34 @@
 
 	mu       sync.Mutex
 	servers  map[string]*Server
-	arrivals []Arrival
+	arrivals []*Arrival
+	crashes  []Crash
+	parts    CrashParts
+	starts   map[string]int // by the ID of the first process: the processes started after it
 }
 
 // NewPlatform returns a platform without servers.
-func NewPlatform() *Platform { return &Platform{store: NewStore(), servers: map[string]*Server{}} }
+func NewPlatform() *Platform {
+	return &Platform{store: NewStore(), servers: map[string]*Server{}, starts: map[string]int{}}
+}
 
-func (p *Platform) record(r Arrival) {
+func (p *Platform) record(r *Arrival) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.arrivals = append(p.arrivals, r)
 }
 
+// runs returns copies of all arrivals.
+func (p *Platform) runs() []Arrival {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	runs := []Arrival{}
+	for _, a := range p.arrivals {
+		runs = append(runs, *a)
+	}
+	return runs
+}
+
 func (p *Platform) serverAt(address string) *Server {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -60,7 +76,9 @@
 //	POST /store/addresses     open one more address of the store ([StoreAddress]), so
 //	                          that a fault can strike some daemons only
 //	POST /store/forget        drop the store's change history
+//	PUT  /crash-parts         the parts of prompts that crash decode engines (CrashParts)
 //	GET  /runs                all requests that reached servers ([]Arrival)
+//	GET  /crashes             all crashes by parts of prompts, in order ([]Crash)
 func (p *Platform) AdminHandler() http.Handler {
 	r := chi.NewRouter()
 	r.Put("/config", func(w http.ResponseWriter, r *http.Request) {
@@ -76,14 +94,9 @@
 		if !decode(w, r, &spec) {
 			return
 		}
-		s, err := p.startServer(spec)
-		if err != nil {
+		if err := p.startServer(spec, spec.ID, "127.0.0.1:0"); err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
 		}
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.servers[spec.ID] = s
 	})
 	r.Post("/servers/{id}/{what}", p.controlServer)
 	r.Post("/store/fault", func(w http.ResponseWriter, r *http.Request) {
@@ -102,11 +115,15 @@
 	})
 	r.Post("/store/forget", func(http.ResponseWriter, *http.Request) { p.store.CompactHistory() })
 	r.Get("/runs", func(w http.ResponseWriter, _ *http.Request) {
-		p.mu.Lock()
-		runs := append([]Arrival{}, p.arrivals...)
-		p.mu.Unlock()
-		reply(w, http.StatusOK, runs)
+		reply(w, http.StatusOK, p.runs())
+	})
+	r.Put("/crash-parts", func(w http.ResponseWriter, r *http.Request) {
+		var parts CrashParts
+		if decode(w, r, &parts) {
+			p.setCrashParts(parts)
+		}
 	})
+	r.Get("/crashes", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, p.allCrashes()) })
 	return r
 }
 
@@ -127,9 +144,6 @@
 	case "unlist":
 		s.platform.store.Set("servers", s.spec.ID, nil)
 	case "crash":
-		p.mu.Lock()
-		delete(p.servers, s.spec.ID)
-		p.mu.Unlock()
 		s.crash(r.FormValue("gone") != "")
 	}
 }
--- a/standin/internal/usersplatform/server.go
+++ b/standin/internal/usersplatform/server.go
@@ -43,6 +43,12 @@
 	Once bool `json:"once"`
 	// NeverRespond accepts requests and never answers them.
 	NeverRespond bool `json:"mute"`
+	// EndWithConnection sends answers, streams too, with neither a length nor chunks:
+	// they end when their connection does.
+	EndWithConnection bool `json:"untilClose"`
+	// EndAfterEvents ends a stream properly after this number of events, in the middle
+	// of the next one; 0 means never.
+	EndAfterEvents int `json:"endAfter"`
 }
 
 // Arrival is one request that reached a server.
@@ -62,6 +68,10 @@
 	Target string `json:"target"`
 	// Body is the SHA-256 of the request body in hexadecimal.
 	Body string `json:"body"`
+	// Parts are the IDs of the parts of the prompt, of the X-Prompt-Prefix header.
+	Parts []string `json:"parts,omitempty"`
+	// Crashed reports whether the server crashed while it ran the request.
+	Crashed bool `json:"crashed,omitempty"`
 	// AtMs is the time of arrival in Unix milliseconds.
 	AtMs int64 `json:"atMs"`
 }
@@ -69,14 +79,18 @@
 // Server is one server of the platform, on a loopback port of its own.
 type Server struct {
 	spec     ServerSpec
+	origin   string // the ID of the first process of which this one is a restart
 	platform *Platform
 	address  string
 	bornMs   int64 // the start time, in Unix ms
 	http     *http.Server
 	listener net.Listener
 	done     chan struct{}
+	stop     sync.Once
 
 	mu             sync.Mutex
+	conns          map[net.Conn]bool
+	running        map[*Arrival]bool
 	fault          ServerFault
 	handles        map[string]bool
 	activeRequests int
@@ -96,20 +110,24 @@
 	tokensPerEvent = 10
 )
 
-// startServer starts a server and writes its entry to the store.
-func (p *Platform) startServer(spec ServerSpec) (*Server, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+// startServer starts a server that listens on address and writes its entry to the
+// store. origin is the ID of the first process of which it is a restart, or its own.
+func (p *Platform) startServer(spec ServerSpec, origin, address string) error {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
-		return nil, fmt.Errorf("listen for server %s: %w", spec.ID, err)
+		return fmt.Errorf("listen for server %s: %w", spec.ID, err)
 	}
 	s := &Server{
-		spec: spec, platform: p, address: listener.Addr().String(), bornMs: time.Now().UnixMilli(), listener: listener,
-		handles: map[string]bool{}, done: make(chan struct{}),
+		spec: spec, origin: origin, platform: p, address: listener.Addr().String(), bornMs: time.Now().UnixMilli(), listener: listener,
+		handles: map[string]bool{}, conns: map[net.Conn]bool{}, running: map[*Arrival]bool{}, done: make(chan struct{}),
 	}
-	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second, ConnState: s.trackConn}
+	p.mu.Lock()
+	p.servers[spec.ID] = s
+	p.mu.Unlock()
 	go s.run()
 	s.publish("ready")
-	return s, nil
+	return nil
 }
 
 func (s *Server) run() { _ = s.http.Serve(s.listener) }
@@ -136,13 +154,28 @@
 // crash closes the server and all its connections. Its entry stays in the store
 // unless gone is set.
 func (s *Server) crash(gone bool) {
-	close(s.done)
-	_ = s.http.Close()
+	s.stop.Do(s.close)
 	if gone {
 		s.platform.store.Set("servers", s.spec.ID, nil)
 	}
 }
 
+// close takes the server from the platform, marks the requests that it runs and closes
+// its connections.
+func (s *Server) close() {
+	p := s.platform
+	p.mu.Lock()
+	delete(p.servers, s.spec.ID)
+	s.mu.Lock()
+	for a := range s.running {
+		a.Crashed = true
+	}
+	s.mu.Unlock()
+	p.mu.Unlock()
+	close(s.done)
+	_ = s.http.Close()
+}
+
 func (s *Server) setFault(f ServerFault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,9 +254,9 @@
 		return
 	}
 	digest := sha256.Sum256(body)
-	arrival := Arrival{
+	arrival := &Arrival{
 		Attempt: id, Server: s.spec.ID, Phase: "run", After: r.Header.Get("Last-Event-Id"), Target: r.RequestURI,
-		Body: hex.EncodeToString(digest[:]), AtMs: time.Now().UnixMilli(),
+		Body: hex.EncodeToString(digest[:]), Parts: promptParts(r), AtMs: time.Now().UnixMilli(),
 	}
 	switch {
 	case r.Header.Get("X-Stage") == "prefill":
@@ -241,16 +274,17 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.mu.Lock()
-	s.activeRequests++
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.activeRequests--
-	}()
 	arrival.Ran = arrival.Phase != "prefill"
 	s.platform.record(arrival)
+	s.begin(arrival)
+	defer s.end(arrival)
+	if arrival.Phase == "decode" {
+		s.crashByPart(arrival)
+	}
+	if fault.EndWithConnection {
+		// net/http then sends neither a length nor chunks and closes the connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	switch {
 	case fault.NeverRespond:
 		<-r.Context().Done()
@@ -263,6 +297,20 @@
 	}
 }
 
+func (s *Server) begin(a *Arrival) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.activeRequests++
+	s.running[a] = true
+}
+
+func (s *Server) end(a *Arrival) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.activeRequests--
+	delete(s.running, a)
+}
+
 func (s *Server) servePlain(w http.ResponseWriter, body []byte, fault ServerFault) {
 	time.Sleep(plainCallDuration)
 	if fault.DropResponses {
@@ -320,6 +368,10 @@
 			_ = flush()
 			panic(http.ErrAbortHandler)
 		}
+		if fault.EndAfterEvents > 0 && i-first > fault.EndAfterEvents {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
+			return
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i); err != nil {
 			return
 		}
