--- a/hemlockd/e2e/usersplatform_deployment_test.go
+++ b/hemlockd/e2e/usersplatform_deployment_test.go
@@ -63,6 +63,9 @@
 type arrival struct {
 	Attempt, Server, Phase, After, Target, Body string
 	Ran                                         bool
+	Parts                                       []string // IDs of the parts of the prompt
+	Crashed                                     bool     // the server crashed while it ran the request
+	AtMs                                        int64
 }
 
 // testHost is the host name of all routes of the test deployments.
