--- a/hemlockd/internal/prompts/prompts.go
+++ b/hemlockd/internal/prompts/prompts.go
@@ -7,8 +7,8 @@
 // blameThreshold crashes are not explained by another blamed part, deeper ones first: the
 // first part that sound and crashing requests share isn't blamed for crashes that a later
 // part explains. A part that is known to have completed lately isn't suspected of the crash of
-// a run that also had parts which didn't. Daemons exchange Reports; merging them is commutative, associative and
-// idempotent, so that reports may be lost, repeated and reordered.
+// a run that also had parts which didn't. Daemons exchange Reports; merging them is
+// commutative, associative and idempotent, so that reports may be lost, repeated and reordered.
 //
 // # Usage
 //
@@ -29,6 +29,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -160,7 +161,7 @@
 
 // New returns empty evidence.
 func New() *Evidence {
-	return &Evidence{OnUpdate: func() {}, completed: newCompletedParts(), services: map[string]map[string]*part{}, sweptMs: never}
+	return &Evidence{OnUpdate: func() {}, completed: newCompletedParts(rand.Uint64()), services: map[string]map[string]*part{}, sweptMs: never}
 }
 
 // RecordCrash records one run that an engine's crash broke. The engine is the id of the
@@ -247,8 +248,8 @@
 }
 
 // Check reports whether a request with the parts is refused. If a try is due, it records the
-// try and returns try instead. Only one daemon may set mayTry for a part; the first try by a request whose
-// parts have all completed lately doesn't need it.
+// try and returns try instead. Only one daemon may set mayTry for a part; the first try by a
+// request whose parts have all completed lately doesn't need it.
 func (e *Evidence) Check(service string, parts []string, mayTry bool, now clock.Millis) (r Refusal, refused, try bool) {
 	if e.blamed.Load() == 0 {
 		return Refusal{}, false, false
@@ -379,8 +380,8 @@
 }
 
 // dueLocked returns the parts for the next message. Half of the places are for blamed
-// parts and those blamed lately, a quarter for parts that have several crashes, the rest for the others; places that one
-// kind doesn't need go to the next. The parts sent longest ago go first.
+// parts and those blamed lately, a quarter for parts that have several crashes, the rest for
+// the others; places that one kind doesn't need go to the next. The parts sent longest ago go first.
 func (e *Evidence) dueLocked(now clock.Millis) []*part {
 	var kinds [3][]*part // the first maxRecent of each kind
 	for _, known := range e.services {
--- a/hemlockd/internal/prompts/prompts_test.go
+++ b/hemlockd/internal/prompts/prompts_test.go
@@ -213,6 +213,24 @@
 	}
 }
 
+func TestCompletedPartsAreRemembered(t *testing.T) {
+	c := newCompletedParts(1)
+	c.record(service, "first", 0)
+	for i := range 4000 { // fewer than the slots
+		c.record(service, fmt.Sprint(i), clock.Minute)
+	}
+	if !c.has(service, "first", clock.Minute) || c.has("other", "first", clock.Minute) || c.has(service, "first", completedFor) {
+		t.Error("the part must be known in its service until completedFor")
+	}
+	for i := range 100_000 {
+		c.record(service, fmt.Sprint("x", i), 2*clock.Minute)
+	}
+	c.record(service, "first", 3*clock.Minute)
+	if ago := c.ago(service, "first", 4*clock.Minute); ago != clock.Minute {
+		t.Errorf("completed %d ms ago", ago)
+	}
+}
+
 // After a mass crash, any daemon tries a part again soon that completed before; if that
 // crashes, the usual intervals hold.
 func TestTryOfCompletedPart(t *testing.T) {
--- a/hemlockd/internal/prompts/simulation_test.go
+++ b/hemlockd/internal/prompts/simulation_test.go
@@ -92,6 +92,7 @@
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), fifthMs: never, refusedSends: map[string]int{}}
 	for i := range daemons {
 		d := &simDaemon{evidence: New(), offset: clock.Millis(s.random.IntN(1_000_000)), sentMs: make([]clock.Millis, daemons)}
+		d.evidence.completed = newCompletedParts(s.random.Uint64())
 		d.evidence.OnUpdate = func() { s.gossipSoon(i) }
 		s.daemons = append(s.daemons, d)
 		s.after(s.between(0, 500), func() { s.runGossip(i) })
