Package prompts: what another daemon reports is told apart from what this one finds

Cause: a merge called OnUpdate too. On the platform's door each of 82 daemons would then repeat a blame to the 81 others at the moment it hears of it, 160 KB on links of 10 Mbit/s, though the one that found it has told them all and full states repeat it.

Change: a merge that changes what is refused calls OnMerge.

--- a/hemlockd/internal/prompts/prompts.go
+++ b/hemlockd/internal/prompts/prompts.go
@@ -145,8 +145,12 @@
 
 // Evidence is the evidence on the parts of all services. It is safe for concurrent use.
 type Evidence struct {
-	// OnUpdate is called after each change that should be sent to other daemons at once.
+	// OnUpdate is called after each change that this daemon has found and that should be
+	// sent to other daemons at once.
 	OnUpdate func()
+	// OnMerge is called after a report of another daemon has changed what is refused. The
+	// sender tells the other daemons itself, unless it can't reach all of them.
+	OnMerge func()
 
 	completed *completedParts
 
@@ -161,7 +165,7 @@
 
 // New returns empty evidence.
 func New() *Evidence {
-	return &Evidence{OnUpdate: func() {}, completed: newCompletedParts(rand.Uint64()), services: map[string]map[string]*part{}, sweptMs: never}
+	return &Evidence{OnUpdate: func() {}, OnMerge: func() {}, completed: newCompletedParts(rand.Uint64()), services: map[string]map[string]*part{}, sweptMs: never}
 }
 
 // RecordCrash records one run that an engine's crash broke. The engine is the id of the
@@ -313,10 +317,10 @@
 }
 
 // Merge merges a report received from another daemon. Malformed reports are ignored. It
-// calls OnUpdate if the report changed what is refused.
+// calls OnMerge if the report changed what is refused.
 func (e *Evidence) Merge(r Report, now clock.Millis) {
 	if r.valid() && e.merge(r, now) {
-		e.OnUpdate()
+		e.OnMerge()
 	}
 }
 
--- a/hemlockd/internal/prompts/prompts_test.go
+++ b/hemlockd/internal/prompts/prompts_test.go
@@ -382,30 +382,31 @@
 }
 
 func TestUpdates(t *testing.T) {
-	e, updates := New(), 0
+	e, updates, merges := New(), 0, 0
 	e.OnUpdate = func() { updates++ }
-	expect := func(what string, want int) {
+	e.OnMerge = func() { merges++ }
+	expect := func(what string, wantUpdates, wantMerges int) {
 		t.Helper()
-		if updates != want {
-			t.Errorf("%s: %d updates, want %d", what, updates, want)
+		if updates != wantUpdates || merges != wantMerges {
+			t.Errorf("%s: %d updates and %d merges, want %d and %d", what, updates, merges, wantUpdates, wantMerges)
 		}
-		updates = 0
+		updates, merges = 0, 0
 	}
 	crash(e, 1, []string{"a", "b"}, "1")
-	expect("crash", 1)
+	expect("crash", 1, 0)
 	crash(e, 1, []string{"a", "b"}, "1")
-	expect("the same engine again", 0)
+	expect("the same engine again", 0, 0)
 	e.RecordCompletion(service, []string{"x"}, 2)
-	expect("completion without evidence", 0)
+	expect("completion without evidence", 0, 0)
 	e.RecordCompletion(service, []string{"a"}, 2)
-	expect("completion", 1)
+	expect("completion", 1, 0)
 	report := Report{Service: service, Part: "b", Engines: []string{"2", "3"}, CrashAgoMs: 5}
 	e.Merge(report, 2)
-	expect("a report by which a part is blamed", 1)
+	expect("a report by which a part is blamed", 0, 1)
 	e.Merge(report, 2)
-	expect("the report again", 0)
+	expect("the report again", 0, 0)
 	e.Merge(Report{Service: service, Part: "b", Epoch: 1}, 2)
-	expect("a report by which a part isn't blamed any more", 1)
+	expect("a report by which a part isn't blamed any more", 0, 1)
 }
 
 func TestNoAllocationsWithoutEvidence(t *testing.T) {
