Platform door: a part of a prompt on which engines crash is refused at all daemons

Cause: what crashes engines was only known by the whole request (digest of method, host, path and body), and its deaths were merged between daemons by the greatest number. So nothing was learned from requests that differ, or from crashes that daemons saw one each.

Change: package prompts is wired in. An engine that loses a run's connection and fails a probe is evidence against the shared parts of its prompt; a whole answer clears them. A request is asked before admission and again before each prefill, decode, repeat and continuation, so the queue is no way around it. A refused one gets 503 with reason crashingPart and Retry-After; one daemon tries the part again with one request when that is due, and does not repeat it. The log names the runs that a crash broke and the part of each refusal.

Ruled out: refusing by the first part (sound requests share it); a count merged by sum (it grows with each message).

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -22,6 +22,7 @@
 	inforce "hemlockmux.example/hemlockd/internal/directory"
 	"hemlockmux.example/hemlockd/internal/dispatch"
 	"hemlockmux.example/hemlockd/internal/peers"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/roles"
 	"hemlockmux.example/hemlockd/internal/suspects"
@@ -67,6 +68,7 @@
 	ready        *port
 	failed       chan error
 	retries      *retries.ServiceBudgets
+	prompts      *prompts.Evidence
 	stopping     chan struct{} // closed when the shutdown begins
 	cleanup      []func()      // run in reverse
 }
@@ -137,6 +139,8 @@
 	d.view = view
 	queue := capacity.NewQueue(d.clk, view, func() int { return d.peers.Count() })
 	sus := suspects.New()
+	d.prompts = prompts.New()
+	d.prompts.OnUpdate = (&partsSender{d: d}).sendSoon
 	boot := clock.Boot()
 	d.directory = inforce.New(inforce.Options{
 		Log: d.log, Clock: boot, Store: store,
@@ -151,7 +155,7 @@
 		Log: d.log, Clock: d.clk, Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes,
 	}, peers.Handlers{
-		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, CapacityChanged: queue.RetrySoon,
+		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, CapacityChanged: queue.RetrySoon,
 		Unreachable:  func(ids []string) { d.dispatcher.MarkDown(ids) }, // the dispatcher is constructed below
 		ChangingRole: func(ids []string) { d.dispatcher.MarkRoleChanging(ids) },
 		NewerVersion: d.directory.FetchFromPeer,
@@ -169,7 +173,7 @@
 	d.onClose(closeVerdicts)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Log: d.log, Clock: d.clk, Directory: d.directory, Upstreams: servers, View: view, Queue: queue, Peers: d.peers,
-		Retries: d.retries, Suspects: sus, Verdicts: verdicts, Name: d.settings.Name,
+		Retries: d.retries, Suspects: sus, Prompts: d.prompts, MayTryPart: d.mayTryPart, Verdicts: verdicts, Name: d.settings.Name,
 		ReadCall: platform.ReadCall, DataCentre: d.settings.DataCentre, Regions: d.settings.Regions,
 	})
 	roleController := roles.NewController(roles.Options{
