--- a/hemlockd/e2e/usersplatform_crashparts_test.go
+++ b/hemlockd/e2e/usersplatform_crashparts_test.go
@@ -127,3 +127,35 @@
 	t.Logf("daemons %v were ready %d ms after they were killed", killed, ready.Sub(o.from).Milliseconds())
 	f.check(fifth, settled, o)
 }
+
+// TestPlatformRefusedPartOutlivesAllDaemons guards against a refusal that is forgotten when
+// all daemons are killed at once: engines would have to crash again to learn it.
+func TestPlatformRefusedPartOutlivesAllDaemons(t *testing.T) {
+	p, f := startPlatformPartTraffic(t)
+	f.waitForCrashes()
+	time.Sleep(contactLimit)
+	f.stop()
+	for _, d := range p.daemons {
+		if err := d.cmd.Process.Kill(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, d := range p.daemons {
+		<-d.exited
+		p.start(d)
+	}
+	for _, d := range p.daemons {
+		p.waitReady(d)
+	}
+	time.Sleep(time.Second) // until they have read what is stored
+	for i := range p.daemons {
+		c := &partCall{id: fmt.Sprint("again", i), parts: []string{f.first, f.guilty, fmt.Sprint("own", i)}, daemon: i}
+		f.door.sendParts(c)
+		if fault := c.refusalFault(); fault != "" {
+			t.Errorf("daemon %d: %s", i, fault)
+		}
+		if arrivals := p.arrivals(c.id); len(arrivals) > 0 {
+			t.Errorf("daemon %d: the request reached engines: %+v", i, arrivals)
+		}
+	}
+}
