Operators see which parts of prompts are refused, and lift a refusal

Cause: a refusal that rests on evidence needs somebody who can look at it and say that it is wrong.

Change: hemlockctl platform beliefs lists the refused parts with the engines that crashed; hemlockctl platform lift ends a refusal at all daemons through any one of them.

Result: TestPlatformRefusedPartOutlivesAllDaemons goes on with a lift: all three daemons serve the part within a second.

--- a/hemlockd/e2e/usersplatform_crashparts_test.go
+++ b/hemlockd/e2e/usersplatform_crashparts_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -158,4 +160,31 @@
 			t.Errorf("daemon %d: the request reached engines: %+v", i, arrivals)
 		}
 	}
+	checkLift(t, p, f)
+}
+
+// checkLift checks that an operator sees the refused part and lifts it at all daemons.
+func checkLift(t *testing.T, p *usersPlatform, f *partTraffic) {
+	t.Helper()
+	p.callAdmin(http.MethodPut, "/crash-parts", map[string]any{"parts": []string{}})
+	control := func(args ...string) string {
+		args = append([]string{"platform"}, append(args, "--daemon", p.daemons[0].setting("Control"))...)
+		out, err := exec.Command(filepath.Join(binaryDir, "hemlockctl"), args...).CombinedOutput()
+		if err != nil {
+			t.Errorf("hemlockctl %v: %v, %s", args, err, out)
+		}
+		return string(out)
+	}
+	if out := control("beliefs"); !strings.Contains(out, "refused part") || !strings.Contains(out, partID(f.guilty)) {
+		t.Errorf("the refused part is not listed:\n%s", out)
+	}
+	control("lift", "--service", "models", "--part", partID(f.guilty))
+	time.Sleep(time.Second)
+	for i := range p.daemons {
+		c := &partCall{id: fmt.Sprint("lifted", i), parts: []string{f.first, f.guilty, fmt.Sprint("own", i)}, daemon: i}
+		f.door.sendParts(c)
+		if !c.began() {
+			t.Errorf("daemon %d after the lift: status %d, %s", i, c.status, c.body)
+		}
+	}
 }
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -319,6 +319,11 @@
 			Upstream: u.ID, Service: u.Service, Address: u.Address, Role: string(u.Role), Leaving: u.Leaving, Down: d.dispatcher.IsDown(u.ID),
 		})
 	}
+	for _, r := range d.prompts.Blamed(now) {
+		s.RefusedParts = append(s.RefusedParts, operatorapi.RefusedPartView{
+			Service: r.Service, Part: r.Part, Engines: r.Engines, SinceCrashMs: r.CrashAgoMs, SinceTryMs: r.TryAgoMs, SinceRefusalMs: r.SeenAgoMs,
+		})
+	}
 	for _, p := range d.peers.All() {
 		s.Daemons = append(s.Daemons, operatorapi.PeerView{
 			Daemon: p.Name, DataCentre: p.DataCentre, Address: p.Address, Version: p.Version, SinceHeardMs: now - p.LastHeardMs, Leaving: p.Leaving,
