Own door: a SIGHUP no longer ends the process

What callers saw: all requests in flight ended with a closed connection. Cause: nothing caught the signal, whose default is to end the process. Change: it is ignored; the daemon's file is read at the start only. Evidence: TestSIGHUPCutsOffNothing, red before ("unexpected EOF"), green now.

--- a/hemlockd/e2e/shutdown_test.go
+++ b/hemlockd/e2e/shutdown_test.go
@@ -162,3 +162,21 @@
 		t.Errorf("completion in flight at the signal: %v", err)
 	}
 }
+
+// Guards against a SIGHUP that ends the process, and all requests in flight with it: the
+// own door caught none.
+func TestSIGHUPCutsOffNothing(t *testing.T) {
+	d := deploy(t, options{daemons: 1})
+	m := d.daemons[0]
+	const tokens = 100
+	done := make(chan response, 1)
+	go func() { done <- m.stream("across a SIGHUP", tokens) }()
+	d.eventually("the stream runs", 5*time.Second, func() bool { return m.metric("daemon", "keeperRuns") == 1 })
+	m.signal(syscall.SIGHUP)
+	if defect := checkStream(<-done, tokens); defect != "" {
+		t.Errorf("stream: %s", defect)
+	}
+	if m.exited() {
+		t.Error("the daemon has exited")
+	}
+}
--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -33,6 +33,7 @@
 			if err != nil || c.Bool("check") {
 				return err
 			}
+			signal.Ignore(syscall.SIGHUP) // there is nothing to reload, and it would end the process
 			log, err := zap.NewProduction(zap.Fields(zap.String("daemon", cfg.Name)))
 			if err != nil {
 				return err
