A continuation is released if its caller leaves when it is ready

What was seen: the run stayed in this daemon's view for good and its prefill result at the engine. Cause: forward returns early for a caller that is gone, and only the current placement was released. Evidence: TestContinuationIsReleasedIfTheCallerLeaves, red before, green now.

--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -76,6 +76,7 @@
 	}
 	m.stream.lastEventID = m.call.ResumeAfter
 	defer m.releaseAll()
+	defer func() { m.discard(m.continuation) }() // if the caller left when it had become ready
 	if !m.d.opts.View.Fits(m.run) {
 		m.respondError(http.StatusServiceUnavailable, reasonNoUpstream, capacityRetryAfter+jitter(capacityRetryAfter))
 		return
