Blank lines at a stream's end and lines as long as the buffer break no stream

What callers saw: a whole stream that ended with one more blank line was cut, or begun again elsewhere, since (a marked end no longer counts); so was one whose last event has a line of exactly 4096 bytes or a multiple. An event with such a line was passed on in two parts, each counted as one, and the middle of a long line could be taken for an id. Evidence: TestBlankLinesAfterTheLastEventBreakNothing, TestLongLineIsReadAsOne: red before, green now. TestAnswerThatIsNoStreamIsWhole is still red.

--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -248,11 +248,13 @@
 
 // readEvent reads one event and returns its unchanged bytes and its id. Events end
 // with a blank line; a stream that ends without one has been broken off, even if its
-// length was as announced, and the result is errPartialEvent.
+// length was as announced, and the result is errPartialEvent. Further blank lines at the
+// end of a stream are returned as an event, since they are part of its length.
 func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
+	lineStart := 0
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := r.ReadSlice('\n')
+		event = append(event, part...)
 		if len(event) > maxEventBytes {
 			return nil, "", errors.New("event exceeds the size limit of 1 MiB")
 		}
@@ -260,17 +262,22 @@
 			continue
 		}
 		if err == io.EOF && len(event) > 0 {
+			if len(bytes.Trim(event, "\r\n")) == 0 {
+				return event, "", nil
+			}
 			return nil, "", errPartialEvent
 		}
 		if err != nil {
 			return nil, "", err
 		}
+		line := event[lineStart:]
 		text := bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
-		if len(text) == 0 && len(event) > len(line) {
+		if len(text) == 0 && lineStart > 0 {
 			return event, id, nil
 		}
+		lineStart = len(event)
 	}
 }
