The end of an attempt's time cuts no answer that has begun

What callers saw: a long answer cut in its middle. Cause: the timer's function takes the retry and then cancels the call; if the first 256 KiB came in between, the rest was read from a cancelled call. Change: such an answer counts as failed and the call goes on at the upstream that has been paid for. Evidence: TestMoveOnCutsNoAnswer, red before (262145 bytes of 524290), green now.

--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"hemlockmux.example/common/calls"
@@ -132,16 +132,29 @@
 type moveOn struct {
 	x      *exchange
 	cancel context.CancelFunc
-	paid   atomic.Bool
+
+	mu    sync.Mutex
+	paid  bool
+	ended bool // the call has brought an answer or has failed
 }
 
 func (m *moveOn) run() {
-	if m.x.d.opts.Retries.Take(m.x.service, m.x.now()) {
-		m.paid.Store(true)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.ended && m.x.d.opts.Retries.Take(m.x.service, m.x.now()) {
+		m.paid = true
 		m.cancel()
 	}
 }
 
+// end keeps the call from being ended from now on, and reports whether it has been.
+func (m *moveOn) end() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = true
+	return m.paid
+}
+
 // sendPlain sends the call to one upstream, buffers its answer and records the result
 // for later choices. If mayMoveOn is set, the call is ended when the upstream is slow and
 // the retry budget allows another one; paid reports that it has been taken from the budget.
@@ -155,13 +168,18 @@
 		defer timer.Stop() // the rest of a long answer takes the time it takes
 	}
 	answer, err = x.sendAndBuffer(ctx, u)
+	if m.end() && err == nil && answer.partial {
+		// The rest of the answer went with the call.
+		_ = answer.reply.Body.Close()
+		err = &calls.Error{Upstream: u.ID, Phase: calls.PhaseRun, Cause: calls.CauseTimeout, Outcome: calls.Ran, Err: errors.New("call was ended for another upstream")}
+	}
 	if err != nil || !answer.partial {
 		cancel()
 	} else {
 		answer.cancel = cancel
 	}
 	x.recordResult(u, err)
-	return answer, err != nil && m.paid.Load(), err
+	return answer, err != nil && m.end(), err
 }
 
 // recordResult updates the upstream's health with the result of a call. It ignores
