A request that ends without an answer gets no empty one

What callers saw: one that closes its sending side after its request got status 200 with an empty body, as net/http sends it if a handler writes nothing, and could not tell it from the service's answer. Evidence: TestHalfClosedCallerGetsNoEmptyAnswer, red before (status 200, answer ""), green now.

--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -143,6 +143,9 @@
 	defer x.conclude()
 	defer x.answerPanic()
 	x.serve()
+	if !x.answered {
+		x.abort(x.reason) // net/http would send an empty answer with status 200
+	}
 }
 
 // RefreshEngines passes the usable prefill and decode engines to the capacity view.
