--- a/hemlockd/e2e/drain_handoff_test.go
+++ b/hemlockd/e2e/drain_handoff_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"context"
 	"net/http"
 	"syscall"
 	"testing"
@@ -32,3 +33,20 @@
 		d.eventually("the daemon has exited", 20*time.Second, other.exited)
 	})
 }
+
+// A daemon that drains waits for the calls to services whose caller has left: they run, and a repeat is to
+// get their recorded answer. This guards against a record that stays "started" for good.
+func TestDrainRecordsCallsWhoseCallerLeft(t *testing.T) {
+	d := deploy(t, options{daemons: 2})
+	first, second := d.daemons[0], d.daemons[1]
+	d.injectFault("brandon-a-service-1", "slow", map[string]any{"delayMs": 3000, "count": 1, "match": "/placements"})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_ = first.callAs(ctx, teamKey, http.MethodPost, "/services/order-desk/placements", "{}", "Idempotency-Key", "caller-left")
+	first.signal(syscall.SIGTERM)
+	d.eventually("the daemon has exited", 20*time.Second, first.exited)
+	a := second.createPlacement("caller-left", "{}")
+	if a.status != http.StatusCreated || a.header.Get("Idempotency-Replayed") != "true" {
+		t.Errorf("status %d, body %s, error %v; want the recorded answer", a.status, a.body, a.err)
+	}
+}
