--- a/hemlockd/internal/dispatch/review_retries_test.go
+++ b/hemlockd/internal/dispatch/review_retries_test.go
@@ -83,3 +83,27 @@
 		return call
 	}
 }
+
+// TestContinuationInVainClaimsNoPrefillTime guards against prefill engines that look busy, to
+// this daemon and all others, with prompts that were never sent to them: each try to move a slow
+// stream claimed time for its prompt before it was known whether a retry may be made.
+func TestContinuationInVainClaimsNoPrefillTime(t *testing.T) {
+	s := newSetup(noFaults)
+	s.waitUpTo(30 * clock.Second)
+	for s.dispatcher.opts.Retries.Take("model", s.dispatcher.opts.Clock.Now()) {
+		continue
+	}
+	var work float64
+	s.upstreams.decode = func(ctx context.Context, _ routing.Upstream, _ calls.Delivery) *calls.Reply {
+		work = s.dispatcher.opts.View.PrefillWorkMs("model")
+		once := silentOnce()
+		once.pause = 6 * time.Second
+		return once.newReply(ctx)
+	}
+	if answer, cut := s.ask("r", "/resumable/x"); cut || answer.Body.String() != eventsAfter(0) {
+		t.Errorf("cut %v, answer %q", cut, answer.Body.String())
+	}
+	if more := s.dispatcher.opts.View.PrefillWorkMs("model") - work; more > 0 {
+		t.Errorf("%.1f ms of prefill claimed in addition to %.1f ms, and none sent", more, work)
+	}
+}
