--- a/hemlockd/e2e/shutdown_test.go
+++ b/hemlockd/e2e/shutdown_test.go
@@ -1,9 +1,11 @@
 package e2e
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -180,3 +182,33 @@
 		t.Error("the daemon has exited")
 	}
 }
+
+// Guards against a request that comes more than 3 s after SIGTERM, whose upstream takes longer than
+// the daemon has left: the daemon exits and closes its connection without an answer.
+func TestPlatformLateRequestIsAnsweredBeforeTheExit(t *testing.T) {
+	p := deployUsersPlatform(t, 1)
+	d := p.daemons[0]
+	for _, id := range []string{"i-desk1", "i-desk2"} {
+		p.injectServerFault(id, map[string]any{"mute": true})
+	}
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	started := time.Now()
+	time.Sleep(2700 * time.Millisecond)
+	c, err := net.Dial("tcp", d.setting("Front"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	time.Sleep(time.Until(started.Add(3100 * time.Millisecond)))
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, "POST /order/x HTTP/1.1\r\nHost: "+testHost+"\r\nX-Attempt-Id: late\r\nX-Deadline-Ms: 6000\r\nContent-Length: 8\r\n\r\nan order"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%d runs, no answer %v after SIGTERM: %v", len(p.arrivals("late")), time.Since(started), err)
+	}
+	_ = resp.Body.Close()
+}
