A daemon that exits answers what is still in flight first

What callers saw: a connection that closed without an answer 7.3 s after SIGTERM: a call sent late in the drain to a slow upstream, or a request that still waited for an engine.

Cause: the time limit of a request did not know of the daemon's exit.

Change: shortly before the exit the contexts of all requests end. One that was not run is refused with 503, any other is told 504; the port has 200 ms more for these answers.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -43,6 +43,8 @@
 	shutdownListenTime = 2800 * clock.Millisecond
 	// shutdownReserve is how long before the kill the wait for requests in flight ends.
 	shutdownReserve = 700 * clock.Millisecond
+	// lastAnswersTime is the time for answering the requests that are ended then.
+	lastAnswersTime = 200 * clock.Millisecond
 	// entryLifetimeBeats is the number of heartbeats that the store must miss before it
 	// loses the entry of an upstream that is running: it takes three to lose an entry, and
 	// the first may have been due just as the outage began.
@@ -383,7 +385,7 @@
 	span := max(shutdownListenTime, d.settings.ShutdownGraceMs-shutdownReserve)
 	d.dispatcher.Drain(d.clk.Now() + span)
 	d.peers.Leave()
-	ctx, cancel := context.WithTimeout(hard, span.Duration())
+	ctx, cancel := context.WithTimeout(hard, (span + lastAnswersTime).Duration())
 	defer cancel()
 	select {
 	case <-time.After(shutdownListenTime.Duration()):
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -114,18 +115,32 @@
 	latencies *latencies
 	// drainingUntilMs is when the daemon will exit; 0 unless it is shutting down.
 	drainingUntilMs atomic.Int64
-	openRequests    atomic.Int64
+	// exiting is closed shortly before the daemon exits: requests that are still in flight
+	// are answered then, or their connections would be closed without an answer.
+	exiting      context.Context
+	exit         context.CancelFunc
+	openRequests atomic.Int64
 }
 
 // New returns a dispatcher.
 func New(o Options) *Dispatcher {
-	return &Dispatcher{opts: o, health: newHealth(o.Clock), logLimits: newRequestLogLimits(), latencies: newLatencies()}
+	d := &Dispatcher{opts: o, health: newHealth(o.Clock), logLimits: newRequestLogLimits(), latencies: newLatencies()}
+	d.exiting, d.exit = context.WithCancel(context.Background())
+	return d
 }
 
+// exitMargin is how long before the daemon's exit requests in flight are ended, so that
+// their callers get an answer.
+const exitMargin = 50 * clock.Millisecond
+
 // Drain prepares for the daemon's exit at the time until: answers close the callers'
 // connections, so that callers reconnect to other daemons, and streams that are
 // expected to take longer are refused.
-func (d *Dispatcher) Drain(until clock.Millis) { d.drainingUntilMs.Store(int64(until)) }
+// Requests in flight are ended exitMargin before that time.
+func (d *Dispatcher) Drain(until clock.Millis) {
+	d.drainingUntilMs.Store(int64(until))
+	time.AfterFunc((until - exitMargin - d.opts.Clock.Now()).Duration(), d.exit)
+}
 
 // draining reports whether the daemon is shutting down, and when it will exit.
 func (d *Dispatcher) draining() (until clock.Millis, draining bool) {
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -90,8 +90,14 @@
 
 func (x *exchange) now() clock.Millis { return x.d.opts.Clock.Now() }
 
-// remainingMs returns the time until the answer is due.
-func (x *exchange) remainingMs() clock.Millis { return x.arrivedMs + x.timeoutMs - x.now() }
+// remainingMs returns the time until the answer is due, or the daemon exits.
+func (x *exchange) remainingMs() clock.Millis {
+	due := x.arrivedMs + x.timeoutMs
+	if until, draining := x.d.draining(); draining {
+		due = min(due, until-exitMargin)
+	}
+	return due - x.now()
+}
 
 // serve checks the request and answers it.
 func (x *exchange) serve() {
@@ -129,6 +135,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.remainingMs().Duration())
 	defer cancel()
+	defer context.AfterFunc(x.d.exiting, cancel)()
 	x.d.opts.Retries.RecordRequest(x.service, x.now())
 	engine := table.Config.Services[x.service].Engine
 	if route.Kind == routing.Streaming && engine != nil && x.call.Prompt != nil {
