An engine's answer that is no stream of events is passed on as it is

What callers saw: 502 for a whole answer with status 200 whose type is another one than that of a stream of events.

Cause: every answer with status 200 of an engine was read as a stream, and since one without a blank line at its end is broken.

Change: the Content-Type decides; an answer without one is still read as a stream.

Evidence: TestAnswerThatIsNoStreamIsWhole (by the reviewer), red before, green now.

--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"expvar"
 	"io"
+	"mime"
 	"net/http"
 
 	"hemlockmux.example/common/calls"
@@ -62,7 +63,7 @@
 func (m *modelRun) forward(reply *calls.Reply) bool {
 	defer m.stream.stop()
 	defer func() { _ = reply.Body.Close() }()
-	if reply.Status != http.StatusOK {
+	if reply.Status != http.StatusOK || !mayBeEventStream(reply.Header) {
 		return m.forwardNonStream(reply)
 	}
 	if !reply.Sealed {
@@ -135,12 +136,26 @@
 	return calls.CauseConnectionLost
 }
 
-// forwardNonStream forwards an answer with a status other than 200, or returns true if
-// the request may be sent to another engine instead.
+// mayBeEventStream reports whether an answer's type is that of a stream of events, or is not
+// given.
+func mayBeEventStream(h http.Header) bool {
+	t := h.Get("Content-Type")
+	return t == "" || isEventStream(h)
+}
+
+// isEventStream reports whether an answer is a stream of events.
+func isEventStream(h http.Header) bool {
+	t, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && t == "text/event-stream"
+}
+
+// forwardNonStream forwards an answer that is no stream of events or has a status other
+// than 200, or returns true if the request may be sent to another engine instead.
 func (m *modelRun) forwardNonStream(reply *calls.Reply) bool {
 	m.possibleRuns++
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
-	if err != nil || !validStatus(reply.Status) || impliesNotRun(reply.Status) || m.answered {
+	unsealed := !reply.Sealed && reply.Status < http.StatusMultipleChoices
+	if err != nil || unsealed || !validStatus(reply.Status) || impliesNotRun(reply.Status) || m.answered {
 		m.outcome = calls.Unknown
 		return m.prepareRetry()
 	}
