A stream of events from a plain service that ends inside an event is broken off too

What callers saw: a stream of a route without engines that looked complete and ended in the middle of an event.

Cause: only engines' streams were read event by event.

Change: an answer of that type must end with a blank line, also when it is longer than the buffer.

Evidence: TestPlainStreamThatEndsInsideAnEventIsBroken (by the reviewer), red before, green now.

--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -226,6 +227,9 @@
 	if err != nil {
 		return nil, failure(calls.CauseConnectionLost, err)
 	}
+	if !partial && isEventStream(reply.Header) && !endsWithEvent(body) {
+		return nil, failure(calls.CauseTruncated, errPartialEvent)
+	}
 	if !reply.Sealed && reply.Status < http.StatusMultipleChoices {
 		return nil, failure(calls.CauseMismatchedReply, errors.New("answer is not sealed by the upstream"))
 	}
@@ -251,6 +255,28 @@
 	return false
 }
 
+// lastBytes keeps the last bytes that are written through it.
+type lastBytes struct {
+	w    io.Writer
+	last []byte
+}
+
+// lastBytesKept suffices to tell whether a stream ends with a blank line.
+const lastBytesKept = 4
+
+// Write implements [io.Writer].
+func (l *lastBytes) Write(b []byte) (int, error) {
+	n, err := l.w.Write(b)
+	l.last = append(l.last, b[max(0, n-lastBytesKept):n]...)
+	l.last = l.last[max(0, len(l.last)-lastBytesKept):]
+	return n, err
+}
+
+// endsWithEvent reports whether a stream of events is empty or ends with a blank line.
+func endsWithEvent(stream []byte) bool {
+	return len(stream) == 0 || bytes.HasSuffix(stream, []byte("\n\n")) || bytes.HasSuffix(stream, []byte("\n\r\n"))
+}
+
 // close ends the call of a partial answer.
 func (b *bufferedReply) close() {
 	if !b.partial {
@@ -274,7 +300,9 @@
 		return
 	}
 	defer answer.close()
-	if _, err := io.Copy(x.w, answer.reply.Body); err != nil {
+	rest := &lastBytes{w: x.w, last: answer.body[max(0, len(answer.body)-lastBytesKept):]}
+	_, err := io.Copy(rest, answer.reply.Body)
+	if err != nil || isEventStream(answer.reply.Header) && !endsWithEvent(rest.last) {
 		x.abort(reasonStreamCut)
 	}
 }
