--- a/hemlockd/internal/services/services_test.go
+++ b/hemlockd/internal/services/services_test.go
@@ -136,3 +136,13 @@
 	}
 	t.Errorf("no call was recorded as %s", problem.CallerGone)
 }
+
+// TestSlowInstanceIsNotLeftForOneThatFails guards against a call that is ended at a slow instance
+// for another one that then fails: its answer was on its way.
+func TestSlowInstanceIsNotLeftForOneThatFails(t *testing.T) {
+	broken := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	out := newTestServices(t, "retryRatio = 1.0", after(600*time.Millisecond), broken).Run(t.Context(), get())
+	if out.Problem != nil {
+		t.Errorf("%v, attempts %+v", out.Problem, out.Attempts)
+	}
+}
