A stream ends at its deadline and with its caller

What was seen: more than half of the requests whose stream reached its time limit, or whose caller left, were held for good: handler, connection, engine placement in this daemon's view and in the others', and every drain until its last moment. Change: the reader closes its channel, which nextEvent takes for the end.

--- a/hemlockd/internal/dispatch/continuation.go
+++ b/hemlockd/internal/dispatch/continuation.go
@@ -15,21 +15,22 @@
 // be slow, and what it has done would be lost.
 func (m *modelRun) nextEvent(events <-chan streamEvent) streamEvent {
 	if !m.route.Repeatable() {
-		return <-events
+		e, ok := <-events
+		return received(e, ok)
 	}
 	timer := time.NewTimer(stallTimeout.Duration())
 	defer timer.Stop()
 	for {
 		select {
-		case e := <-events:
-			return e
+		case e, ok := <-events:
+			return received(e, ok)
 		case <-timer.C:
 		}
 		next := m.prepareContinuation()
 		select {
-		case e := <-events: // the engine speaks again
+		case e, ok := <-events: // the engine speaks again
 			m.discard(next)
-			return e
+			return received(e, ok)
 		default:
 		}
 		if next != nil {
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -227,11 +227,12 @@
 // eventReader reads a stream's events in the background.
 type eventReader struct {
 	body   io.Reader
-	events chan streamEvent
-	done   <-chan struct{} // closed when no further events are wanted
+	events chan streamEvent // closed after the last event
+	done   <-chan struct{}  // closed when no further events are wanted
 }
 
 func (r *eventReader) run() {
+	defer close(r.events)
 	reader := bufio.NewReaderSize(r.body, eventBufferBytes)
 	for {
 		data, id, err := readEvent(reader)
@@ -246,6 +247,15 @@
 	}
 }
 
+// received returns what was received from a reader's channel. If that has been closed, the
+// call has ended before the end of the stream.
+func received(e streamEvent, ok bool) streamEvent {
+	if !ok {
+		e.err = context.Canceled
+	}
+	return e
+}
+
 // readEvent reads one event and returns its unchanged bytes and its id. Events end
 // with a blank line; a stream that ends without one has been broken off, even if its
 // length was as announced, and the result is errPartialEvent. Further blank lines at the
