An engine that has left the list during its stream is not taken for a crashed one

What callers saw: a request whose engine was unlisted during two of its streams got 503 crashSuspect for 30 s. Cause: the health check after the lost stream had no address. Evidence: TestLostStreamOfUnlistedEngineIsNoCrash, red before, green now.

--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -73,9 +73,9 @@
 	m.stream.lastEventMs = m.now()
 	err := m.forwardEvents(reply)
 	m.recordStreamEnd(err)
-	u, _ := m.upstream(m.run.Engine)
+	u, listed := m.upstream(m.run.Engine)
 	if err == nil {
-		m.d.health.recordResult(u.ID, true)
+		m.d.health.recordResult(m.run.Engine, true)
 		if m.possibleRuns == 1 && m.call.ResumeAfter == "" {
 			m.d.opts.View.ObserveLength(m.run.ExpectedTokens, m.run.GeneratedTokens)
 		}
@@ -87,7 +87,9 @@
 	}
 	m.outcome = calls.Unknown
 	m.d.health.recordResult(m.run.Engine, false)
-	m.startCrashCheck(u)
+	if listed { // otherwise it has no address, and gets no work anyway
+		m.startCrashCheck(u)
+	}
 	m.excluded[m.run.Engine] = true
 	m.stream.stop()
 	if m.continuation != nil {
