--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -74,9 +74,9 @@
 	m.stream.lastEventMs = m.now()
 	err := m.forwardEvents(reply)
 	m.recordStreamEnd(err)
-	u, _ := m.upstream(m.run.Engine)
+	u, listed := m.upstream(m.run.Engine)
 	if err == nil {
-		m.d.health.recordResult(u.ID, true)
+		m.d.health.recordResult(m.run.Engine, true)
 		m.recordCompletion()
 		if m.possibleRuns == 1 && m.call.ResumeAfter == "" {
 			m.d.opts.View.ObserveLength(m.run.ExpectedTokens, m.run.GeneratedTokens)
@@ -89,7 +89,9 @@
 	}
 	m.outcome = calls.Unknown
 	m.d.health.recordResult(m.run.Engine, false)
-	m.startCrashCheck(u)
+	if listed { // otherwise it has no address, and gets no work anyway
+		m.startCrashCheck(u)
+	}
 	m.excluded[m.run.Engine] = true
 	m.stream.stop()
 	if m.continuation != nil {
@@ -243,11 +245,12 @@
 // eventReader reads a stream's events in the background.
 type eventReader struct {
 	body   io.Reader
-	events chan streamEvent
-	done   <-chan struct{} // closed when no further events are wanted
+	events chan streamEvent // closed after the last event
+	done   <-chan struct{}  // closed when no further events are wanted
 }
 
 func (r *eventReader) run() {
+	defer close(r.events)
 	reader := bufio.NewReaderSize(r.body, eventBufferBytes)
 	for {
 		data, id, err := readEvent(reader)
@@ -262,6 +265,15 @@
 	}
 }
 
+// received returns what was received from a reader's channel. If that has been closed, the
+// call has ended before the end of the stream.
+func received(e streamEvent, ok bool) streamEvent {
+	if !ok {
+		e.err = context.Canceled
+	}
+	return e
+}
+
 // readEvent reads one event and returns its unchanged bytes and its id. Events end
 // with a blank line; a stream that ends without one has been broken off, even if its
 // length was as announced, and the result is errPartialEvent. Further blank lines at the
