A silent stream moves when another engine has begun to answer, and tries in vain cost nothing

What callers saw: a stream cut midway whose engine was slow and sound: the engine prepared for the rest refused it or could not be reached, after the slow call had been cancelled. And one cut later, when its engine was lost: earlier tries to move it had used up its calls, its engines and the retry budget.

Before anything is claimed, the budget must have both repeated calls; each is taken when it is sent.

--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -63,7 +63,12 @@
 	possibleRuns int
 	stream       streamState
 	// continuation is where a silent stream goes on, until it does.
-	continuation *placement
+	continuation *continuation
+	// continuations counts the tries to move a silent stream.
+	continuations int
+	// accepted is the answer of the engine that goes on with a silent stream, until it is
+	// forwarded.
+	accepted *calls.Reply
 }
 
 // serve runs the request at one engine after another, as far as it may be repeated,
@@ -76,7 +81,7 @@
 	}
 	m.stream.lastEventID = m.call.ResumeAfter
 	defer m.releaseAll()
-	defer func() { m.discard(m.continuation) }() // if the caller left when it had become ready
+	defer func() { m.drop(m.continuation) }() // if the caller left when it had become ready
 	if !m.d.opts.View.Fits(m.run) {
 		m.respondError(http.StatusServiceUnavailable, reasonNoUpstream, capacityRetryAfter+jitter(capacityRetryAfter))
 		return
@@ -106,11 +111,16 @@
 	return n
 }
 
-// attempt places the request at an engine, unless that has been done, waiting for capacity
-// up to queueTimeout, and runs it there to the last event. It returns true if the stream failed and may
+// attempt places the request at an engine, waiting for capacity up to queueTimeout, and
+// runs it there to the last event. A stream that another engine has begun to go on with is
+// only forwarded. It returns true if the stream failed and may
 // continue at another engine; otherwise the request has been answered.
 func (m *modelRun) attempt(queueTimeout clock.Millis) bool {
-	if m.run.Engine == "" && !m.placeAndReserve(queueTimeout) {
+	if reply := m.accepted; reply != nil {
+		m.accepted = nil
+		return m.forward(reply)
+	}
+	if !m.placeAndReserve(queueTimeout) {
 		m.refusalBasis = m.capacityBasis()
 		m.giveUp(reasonNoCapacity)
 		return false
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -61,7 +61,7 @@
 // forward forwards an engine's answer to the caller. It returns true if the stream
 // failed and may continue at another engine; otherwise the request has been answered.
 func (m *modelRun) forward(reply *calls.Reply) bool {
-	defer m.stream.stop()
+	defer m.stream.cancel() // of this call; a continuation has its own
 	defer func() { _ = reply.Body.Close() }()
 	if reply.Status != http.StatusOK || !mayBeEventStream(reply.Header) {
 		return m.forwardNonStream(reply)
--- a/hemlockd/internal/retries/window.go
+++ b/hemlockd/internal/retries/window.go
@@ -70,16 +70,28 @@
 func (b *ServiceBudgets) Take(service string, now clock.Millis) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.serviceLocked(service, now)
-	earned := min(1, float64(now-b.started)/float64(b.bound.WindowMs))
-	slack := earned * b.bound.Slack / float64(max(1, b.daemons()))
-	if sum(s.retries)+1 > safety*(b.bound.Ratio*sum(s.requests)+slack) {
+	if !b.hasLocked(service, 1, now) {
 		return false
 	}
+	s := b.serviceLocked(service, now)
 	s.retries[s.bucket%buckets]++
 	return true
 }
 
+// Has reports whether n retries at the service are left, without spending them.
+func (b *ServiceBudgets) Has(service string, n int, now clock.Millis) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hasLocked(service, n, now)
+}
+
+func (b *ServiceBudgets) hasLocked(service string, n int, now clock.Millis) bool {
+	s := b.serviceLocked(service, now)
+	earned := min(1, float64(now-b.started)/float64(b.bound.WindowMs))
+	slack := earned * b.bound.Slack / float64(max(1, b.daemons()))
+	return sum(s.retries)+float64(n) <= safety*(b.bound.Ratio*sum(s.requests)+slack)
+}
+
 func (b *ServiceBudgets) serviceLocked(service string, now clock.Millis) *window {
 	bucket := int64(now / max(1, b.bound.WindowMs/parts))
 	s, ok := b.services[service]
