--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -52,6 +52,7 @@
 	store         *settings.Store
 	daemons       *daemons.Daemons
 	keeper        *keeper.Keeper
+	services      *services.Services
 	handOff       *handoff.Server
 	recorder      *verdicts.Recorder
 	operators     *operators.Operators
@@ -137,6 +138,7 @@
 	}
 	svc, closeServices := services.New(env, d.configuration, ledger, list)
 	d.onClose(closeServices)
+	d.services = svc
 	d.callers = callers.New(env, callers.Dependencies{
 		Configuration: d.configuration, Daemons: d.daemons, Keeper: k, Services: svc, HandOff: handOff,
 		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
@@ -240,6 +242,12 @@
 	}
 }
 
+// busy reports whether this daemon still runs anything: for its own callers, for other daemons, or
+// for callers that have left.
+func (d *Daemon) busy() bool {
+	return d.keeper.Active() > 0 || d.handOff.InFlight() > 0 || d.services.InFlight() > 0
+}
+
 // drain takes the daemon out of service and waits for the requests in flight, at
 // most the configured time or until hard is done.
 func (d *Daemon) drain(hard context.Context) {
@@ -254,11 +262,11 @@
 	ctx, cancel := context.WithTimeout(hard, d.env.Config.DrainMs.Duration())
 	defer cancel()
 	err := d.callersPort.drain(ctx)
-	for err == nil && (d.keeper.Active() > 0 || d.handOff.InFlight() > 0) && ctx.Err() == nil {
+	for err == nil && d.busy() && ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 	}
 	open := d.recorder.OpenCount()
-	cut := err != nil || open > 0 || d.keeper.Active() > 0 || d.handOff.InFlight() > 0
+	cut := err != nil || open > 0 || d.busy()
 	if cut {
 		d.env.Log.Warn("drain ended with requests in flight", zap.Int("open", open), zap.Error(err))
 	}
--- a/hemlockd/internal/services/atmostonce.go
+++ b/hemlockd/internal/services/atmostonce.go
@@ -76,6 +76,7 @@
 func (s *Services) dispatch(tree *settings.Tree, service settings.Service, call Call, claim placements.Claim) Outcome {
 	d := &dispatchedCall{services: s, tree: tree, service: service, call: call, claim: claim, done: make(chan struct{})}
 	started := s.env.Clock.Now()
+	s.dispatched.Add(1)
 	go d.run()
 	timer := time.NewTimer(service.TimeoutMs.Duration())
 	defer timer.Stop()
@@ -96,11 +97,16 @@
 	return Outcome{Problem: s.outcomeUnknown(call, nil), Attempts: []verdict.Attempt{late}}
 }
 
+// InFlight returns the number of calls under a claim that have not ended, also of those whose
+// callers have left or were told that the outcome is unknown.
+func (s *Services) InFlight() int { return int(s.dispatched.Load()) }
+
 // run sends the call to one instance, and to another one only if it is certain that the first did
 // not run it.
 func (d *dispatchedCall) run() {
-	defer close(d.done)
 	s, excluded := d.services, map[string]bool{}
+	defer s.dispatched.Add(-1)
+	defer close(d.done)
 	for range d.tree.System.Policy.MaxAttempts {
 		name, ok := s.choose(s.configuration.Tree(), d.call, excluded)
 		if !ok {
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -113,6 +113,7 @@
 	budget         *retries.Budget
 	pooledClient   *http.Client // for the first attempt of idempotent calls
 	unpooledClient *http.Client // opens a new connection for each call
+	dispatched     atomic.Int64 // calls under a claim that have not ended
 
 	mu     sync.Mutex
 	health map[string]*health
