--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -51,6 +51,18 @@
 	// ExpectedOutputTokens is the caller's estimate of the generated tokens; 0 if it
 	// gave none.
 	ExpectedOutputTokens int
+	// Parts are the ids of the parts that make up the prompt, in order; nil if the caller
+	// did not name them. The last part is the call's own; the others may be shared with
+	// other calls.
+	Parts []string
+}
+
+// SharedParts returns the parts that other calls may have too.
+func (p *Prompt) SharedParts() []string {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
 }
 
 // Phase is the part of a call's processing that an upstream is asked to do.
--- a/common/directory/directory.go
+++ b/common/directory/directory.go
@@ -30,6 +30,8 @@
 	// Roles holds, for each data centre, the daemon that orders its engines to change
 	// roles.
 	Roles Topic = "roles"
+	// Parts holds the parts of prompts that are refused because engines crash on them.
+	Parts Topic = "parts"
 )
 
 // Entry is one entry of a topic.
--- a/common/operatorapi/operatorapi.go
+++ b/common/operatorapi/operatorapi.go
@@ -132,6 +132,43 @@
 	Engines []EngineView `json:"engines"`
 	// Daemons are the other daemons.
 	Daemons []PeerView `json:"daemons"`
+	// RefusedParts are the parts of prompts that the daemon refuses.
+	RefusedParts []RefusedPartView `json:"refusedParts"`
+}
+
+// RefusedPartView is a part of prompts that a daemon refuses because engines crash on it.
+type RefusedPartView struct {
+	// Service is the name of the service whose engines crash.
+	Service string `json:"service"`
+	// Part is the id of the part.
+	Part string `json:"part"`
+	// Engines are the processes that crashed, at most sixteen of them.
+	Engines []string `json:"engines"`
+	// SinceCrashMs is the time since the last crash, in ms.
+	SinceCrashMs clock.Millis `json:"crashAgoMs"`
+	// SinceTryMs is the time since the part was last tried again, in ms; 0: never.
+	SinceTryMs clock.Millis `json:"tryAgoMs,omitempty"`
+	// SinceRefusalMs is the time since a request was last refused, in ms; 0: never.
+	SinceRefusalMs clock.Millis `json:"seenAgoMs,omitempty"`
+}
+
+// MethodLiftPart is the JSON-RPC method, at a daemon's port for other daemons, that lifts
+// the refusal of a part of prompts at all daemons. It takes a [LiftPartRequest] and returns
+// a [LiftPartResponse].
+const MethodLiftPart = "daemon.liftPart"
+
+// LiftPartRequest names the part whose refusal is to be lifted.
+type LiftPartRequest struct {
+	// Service is the name of the service.
+	Service string `json:"service"`
+	// Part is the id of the part.
+	Part string `json:"part"`
+}
+
+// LiftPartResponse is the response to a [LiftPartRequest].
+type LiftPartResponse struct {
+	// Lifted is false if the daemon refuses no such part.
+	Lifted bool `json:"lifted"`
 }
 
 // UpstreamView is an upstream as seen by a daemon.
--- a/hemlockctl/internal/app/onplatform.go
+++ b/hemlockctl/internal/app/onplatform.go
@@ -93,6 +93,15 @@
 				Flags:  []cli.Flag{&cli.StringFlag{Name: "daemon", Required: true, Usage: "IP:port of the daemon's port for other daemons"}},
 				Action: c.beliefs,
 			},
+			{
+				Name: "lift", Usage: "lift the refusal of a part of prompts at all daemons",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "daemon", Required: true, Usage: "IP:port of a daemon's port for other daemons"},
+					&cli.StringFlag{Name: "service", Required: true, Usage: "service whose engines crashed"},
+					&cli.StringFlag{Name: "part", Required: true, Usage: "id of the part, as beliefs shows it"},
+				},
+				Action: c.liftPart,
+			},
 			{
 				Name: "verdict", Usage: "show the outcome of a request from the store", ArgsUsage: "REQUEST-ID",
 				Flags:  []cli.Flag{&cli.StringFlag{Name: "store", Required: true, Usage: "IP:port of the platform's store"}},
@@ -105,16 +114,9 @@
 func (c *ctl) beliefs(ctx context.Context, cmd *cli.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout.Duration())
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", cmd.String("daemon"))
-	if err != nil {
-		return fmt.Errorf("connect to the daemon: %w", err)
-	}
-	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls))
-	defer func() { _ = rpc.Close() }()
 	var b operatorapi.DaemonView
-	if err := rpc.Call(ctx, operatorapi.MethodDaemonView, struct{}{}, &b); err != nil {
-		return fmt.Errorf("call the daemon: %w", err)
+	if err := callDaemon(ctx, cmd.String("daemon"), operatorapi.MethodDaemonView, struct{}{}, &b); err != nil {
+		return err
 	}
 	return c.print(cmd, b, func(w io.Writer) {
 		fmt.Fprintf(w, "daemon\t%s in %s\nconfiguration\tversion %d\nready\t%t\nopen requests\t%d\nlast store failure\t%d ms ago\n",
@@ -125,12 +127,58 @@
 		for _, e := range b.Engines {
 			fmt.Fprintf(w, "engine\t%s\t%d runs\tforecast %d of %d tokens\t%.2f ms a token\n", e.Engine, e.Runs, e.ForecastTokens, e.MemoryTokens, e.MsPerToken)
 		}
+		for _, r := range b.RefusedParts {
+			fmt.Fprintf(w, "refused part\t%s\t%s\t%d engines crashed\tlast %d ms ago\n", r.Part, r.Service, len(r.Engines), r.SinceCrashMs)
+		}
 		for _, p := range b.Daemons {
 			fmt.Fprintf(w, "peer\t%s\t%s\t%s\tversion %d\tlast heard %d ms ago\n", p.Daemon, p.DataCentre, p.Address, p.Version, p.SinceHeardMs)
 		}
 	})
 }
 
+// callDaemon calls a method of a daemon.
+func callDaemon(ctx context.Context, daemon, method string, request, response any) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", daemon)
+	if err != nil {
+		return fmt.Errorf("connect to the daemon: %w", err)
+	}
+	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls))
+	defer func() { _ = rpc.Close() }()
+	if err := rpc.Call(ctx, method, request, response); err != nil {
+		return fmt.Errorf("call the daemon: %w", err)
+	}
+	return nil
+}
+
+func (c *ctl) liftPart(ctx context.Context, cmd *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout.Duration())
+	defer cancel()
+	request := operatorapi.LiftPartRequest{Service: cmd.String("service"), Part: cmd.String("part")}
+	var response operatorapi.LiftPartResponse
+	if err := callDaemon(ctx, cmd.String("daemon"), operatorapi.MethodLiftPart, request, &response); err != nil {
+		return err
+	}
+	if !response.Lifted {
+		return &NotRefusedError{Service: request.Service, Part: request.Part}
+	}
+	return c.print(cmd, response, func(w io.Writer) { fmt.Fprintf(w, "lifted\t%s\t%s\n", request.Part, request.Service) })
+}
+
+// NotRefusedError reports that a part of prompts is not refused, so that there is nothing to
+// lift.
+type NotRefusedError struct {
+	// Service is the name of the service.
+	Service string
+	// Part is the id of the part.
+	Part string
+}
+
+// Error implements error.
+func (e *NotRefusedError) Error() string {
+	return fmt.Sprintf("part %s is not refused for service %s", e.Part, e.Service)
+}
+
 // refuseCalls is the handler of calls by the daemon, which are not supported.
 func refuseCalls(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "hemlockctl serves no methods"}
--- /dev/null
+++ b/hemlockd/internal/app/blames.go
@@ -0,0 +1,130 @@
+package app
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
+	"hemlockmux.example/hemlockd/internal/prompts"
+)
+
+const (
+	// blameInterval is the time between two looks at what has to be stored.
+	blameInterval = clock.Second
+	// blameRefresh is the time after which a stored part that is still refused is stored
+	// again, with its new ages.
+	blameRefresh = 2 * clock.Minute
+	// blameCallTimeout limits one call to the store.
+	blameCallTimeout = 2 * clock.Second
+	// blameMaxAge is the age from which a stored part is no longer taken over.
+	blameMaxAge = 10 * clock.Minute
+)
+
+// blameStore keeps the parts of prompts that are refused in the store, so that daemons
+// know them after all of them have been restarted. Of the daemons that are alive, the one
+// that tries a part again also stores it.
+type blameStore struct {
+	d      *platformDaemon
+	stored map[string]storedBlame // by key
+}
+
+// storedBlame is one entry of the store.
+type storedBlame struct {
+	// Report is the evidence; without engines the part is no longer refused.
+	Report prompts.Report `json:"report"`
+	// AtMs is when the entry was written, in Unix ms. Clocks of VMs differ by seconds.
+	AtMs clock.Millis `json:"atMs"`
+}
+
+// blameKey is the key of a part's entry.
+func blameKey(r prompts.Report) string {
+	return strconv.FormatUint(xxhash.Sum64String(r.Service+"\x00"+r.Part), 36)
+}
+
+// run takes over what is stored and then stores what changes, until ctx ends.
+func (b *blameStore) run(ctx context.Context) {
+	for !b.load(ctx) {
+		if !clock.Sleep(ctx, blameInterval) {
+			return
+		}
+	}
+	for clock.Sleep(ctx, blameInterval) {
+		b.update(ctx)
+	}
+}
+
+// load takes over the stored parts. It returns false if the store could not be read.
+func (b *blameStore) load(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, blameCallTimeout.Duration())
+	defer cancel()
+	page, err := b.d.store.Read(ctx, directory.Parts)
+	if err != nil {
+		return false
+	}
+	now := b.d.clk.Now()
+	for _, entry := range page.Entries {
+		var s storedBlame
+		if err := json.Unmarshal(entry.Value, &s); err != nil {
+			b.d.log.Warn("invalid entry in the list of refused parts of prompts; ignoring it", zap.String("key", entry.Key), zap.Error(err))
+			continue
+		}
+		b.stored[entry.Key] = s
+		if age := max(0, now-s.AtMs); age < blameMaxAge && len(s.Report.Engines) > 0 {
+			b.d.prompts.Merge(aged(s.Report, age), now)
+			b.d.log.Info("refused part of prompts taken over from the store", zap.String("part", s.Report.Part), zap.Int("engines", len(s.Report.Engines)))
+		}
+	}
+	return true
+}
+
+// aged returns a report as it is after a time. An age of 0 means never.
+func aged(r prompts.Report, by clock.Millis) prompts.Report {
+	for _, age := range []*clock.Millis{&r.CrashAgoMs, &r.TryAgoMs, &r.SeenAgoMs, &r.CompletedAgoMs} {
+		if *age > 0 {
+			*age += by
+		}
+	}
+	return r
+}
+
+// update stores the parts that this daemon is responsible for and whose evidence has
+// changed.
+func (b *blameStore) update(ctx context.Context) {
+	now := b.d.clk.Now()
+	refused := map[string]bool{}
+	for _, r := range b.d.prompts.Blamed(now) {
+		key := blameKey(r)
+		refused[key] = true
+		last, known := b.stored[key]
+		same := known && last.Report.Epoch == r.Epoch && len(last.Report.Engines) == len(r.Engines) && now-last.AtMs < blameRefresh
+		if !same && b.d.mayTryPart(r.Part) {
+			b.put(ctx, key, storedBlame{Report: r, AtMs: now})
+		}
+	}
+	for key, s := range b.stored {
+		if !refused[key] && len(s.Report.Engines) > 0 && b.d.mayTryPart(s.Report.Part) {
+			s.Report.Engines, s.AtMs = nil, now
+			b.put(ctx, key, s)
+		}
+	}
+}
+
+func (b *blameStore) put(ctx context.Context, key string, s storedBlame) {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		b.d.log.Error("a refused part of prompts can't be encoded", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, blameCallTimeout.Duration())
+	defer cancel()
+	if err := b.d.store.Put(ctx, directory.Parts, key, raw); err != nil {
+		return // tried again after blameInterval
+	}
+	b.stored[key] = s
+	b.d.log.Info("refused part of prompts stored", zap.String("part", s.Report.Part), zap.Int("engines", len(s.Report.Engines)))
+}
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -21,7 +21,9 @@
 	"hemlockmux.example/hemlockd/internal/capacity"
 	inforce "hemlockmux.example/hemlockd/internal/directory"
 	"hemlockmux.example/hemlockd/internal/dispatch"
+	"hemlockmux.example/hemlockd/internal/membership"
 	"hemlockmux.example/hemlockd/internal/peers"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/roles"
 	"hemlockmux.example/hemlockd/internal/suspects"
@@ -67,6 +69,7 @@
 	ready        *http.Server
 	failed       chan error
 	retries      *retries.ServiceBudgets
+	prompts      *prompts.Evidence
 	stopping     chan struct{} // closed when the shutdown begins
 	cleanup      []func()      // run in reverse
 }
@@ -137,6 +140,8 @@
 	d.view = view
 	queue := capacity.NewQueue(d.clk, view, func() int { return d.peers.Count() })
 	sus := suspects.New()
+	d.prompts = prompts.New()
+	d.prompts.OnUpdate = d.shareParts
 	boot := clock.Boot()
 	d.directory = inforce.New(inforce.Options{
 		Log: d.log, Clock: boot, Store: store,
@@ -151,7 +156,7 @@
 		Log: d.log, Clock: d.clk, Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes,
 	}, peers.Handlers{
-		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, CapacityChanged: queue.RetrySoon,
+		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, CapacityChanged: queue.RetrySoon,
 		Unreachable:  func(ids []string) { d.dispatcher.MarkDown(ids) }, // the dispatcher is constructed below
 		ChangingRole: func(ids []string) { d.dispatcher.MarkRoleChanging(ids) },
 		NewerVersion: d.directory.FetchFromPeer,
@@ -169,7 +174,7 @@
 	d.onClose(closeVerdicts)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Log: d.log, Clock: d.clk, Directory: d.directory, Upstreams: servers, View: view, Queue: queue, Peers: d.peers,
-		Retries: d.retries, Suspects: sus, Verdicts: verdicts, Name: d.settings.Name,
+		Retries: d.retries, Suspects: sus, Prompts: d.prompts, MayTryPart: d.mayTryPart, Verdicts: verdicts, Name: d.settings.Name,
 		ReadCall: platform.ReadCall, DataCentre: d.settings.DataCentre, Regions: d.settings.Regions,
 	})
 	roleController := roles.NewController(roles.Options{
@@ -189,6 +194,7 @@
 	go d.runRefresh(ctx)
 	go d.dispatcher.RunProbes(ctx)
 	go d.runRegistration(ctx)
+	go (&blameStore{d: d, stored: map[string]storedBlame{}}).run(ctx)
 	go roleController.Run(ctx)
 	if d.ready, err = d.listen("ready", d.settings.Ready, http.HandlerFunc(d.serveReady)); err != nil {
 		return err
@@ -286,6 +292,23 @@
 	return services
 }
 
+// shareParts sends the evidence on parts of prompts to the other daemons.
+func (d *platformDaemon) shareParts() {
+	d.peers.Broadcast(peers.Update{Parts: d.prompts.Recent(d.clk.Now())})
+}
+
+// mayTryPart reports whether this daemon is the one, of those alive, that tries a blamed
+// part again.
+func (d *platformDaemon) mayTryPart(part string) bool {
+	names := []string{d.settings.Name}
+	for _, other := range d.peers.Alive() {
+		if !other.Leaving {
+			names = append(names, other.Name)
+		}
+	}
+	return membership.Owner(part, names) == d.settings.Name
+}
+
 // isFirstInDataCentre reports whether no live daemon of this data centre that is not
 // leaving has a lower name than this one.
 func (d *platformDaemon) isFirstInDataCentre() bool {
@@ -314,6 +337,11 @@
 			Upstream: u.ID, Service: u.Service, Address: u.Address, Role: string(u.Role), Leaving: u.Leaving, Down: d.dispatcher.IsDown(u.ID),
 		})
 	}
+	for _, r := range d.prompts.Blamed(now) {
+		s.RefusedParts = append(s.RefusedParts, operatorapi.RefusedPartView{
+			Service: r.Service, Part: r.Part, Engines: r.Engines, SinceCrashMs: r.CrashAgoMs, SinceTryMs: r.TryAgoMs, SinceRefusalMs: r.SeenAgoMs,
+		})
+	}
 	for _, p := range d.peers.All() {
 		s.Daemons = append(s.Daemons, operatorapi.PeerView{
 			Daemon: p.Name, DataCentre: p.DataCentre, Address: p.Address, Version: p.Version, SinceHeardMs: now - p.LastHeardMs, Leaving: p.Leaving,
--- a/hemlockd/internal/dispatch/continuation.go
+++ b/hemlockd/internal/dispatch/continuation.go
@@ -44,7 +44,7 @@
 // prefilled for it, while the current engine keeps the stream. It returns nil if the
 // request may not, or can't, go on elsewhere now.
 func (m *modelRun) prepareContinuation() *placement {
-	if m.callerGone() || m.remainingMs() <= 0 || m.possibleRuns >= m.route.MaxAttempts {
+	if m.callerGone() || m.remainingMs() <= 0 || m.possibleRuns >= m.route.MaxAttempts || m.tryingPart || m.blamed() {
 		return nil
 	}
 	current := m.placement
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/peers"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
@@ -91,6 +92,10 @@
 	Retries *retries.ServiceBudgets
 	// Suspects holds the requests during which upstreams crashed.
 	Suspects *suspects.Suspects
+	// Prompts holds the evidence on parts of prompts that crash engines.
+	Prompts *prompts.Evidence
+	// MayTryPart reports whether this daemon is the one that tries a blamed part again.
+	MayTryPart func(part string) bool
 	// ReadCall parses a caller's request, without its body.
 	ReadCall func(*http.Request) *calls.Call
 	// Name is this daemon's name.
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -17,6 +17,7 @@
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/routing"
 	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/prompts"
 )
 
 // Reasons recorded for requests, and sent to callers with refusals and failures.
@@ -37,6 +38,7 @@
 	reasonServed      = "served"
 	reasonUnreachable = "upstreamsUnreachable"
 	reasonInternal    = "internal"
+	reasonPart        = "crashingPart"
 )
 
 const (
@@ -76,6 +78,10 @@
 	// forecastUse is the fraction of the engine's memory that was forecast to be in use
 	// when the request was last placed; 0 if it was never placed.
 	forecastUse float64
+	// blame is set if the request is refused because of a part of its prompt.
+	blame *prompts.Refusal
+	// tryingPart is true if the request tries a blamed part again.
+	tryingPart bool
 	// events is the number of stream events forwarded.
 	events int
 	// silentMs is the time without an event before the last stream that ended early.
@@ -117,6 +123,10 @@
 		x.respondError(http.StatusServiceUnavailable, reasonSuspect, until-x.now())
 		return
 	}
+	if x.blamed() {
+		x.respondError(http.StatusServiceUnavailable, reasonPart, x.blame.RetryAfterMs)
+		return
+	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.remainingMs().Duration())
 	defer cancel()
 	x.d.opts.Retries.RecordRequest(x.service, x.now())
@@ -326,6 +336,12 @@
 	if x.silentMs > 0 {
 		fields = append(fields, zap.Int64("silentMs", int64(x.silentMs)))
 	}
+	if x.blame != nil {
+		fields = append(fields, zap.String("part", x.blame.Part))
+	}
+	if x.tryingPart {
+		fields = append(fields, zap.Bool("tryingPart", true))
+	}
 	if x.refusalBasis != "" {
 		fields = append(fields, zap.String("basis", x.refusalBasis))
 	}
--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +21,7 @@
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/peers"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
@@ -27,12 +29,18 @@
 // fakeDirectory holds one configuration and its upstreams.
 type fakeDirectory struct {
 	table     *routing.Table
+	mu        sync.Mutex
 	upstreams map[string][]routing.Upstream
 }
 
-func (d *fakeDirectory) Table() *routing.Table                       { return d.table }
-func (d *fakeDirectory) Upstreams(service string) []routing.Upstream { return d.upstreams[service] }
-func (d *fakeDirectory) Ready() bool                                 { return true }
+func (d *fakeDirectory) Table() *routing.Table { return d.table }
+func (d *fakeDirectory) Ready() bool           { return true }
+
+func (d *fakeDirectory) Upstreams(service string) []routing.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.upstreams[service]
+}
 
 type fakePeers struct{}
 
@@ -89,6 +97,10 @@
 	failProbes                         bool
 	// decode, if set, makes the answers of decode calls without a fault.
 	decode func(ctx context.Context, to routing.Upstream, d calls.Delivery) *calls.Reply
+	// send, if set, is called for each call and can let it fail.
+	send func(call *calls.Call, to routing.Upstream, d calls.Delivery) error
+	// decodes counts the decode calls.
+	decodes atomic.Int32
 	// plain, if set, answers plain calls without a fault.
 	plain func(ctx context.Context) (*calls.Reply, error)
 }
@@ -111,6 +123,15 @@
 func (f *fakeUpstreams) Send(ctx context.Context, call *calls.Call, to routing.Upstream, d calls.Delivery) (*calls.Reply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if d.Phase == calls.PhaseDecode {
+		f.decodes.Add(1)
+	}
+	if f.send != nil {
+		if err := f.send(call, to, d); err != nil {
+			f.runs[call.ID]++
+			return nil, err
+		}
+	}
 	fault := f.choose("fault in "+string(d.Phase), faultCount)
 	fail := func(cause calls.Cause, outcome calls.Outcome) (*calls.Reply, error) {
 		return nil, &calls.Error{Upstream: to.ID, Phase: d.Phase, Cause: cause, Outcome: outcome, Err: errors.New("injected fault")}
@@ -170,6 +191,11 @@
 func (f *fakeUpstreams) Prefill(_ context.Context, call *calls.Call, to routing.Upstream, _ calls.Delivery) (calls.KVSource, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.send != nil {
+		if err := f.send(call, to, calls.Delivery{Phase: calls.PhasePrefill}); err != nil {
+			return calls.KVSource{}, err
+		}
+	}
 	if f.results > 0 && f.prefillTime > 0 {
 		f.mu.Unlock()
 		time.Sleep(f.prefillTime)
@@ -280,7 +306,7 @@
 	s.dispatcher = New(Options{
 		Log: zap.NewNop(), Clock: clk, Directory: dir, Upstreams: s.upstreams, View: view, Queue: capacity.NewQueue(clk, view, func() int { return 1 }),
 		Peers: fakePeers{}, Verdicts: s.verdicts, Retries: retries.NewServiceBudgets(bound, clk.Now()-bound.WindowMs, func() int { return 1 }),
-		Suspects: suspects.New(), ReadCall: readCall, Name: "d", DataCentre: "a",
+		Suspects: suspects.New(), Prompts: prompts.New(), MayTryPart: func(string) bool { return false }, ReadCall: readCall, Name: "d", DataCentre: "a",
 	})
 	s.dispatcher.RefreshEngines()
 	return s
@@ -292,6 +318,9 @@
 	}
 	if r.Method == http.MethodPost {
 		call.Prompt = &calls.Prompt{Tokens: 100, MaxOutputTokens: 10 * events, ExpectedOutputTokens: 10 * events}
+		if parts := r.Header.Get("Parts"); parts != "" {
+			call.Prompt.Parts = strings.Split(parts, ",")
+		}
 	}
 	return call
 }
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -115,7 +115,7 @@
 		return false
 	}
 	for {
-		if !m.prefill() {
+		if !m.prefill() || m.blamed() {
 			m.giveUp(reasonBusy)
 			return false
 		}
@@ -151,7 +151,7 @@
 // the placement and returns true. Otherwise it ends the request.
 func (m *modelRun) prepareRetry() bool {
 	if m.callerGone() || m.remainingMs() <= 0 || !m.route.Repeatable() || m.possibleRuns >= m.route.MaxAttempts ||
-		!m.d.opts.Retries.Take(m.service, m.now()) {
+		m.tryingPart || m.blamed() || !m.d.opts.Retries.Take(m.service, m.now()) {
 		m.giveUp(reasonUnknown)
 		return false
 	}
@@ -160,11 +160,16 @@
 }
 
 // giveUp ends the request without a complete answer: it closes the caller's
-// connection if part of the answer has been sent, and sends an error otherwise.
+// connection if part of the answer has been sent, and sends an error otherwise. The reason
+// is used if the request was not run and no part of its prompt is to blame.
 func (m *modelRun) giveUp(reason string) {
 	if m.answered {
 		m.abort(reasonStreamCut)
 	}
+	if m.blame != nil {
+		m.respondFailure(reasonPart, m.blame.RetryAfterMs)
+		return
+	}
 	m.respondFailure(reason, capacityRetryAfter+jitter(capacityRetryAfter))
 }
 
--- a/hemlockd/internal/dispatch/prefill.go
+++ b/hemlockd/internal/dispatch/prefill.go
@@ -55,7 +55,7 @@
 	}
 	tried := map[string]bool{}
 	for m.prefillCalls < maxEngineCalls && m.remainingMs() > 0 && !m.callerGone() {
-		if m.run.Prefill == "" && !m.placePrefill(tried) {
+		if m.blamed() || m.run.Prefill == "" && !m.placePrefill(tried) {
 			return false
 		}
 		if m.prefillCalls > 0 && !m.d.opts.Retries.Take(m.service, m.now()) {
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -76,6 +76,7 @@
 	u, _ := m.upstream(m.run.Engine)
 	if err == nil {
 		m.d.health.recordResult(u.ID, true)
+		m.recordCompletion()
 		if m.possibleRuns == 1 && m.call.ResumeAfter == "" {
 			m.d.opts.View.ObserveLength(m.run.ExpectedTokens, m.run.GeneratedTokens)
 		}
--- a/hemlockd/internal/peers/calls.go
+++ b/hemlockd/internal/peers/calls.go
@@ -35,6 +35,9 @@
 	if req.Method == operatorapi.MethodDaemonView {
 		return p.handlers.Beliefs(), nil
 	}
+	if req.Method == operatorapi.MethodLiftPart && req.Params != nil {
+		return p.liftPart(*req.Params)
+	}
 	if req.Method != methodSnapshot || req.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method or missing parameters: " + req.Method}
 	}
@@ -45,6 +48,18 @@
 	return p.handlers.Snapshot(request), nil
 }
 
+// liftPart lifts the refusal of a part of prompts for an operator.
+func (p *Peers) liftPart(params json.RawMessage) (any, error) {
+	var request operatorapi.LiftPartRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	lifted := p.handlers.Prompts.Lift(request.Service, request.Part, p.options.Clock.Now())
+	p.options.Log.Info("an operator lifts the refusal of a part of prompts",
+		zap.String("service", request.Service), zap.String("part", request.Part), zap.Bool("lifted", lifted))
+	return operatorapi.LiftPartResponse{Lifted: lifted}, nil
+}
+
 // callTimeout is the time limit of a call between daemons, including the answer.
 const callTimeout = 2 * clock.Second
 
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -3,6 +3,7 @@
 import (
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/hemlockd/internal/capacity"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
 
@@ -50,6 +51,8 @@
 	Daemons []string `json:"daemons,omitempty"`
 	// Suspects holds recent entries about requests during which upstreams died.
 	Suspects []suspects.Entry `json:"suspects,omitempty"`
+	// Parts is the evidence on parts of prompts that crash engines.
+	Parts []prompts.Report `json:"parts,omitempty"`
 	// Leaving reports whether the sender is shutting down.
 	Leaving bool `json:"leaving,omitempty"`
 	// Freshness is part of full states.
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -32,6 +32,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/operatorapi"
 	"hemlockmux.example/hemlockd/internal/capacity"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
 
@@ -106,6 +107,8 @@
 	View *capacity.View
 	// Suspects holds the requests suspected of crashing upstreams.
 	Suspects *suspects.Suspects
+	// Prompts holds the evidence on parts of prompts that crash engines.
+	Prompts *prompts.Evidence
 	// CapacityChanged is called when runs of other daemons may have ended.
 	CapacityChanged func()
 	// Unreachable is called with upstreams that another daemon found unreachable.
@@ -137,6 +140,8 @@
 	Unreachable []string
 	// ChangingRole holds the IDs of engines just ordered to change their role.
 	ChangingRole []string
+	// Parts holds new evidence on parts of prompts that crash engines.
+	Parts []prompts.Report
 }
 
 // Daemon is the last known state of another daemon.
@@ -265,7 +270,7 @@
 
 // Broadcast sends an update at once to all daemons that are alive.
 func (p *Peers) Broadcast(u Update) {
-	p.send(State{Runs: u.Runs, Ended: u.Ended, Unreachable: u.Unreachable, ChangingRole: u.ChangingRole}, p.aliveAddresses())
+	p.send(State{Runs: u.Runs, Ended: u.Ended, Unreachable: u.Unreachable, ChangingRole: u.ChangingRole, Parts: u.Parts}, p.aliveAddresses())
 }
 
 func (p *Peers) aliveAddresses() []*net.UDPAddr {
@@ -347,7 +352,9 @@
 	p.rounds++
 	sequence := p.sequence
 	p.mu.Unlock()
-	p.send(State{Sequence: sequence, Full: true, Runs: p.handlers.View.LocalRuns(now), Suspects: p.handlers.Suspects.Recent(now)}, p.dueAddresses(all))
+	p.send(State{
+		Sequence: sequence, Full: true, Runs: p.handlers.View.LocalRuns(now), Suspects: p.handlers.Suspects.Recent(now), Parts: p.handlers.Prompts.Recent(now),
+	}, p.dueAddresses(all))
 }
 
 // forgetSilent drops the runs of daemons that have been silent for longer than
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/operatorapi"
 	"hemlockmux.example/hemlockd/internal/capacity"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
 
@@ -42,7 +43,7 @@
 		Address: freeAddress(t), Control: freeAddress(t), StartedMs: started, BytesPerSecond: 20000,
 	}, Handlers{
 		Version: func() int64 { return n.version.Load() }, ListVersion: func() int64 { return 0 }, FollowsStore: func() bool { return true },
-		View: n.view, Suspects: suspects.New(), CapacityChanged: func() {}, NewerVersion: func(control string) { n.newer <- control },
+		View: n.view, Suspects: suspects.New(), Prompts: prompts.New(), CapacityChanged: func() {}, NewerVersion: func(control string) { n.newer <- control },
 		Unreachable: func([]string) {}, ChangingRole: func([]string) {},
 		Freshness: func() *Freshness { return &Freshness{ListAgeMs: 1} }, Confirmed: func(Freshness, int64, int64) {},
 		Snapshot: func(SnapshotRequest) Snapshot { return Snapshot{Version: n.version.Load(), Config: []byte("config")} },
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -85,6 +85,9 @@
 	for _, e := range s.Suspects {
 		p.handlers.Suspects.Merge(e, now)
 	}
+	for _, r := range s.Parts {
+		p.handlers.Prompts.Merge(r, now)
+	}
 	if s.Freshness != nil {
 		p.handlers.Confirmed(*s.Freshness, s.Version, s.ListVersion)
 	}
