--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -52,10 +52,12 @@
 	store         *settings.Store
 	daemons       *daemons.Daemons
 	keeper        *keeper.Keeper
+	handOff       *handoff.Server
 	recorder      *verdicts.Recorder
 	operators     *operators.Operators
-	callersPort   *http.Server
-	operatorsPort *http.Server
+	callers       *callers.Callers
+	callersPort   *port
+	operatorsPort *port
 	failed        chan error
 	cleanup       []func() // run in reverse
 }
@@ -135,14 +137,15 @@
 	}
 	svc, closeServices := services.New(env, d.configuration, ledger, list)
 	d.onClose(closeServices)
-	front := callers.New(env, callers.Dependencies{
+	d.callers = callers.New(env, callers.Dependencies{
 		Configuration: d.configuration, Daemons: d.daemons, Keeper: k, Services: svc, HandOff: handOff,
 		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
 	})
+	d.handOff = handoff.NewServer(cfg.DataCentre, d.configuration, k, svc, recorder.AcceptCopies)
 	closeDaemons, err := d.daemons.Start(daemons.Handlers{
-		HandOff:      handoff.NewServer(cfg.DataCentre, d.configuration, k, svc, recorder.AcceptCopies),
+		HandOff:      d.handOff,
 		AcceptCopies: recorder.AcceptCopies, FindVerdict: recorder.Find,
-		StoredUpTo: recorder.StoredUpTo, LendCapacity: front.Lend, RecentSuspects: recentSuspects(env, sus), MergeSuspects: mergeSuspects(env, sus),
+		StoredUpTo: recorder.StoredUpTo, LendCapacity: d.callers.Lend, RecentSuspects: recentSuspects(env, sus), MergeSuspects: mergeSuspects(env, sus),
 		DaemonDied: func(m membership.Member) {
 			k.CancelRunsOf(daemons.RunID(m))
 			recorder.DaemonDied(daemons.RunID(m), m.Name)
@@ -166,7 +169,7 @@
 	if d.operatorsPort, err = d.listen("operators", cfg.Operators, d.operators.Handler()); err != nil {
 		return err
 	}
-	if d.callersPort, err = d.listen("callers", cfg.Callers, front.Handler()); err != nil {
+	if d.callersPort, err = d.listen("callers", cfg.Callers, d.callers.Handler()); err != nil {
 		return err
 	}
 	d.publish()
@@ -206,12 +209,12 @@
 }
 
 // listen opens a port that is closed when the daemon stops.
-func (d *Daemon) listen(name, address string, handler http.Handler) (*http.Server, error) {
-	server, closePort, err := openPort(d.env.Log, name, address, handler, idleTimeout, d.failed)
+func (d *Daemon) listen(name, address string, handler http.Handler) (*port, error) {
+	p, closePort, err := openPort(d.env.Log, name, address, handler, idleTimeout, d.failed)
 	if err == nil {
 		d.onClose(closePort)
 	}
-	return server, err
+	return p, err
 }
 
 // runPolls polls the platform's settings while this daemon is one of the two pollers
@@ -241,6 +244,7 @@
 // most the configured time or until hard is done.
 func (d *Daemon) drain(hard context.Context) {
 	d.env.Log.Info("draining", zap.Int("open", d.recorder.OpenCount()))
+	d.callers.Drain()
 	d.operators.Drain()
 	d.daemons.Leave()
 	select {
@@ -249,12 +253,12 @@
 	}
 	ctx, cancel := context.WithTimeout(hard, d.env.Config.DrainMs.Duration())
 	defer cancel()
-	err := d.callersPort.Shutdown(ctx)
-	for err == nil && d.keeper.Active() > 0 && ctx.Err() == nil {
+	err := d.callersPort.drain(ctx)
+	for err == nil && (d.keeper.Active() > 0 || d.handOff.InFlight() > 0) && ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 	}
 	open := d.recorder.OpenCount()
-	cut := err != nil || open > 0 || d.keeper.Active() > 0
+	cut := err != nil || open > 0 || d.keeper.Active() > 0 || d.handOff.InFlight() > 0
 	if cut {
 		d.env.Log.Warn("drain ended with requests in flight", zap.Int("open", open), zap.Error(err))
 	}
--- a/hemlockd/internal/app/port.go
+++ b/hemlockd/internal/app/port.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,28 +20,43 @@
 type port struct {
 	name     string
 	server   *http.Server
-	listener net.Listener
-	failed   chan<- error // receives the error if the server ends without being closed
+	listener deadlineListener
+	failed   chan<- error  // receives the error if the server ends without being closed
+	ended    chan struct{} // closed when no more connections are accepted
+
+	mu          sync.Mutex
+	conns       map[*conn]struct{}
+	draining    bool
+	acceptUntil time.Time // when a draining port stops accepting connections at the latest
 }
 
-// openPort opens a port and serves it. It returns the server and a function that
+// openPort opens a port and serves it. It returns the port and a function that
 // closes it.
-func openPort(log *zap.Logger, name, address string, handler http.Handler, idle clock.Millis, failed chan<- error) (*http.Server, func(), error) {
+func openPort(log *zap.Logger, name, address string, handler http.Handler, idle clock.Millis, failed chan<- error) (*port, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
-	server := &http.Server{
+	p, closePort := servePort(log, name, listener.(*net.TCPListener), handler, idle, failed)
+	return p, closePort, nil
+}
+
+// servePort serves a port on an open listener. It returns the port and a function
+// that closes it.
+func servePort(log *zap.Logger, name string, listener deadlineListener, handler http.Handler, idle clock.Millis, failed chan<- error) (*port, func()) {
+	p := &port{name: name, listener: listener, failed: failed, ended: make(chan struct{}), conns: map[*conn]struct{}{}}
+	p.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idle.Duration(),
-		ErrorLog: zap.NewStdLog(log),
+		ErrorLog: zap.NewStdLog(log), ConnState: p.connStateChanged,
 	}
-	p := &port{name: name, server: server, listener: listener, failed: failed}
 	go p.run()
-	return server, func() { _ = server.Close() }, nil
+	return p, func() { _ = p.server.Close() }
 }
 
 func (p *port) run() {
-	if err := p.server.Serve(p.listener); !errors.Is(err, http.ErrServerClosed) {
+	err := p.server.Serve(&portListener{deadlineListener: p.listener, p: p})
+	close(p.ended)
+	if _, draining := p.acceptsUntil(); !draining && !errors.Is(err, http.ErrServerClosed) {
 		p.failed <- fmt.Errorf("serve port for %s: %w", p.name, err)
 	}
 }
--- a/hemlockd/internal/handoff/server.go
+++ b/hemlockd/internal/handoff/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -26,8 +28,12 @@
 // maxBodyBytes bounds the body of a request that is handed over.
 const maxBodyBytes = 65 << 20
 
-// Server serves the requests that other daemons hand over to this one.
+// Server serves the requests that other daemons hand over to this one. It is the handler for the
+// daemons' port.
 type Server struct {
+	http.Handler
+	inFlight atomic.Int64
+
 	configuration *configuration.Configuration
 	keeper        *keeper.Keeper
 	services      *services.Services
@@ -35,26 +41,48 @@
 	storeCopies   func(daemons.CopyRequest) daemons.CopyAnswer
 }
 
-// NewServer returns the handler for the daemons' port. storeCopies stores copies of the verdicts on
+// NewServer returns the server. storeCopies stores copies of the verdicts on
 // requests that run here for another daemon of this data centre.
-func NewServer(dataCentre string, cfg *configuration.Configuration, k *keeper.Keeper, s *services.Services, storeCopies func(daemons.CopyRequest) daemons.CopyAnswer) http.Handler {
+func NewServer(dataCentre string, cfg *configuration.Configuration, k *keeper.Keeper, s *services.Services, storeCopies func(daemons.CopyRequest) daemons.CopyAnswer) *Server {
 	server := &Server{configuration: cfg, keeper: k, services: s, dataCentre: dataCentre, storeCopies: storeCopies}
 	r := chi.NewRouter()
+	r.Use(server.count)
 	r.Post("/models", server.model)
 	r.Post("/services", server.service)
 	r.Post("/cancel", server.cancel)
-	return r
+	server.Handler = r
+	return server
+}
+
+// InFlight returns the number of requests of other daemons whose response has not been written.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+func (s *Server) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
 }
 
-// readCall decodes the call header into out and reads the body. It answers a malformed header with
-// status 400.
+// readCall decodes the call header into out and reads the body. It answers a malformed header or a
+// body that can't be read with status 400, a body that is too long with 413.
 func readCall(w http.ResponseWriter, r *http.Request, out any) ([]byte, bool) {
 	if err := json.Unmarshal([]byte(r.Header.Get(headerCall)), out); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return nil, false
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	return body, err == nil
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return nil, false
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil, false
+	}
+	return body, true
 }
 
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
@@ -77,6 +105,12 @@
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-ID")); err == nil {
 		from = last + 1
 	}
+	if _, known := s.keeper.Find(call.RequestID); from > 0 && !known {
+		// A new run would generate another answer than the one whose begin the caller has.
+		metrics.Add("forgottenRuns", 1)
+		http.Error(w, "this daemon does not know the request's run", http.StatusGone)
+		return
+	}
 	if call.FrontDataCentre == s.dataCentre {
 		s.storeCopies(daemons.CopyRequest{From: call.Front, Opened: []verdict.Verdict{openVerdict(call)}})
 	}
