Own door: a part of a prompt that crashes engines is refused

Callers saw: while requests with a part that crashes each engine that begins to decode it came, sound requests with the same first part failed too, and the requests with the part went on to crash engines. Only whole requests were remembered (crashSuspect), and each request had a last part of its own.

Cause: package prompts was not used at the project's own door.

Now the callers' port asks it before admission, and the keeper before each prefill, decode and repeat. The keeper records a crash if the connection of a decode broke and the engine can't be reached for the resumption, and a completion if an answer ended. An engine that goes on after a broken connection, or is leaving, has not crashed. Engines restart under the same name and report no start, so a process is the name and the time of the crash in steps of 4 s; one crash counts as two processes at most and a part is blamed from three. Probes carry the reports; changes are gossiped at once, at most once in 20 ms. One daemon of all data centres tries a part again; that request is not repeated.

Not kept in the platform's table: after a restart of all daemons at once the part is learned again.

TestPartThatCrashesEnginesIsRefused is as strict as before: its local constant is problem.CrashingPart now, and its parts are shared with the new tests.

--- a/common/completions/parts.go
+++ b/common/completions/parts.go
@@ -26,6 +26,16 @@
 	return parts
 }
 
+// SharedParts returns the parts that other requests may have too: all but the last. It returns nil
+// for a prompt of one part.
+func (r Request) SharedParts() []string {
+	parts := r.Parts()
+	if len(parts) < 2 {
+		return nil
+	}
+	return parts[:len(parts)-1]
+}
+
 func (r Request) partTexts() []string {
 	if len(r.Messages) > 0 {
 		var texts []string
--- a/common/completions/parts_test.go
+++ b/common/completions/parts_test.go
@@ -56,3 +56,18 @@
 		}
 	}
 }
+
+func TestSharedParts(t *testing.T) {
+	for body, want := range map[string]int{
+		`{}`: 0, `{"prompt":"own"}`: 0, `{"prompt":"a\n\nown"}`: 1, `{"prompt":"a\n\nb\n\nown"}`: 2,
+		`{"messages":[{"role":"user","content":"own"}]}`: 0,
+	} {
+		var r Request
+		if err := json.Unmarshal([]byte(body), &r); err != nil {
+			t.Fatal(err)
+		}
+		if got := r.SharedParts(); len(got) != want || !slices.Equal(got, r.Parts()[:want]) {
+			t.Errorf("%s: got %q, want the first %d of %q", body, got, want, r.Parts())
+		}
+	}
+}
--- a/common/problem/problem.go
+++ b/common/problem/problem.go
@@ -51,6 +51,7 @@
 	UpstreamFailed        Reason = "upstreamFailed"
 	UpstreamSilent        Reason = "upstreamSilent"
 	CrashSuspect          Reason = "crashSuspect"
+	CrashingPart          Reason = "crashingPart"
 	PlatformUnavailable   Reason = "platformUnavailable"
 	OutcomeUnknown        Reason = "outcomeUnknown"
 	NotReady              Reason = "notReady"
@@ -71,6 +72,7 @@
 	UpstreamSilent: http.StatusGatewayTimeout, CrashSuspect: http.StatusUnprocessableEntity,
 	PlatformUnavailable: http.StatusServiceUnavailable, OutcomeUnknown: http.StatusConflict,
 	NotReady:             http.StatusServiceUnavailable,
+	CrashingPart:         http.StatusServiceUnavailable,
 	DataCentreOutOfReach: http.StatusServiceUnavailable, CallerGone: 499,
 	DaemonLost: http.StatusBadGateway, Internal: http.StatusInternalServerError,
 }
--- a/hemlockd/e2e/crashparts_test.go
+++ b/hemlockd/e2e/crashparts_test.go
@@ -30,8 +30,6 @@
 	soundLimit = 2 * contactLimit
 	// refusalLimit is the time within which a request with the part must be refused.
 	refusalLimit = 200 * time.Millisecond
-	// crashingPart is the reason of these refusals.
-	crashingPart problem.Reason = "crashingPart"
 )
 
 // Loads of the tests with a part that crashes engines.
@@ -78,7 +76,7 @@
 		return c.err.Error()
 	case c.status != http.StatusServiceUnavailable:
 		return fmt.Sprintf("status %d", c.status)
-	case json.Unmarshal([]byte(c.body), &p) != nil || p.Reason != crashingPart:
+	case json.Unmarshal([]byte(c.body), &p) != nil || p.Reason != problem.CrashingPart:
 		return fmt.Sprintf("reason %q", p.Reason)
 	case c.header.Get("Retry-After") == "":
 		return "no Retry-After"
@@ -285,7 +283,7 @@
 	}
 	if len(faults) > 0 {
 		f.t.Errorf("requests with the part that reached no engine, %d in all, must be refused within %v with 503, Retry-After and reason %q; number of others by fault: %v",
-			refused, refusalLimit, crashingPart, faults)
+			refused, refusalLimit, problem.CrashingPart, faults)
 	}
 }
 
@@ -371,21 +369,96 @@
 	return crashes
 }
 
+// startOwnPartTraffic starts a deployment with eight decode engines in each data centre, and
+// traffic with a part that crashes these.
+func startOwnPartTraffic(t *testing.T, opts options) (*deployment, *partTraffic) {
+	t.Helper()
+	opts.prefill, opts.decode, opts.policy = 2, 8, "retryRatio = 1.0\nmaxAttempts = 4"
+	d := deploy(t, opts)
+	first, other := strings.Repeat("first part ", 20), strings.Repeat("other first part ", 20)
+	guilty := strings.Repeat("part that crashes ", 20)
+	d.injectFault("all", "crashOnPart", map[string]any{"texts": []string{guilty}, "restartMs": engineRestart.Milliseconds()})
+	return d, startPartTraffic(t, ownPartDoor{d}, len(d.daemons), first, other, guilty)
+}
+
+// checkIDs checks that all calls were counted, apart from those to daemons that were down.
+func (f *partTraffic) checkIDs(o outage) {
+	f.t.Helper()
+	for _, c := range f.calls {
+		if c.id == "" && !o.covers(c, c.sent) && !o.covers(c, c.sent.Add(c.elapsed)) {
+			f.t.Errorf("a response has no request id, so its arrivals were not counted: status %d, error %v", c.status, c.err)
+		}
+	}
+}
+
 // TestPartThatCrashesEnginesIsRefused checks that requests with a part that crashes
 // each engine that begins to decode it are refused, whatever else they hold, and that
 // sound requests with the same first part are served.
 func TestPartThatCrashesEnginesIsRefused(t *testing.T) {
-	d := deploy(t, options{daemons: 3, prefill: 2, decode: 8, policy: "retryRatio = 1.0\nmaxAttempts = 4"})
-	first, other := strings.Repeat("first part ", 20), strings.Repeat("other first part ", 20)
-	guilty := strings.Repeat("part that crashes ", 20)
-	d.injectFault("all", "crashOnPart", map[string]any{"texts": []string{guilty}, "restartMs": engineRestart.Milliseconds()})
-	f := startPartTraffic(t, ownPartDoor{d}, len(d.daemons), first, other, guilty)
+	testPartThatCrashesEngines(t, options{daemons: 3})
+}
+
+// TestPartThatCrashesEnginesIsRefusedInAllDataCentres checks the same of two data centres.
+func TestPartThatCrashesEnginesIsRefusedInAllDataCentres(t *testing.T) {
+	testPartThatCrashesEngines(t, options{dataCentres: []string{"brandon-a", "regina-a"}, daemons: 2})
+}
+
+func testPartThatCrashesEngines(t *testing.T, opts options) {
+	_, f := startOwnPartTraffic(t, opts)
 	fifth := f.waitForCrashes()
 	time.Sleep(time.Until(f.started.Add(guiltyTime)))
 	f.check(fifth, fifth.Add(soundLimit), outage{})
-	for _, c := range f.calls {
-		if c.id == "" {
-			t.Errorf("a response has no request id, so its arrivals were not counted: status %d, error %v", c.status, c.err)
+	f.checkIDs(outage{})
+}
+
+// TestRestartedDaemonRefusesCrashingPart checks that a daemon that was killed after the crashes
+// refuses requests with the part soon after it is ready again.
+func TestRestartedDaemonRefusesCrashingPart(t *testing.T) {
+	d, f := startOwnPartTraffic(t, options{daemons: 3})
+	fifth := f.waitForCrashes()
+	const killed = 1
+	o := outage{daemons: []int{killed}, from: fifth.Add(contactLimit)}
+	time.Sleep(time.Until(o.from))
+	d.daemons[killed].kill()
+	<-d.daemons[killed].exitedCh
+	d.daemons[killed].start()
+	d.daemons[killed].waitReady()
+	o.until = time.Now().Add(contactLimit)
+	settled := o.until
+	if limit := fifth.Add(soundLimit); limit.After(settled) {
+		settled = limit
+	}
+	time.Sleep(time.Until(settled.Add(3 * time.Second)))
+	f.check(fifth, settled, o)
+	f.checkIDs(o)
+}
+
+// TestBlamedPartIsRefusedInOtherDataCentres checks that the crashes of one data centre's engines
+// protect those of another.
+func TestBlamedPartIsRefusedInOtherDataCentres(t *testing.T) {
+	const guilty = "part that crashes"
+	d := deploy(t, options{dataCentres: []string{"brandon-a", "regina-a"}, decode: 4})
+	d.injectFault("all", "crashOnPart", map[string]any{"texts": []string{guilty}, "restartMs": engineRestart.Milliseconds()})
+	send := func(daemon int, own string) *partCall {
+		c := &partCall{parts: []string{"first part", guilty, own}, guilty: true, daemon: daemon, sent: time.Now()}
+		ownPartDoor{d}.sendParts(c)
+		c.elapsed = time.Since(c.sent)
+		return c
+	}
+	for n := 0; send(0, fmt.Sprint("own ", n)).refusalFault() != ""; n++ {
+		if n == 20 {
+			t.Fatal("the part is not refused")
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	for i := range d.daemons {
+		if fault := send(i, fmt.Sprint("own part at ", i)).refusalFault(); fault != "" {
+			t.Errorf("%s: %s", d.daemons[i].name, fault)
+		}
+	}
+	for _, e := range d.events() {
+		if e.Event == "take" && strings.HasPrefix(e.Upstream, "regina-a") {
+			t.Errorf("%s got request %s", e.Upstream, e.RequestID)
 		}
 	}
 }
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -31,6 +31,7 @@
 	"hemlockmux.example/hemlockd/internal/operators"
 	"hemlockmux.example/hemlockd/internal/placements"
 	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/services"
 	"hemlockmux.example/hemlockd/internal/suspects"
 	"hemlockmux.example/hemlockd/internal/verdicts"
@@ -120,6 +121,9 @@
 	d.daemons = daemons.New(env, d.configuration)
 	sus := suspects.New()
 	sus.OnUpdate = d.daemons.GossipNow
+	parts := prompts.New()
+	sharer := newPartsSharer(d.daemons)
+	parts.OnUpdate = sharer.share
 	list, closeList := vmlist.New(env, vms, d.daemons.AddSeed)
 	d.onClose(closeList)
 	recorder, closeRecorder := verdicts.New(env, objects, copyPeers{d.daemons, env.Config}, d.verdictInterval)
@@ -127,7 +131,7 @@
 	d.recorder = recorder
 	ledger, closeLedger := placements.New(env, table, d.ledgerInterval)
 	d.onClose(closeLedger)
-	k, closeKeeper := keeper.New(env, d.configuration, client, d.daemons, list, sus)
+	k, closeKeeper := keeper.New(env, d.configuration, client, d.daemons, list, sus, parts)
 	d.onClose(closeKeeper)
 	d.keeper = k
 	d.configuration.OnChange = func(version int64) {
@@ -146,6 +150,7 @@
 		HandOff:      d.handOff,
 		AcceptCopies: recorder.AcceptCopies, FindVerdict: recorder.Find,
 		StoredUpTo: recorder.StoredUpTo, LendCapacity: d.callers.Lend, RecentSuspects: recentSuspects(env, sus), MergeSuspects: mergeSuspects(env, sus),
+		RecentParts: func() []prompts.Report { return parts.Recent(env.Clock.Now()) }, MergeParts: mergeParts(env, parts),
 		DaemonDied: func(m membership.Member) {
 			k.CancelRunsOf(daemons.RunID(m))
 			recorder.DaemonDied(daemons.RunID(m), m.Name)
@@ -155,6 +160,7 @@
 		return err
 	}
 	d.onClose(closeDaemons)
+	d.onClose(sharer.start())
 	ctx, cancel := context.WithCancel(context.Background())
 	pollsDone := make(chan struct{})
 	go d.runPolls(ctx, pollsDone)
--- a/hemlockd/internal/app/peers.go
+++ b/hemlockd/internal/app/peers.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
+	"hemlockmux.example/common/clock"
 	"hemlockmux.example/hemlockd/internal/daemons"
 	"hemlockmux.example/hemlockd/internal/membership"
 	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
 
@@ -59,6 +62,63 @@
 	}
 }
 
+// mergeParts returns a function that merges evidence on parts of prompts received from
+// another daemon.
+func mergeParts(env process.Environment, parts *prompts.Evidence) func([]prompts.Report) {
+	return func(reports []prompts.Report) {
+		for _, r := range reports {
+			parts.Merge(r, env.Clock.Now())
+		}
+	}
+}
+
+// shareInterval is the minimum time between two extra messages about parts of prompts: the crash
+// of an engine breaks many runs, each of which changes the evidence.
+const shareInterval = 20 * clock.Millisecond
+
+// partsSharer sends changed evidence on parts of prompts to other daemons.
+type partsSharer struct {
+	daemons *daemons.Daemons
+	changed chan struct{} // signals that evidence has changed
+}
+
+func newPartsSharer(d *daemons.Daemons) *partsSharer {
+	return &partsSharer{daemons: d, changed: make(chan struct{}, 1)}
+}
+
+// share sends the evidence soon.
+func (s *partsSharer) share() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// start starts the sending and returns the function that stops it.
+func (s *partsSharer) start() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { s.run(ctx) })
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
+
+func (s *partsSharer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.changed:
+		}
+		s.daemons.GossipNow()
+		if !clock.Sleep(ctx, shareInterval) {
+			return
+		}
+	}
+}
+
 // cpuTime returns the CPU time that this process has used.
 func cpuTime() time.Duration {
 	var usage syscall.Rusage
--- a/hemlockd/internal/callers/harness_test.go
+++ b/hemlockd/internal/callers/harness_test.go
@@ -31,6 +31,7 @@
 	"hemlockmux.example/hemlockd/internal/limits"
 	"hemlockmux.example/hemlockd/internal/placements"
 	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/services"
 	"hemlockmux.example/hemlockd/internal/suspects"
 	"hemlockmux.example/hemlockd/internal/verdicts"
@@ -60,6 +61,7 @@
 	configuration *configuration.Configuration
 	keeper        *keeper.Keeper
 	closeKeeper   func()
+	parts         *prompts.Evidence
 	recorder      *verdicts.Recorder
 	violations    *violations
 }
@@ -94,7 +96,8 @@
 	handOff, closeHandOff := handoff.NewClient(cfg)
 	t.Cleanup(closeHandOff)
 	sus := suspects.New()
-	k, closeKeeper := keeper.New(p.env, p.configuration, client, peers, noSignals{}, sus)
+	p.parts = prompts.New()
+	k, closeKeeper := keeper.New(p.env, p.configuration, client, peers, noSignals{}, sus, p.parts)
 	t.Cleanup(closeKeeper)
 	p.configuration.OnChange = func(int64) { k.Reconcile() }
 	ledger, closeLedger := placements.New(p.env, memory.New(), func() clock.Millis { return 1 })
--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -45,6 +45,9 @@
 	if until, refused := e.c.Suspects.Refused(call.Digest, call.ArrivedMs); refused {
 		return keeper.CrashSuspectProblem(until - call.ArrivedMs)
 	}
+	if p := e.c.Keeper.CheckParts(&call, true); p != nil {
+		return p
+	}
 	release, p := e.admit()
 	if p != nil {
 		return p
@@ -115,7 +118,7 @@
 		PromptTokens: prefix.EstimateTokens(text), OutputTokens: req.MaxTokens, ArrivedMs: e.verdict.StartMs,
 		Front: e.c.env.RunID(), FrontDataCentre: e.c.env.Config.DataCentre, SettingsVersion: e.verdict.SettingsVersion, Buffered: !req.Stream,
 		Digest:       services.Digest(e.verdict.Team, e.r.URL.Path, body),
-		PrefixHashes: prefix.BlockHashes(text, model.PieceTokens), Body: body,
+		PrefixHashes: prefix.BlockHashes(text, model.PieceTokens), SharedParts: req.SharedParts(), Body: body,
 	}
 	return call, req, nil
 }
@@ -141,7 +144,7 @@
 			result.Ran = ran // an earlier candidate may have run it
 		}
 		ran = result.Ran
-		if !canRunElsewhere(result) {
+		if !canRunElsewhere(result) || call.TryingPart && result.Ran != problem.RanNo {
 			break
 		}
 	}
--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -34,6 +34,7 @@
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/membership"
 	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/prompts"
 )
 
 var metrics = expvar.NewMap("daemons")
@@ -62,6 +63,10 @@
 	RecentSuspects func() []SuspectUpdate
 	// MergeSuspects merges crash suspects received from another daemon.
 	MergeSuspects func([]SuspectUpdate)
+	// RecentParts returns the evidence on parts of prompts to send to other daemons.
+	RecentParts func() []prompts.Report
+	// MergeParts merges evidence on parts of prompts received from another daemon.
+	MergeParts func([]prompts.Report)
 	// DaemonDied is called once for each run of a daemon that has ended.
 	DaemonDied func(membership.Member)
 }
@@ -203,6 +208,18 @@
 	return names
 }
 
+// Owns reports whether this daemon is the one responsible for a key, of the live and suspected
+// daemons of all data centres.
+func (d *Daemons) Owns(key string) bool {
+	var names []string
+	for _, v := range d.Views() {
+		if v.State == membership.Live || v.State == membership.Suspect {
+			names = append(names, v.Name)
+		}
+	}
+	return membership.Owner(key, names) == d.env.Config.Name
+}
+
 // Alive reports whether the run of a daemon with this ID is known and not considered
 // dead.
 func (d *Daemons) Alive(runID string) bool {
--- a/hemlockd/internal/daemons/messages.go
+++ b/hemlockd/internal/daemons/messages.go
@@ -6,6 +6,7 @@
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/limits"
 	"hemlockmux.example/hemlockd/internal/membership"
+	"hemlockmux.example/hemlockd/internal/prompts"
 )
 
 // Method names of the protocol between daemons.
@@ -26,6 +27,8 @@
 	StoredUpToMs clock.Millis `json:"storedUpToMs,omitempty"`
 	// Suspects holds the crash suspects that the sender learned of recently.
 	Suspects []SuspectUpdate `json:"suspects,omitempty"`
+	// Parts holds the sender's evidence on parts of prompts that crash engines.
+	Parts []prompts.Report `json:"parts,omitempty"`
 }
 
 // SuspectUpdate describes one crash suspect.
--- a/hemlockd/internal/daemons/probe.go
+++ b/hemlockd/internal/daemons/probe.go
@@ -131,6 +131,7 @@
 	msg := ProbeMessage{Membership: d.members.Message(to)}
 	d.mu.Unlock()
 	msg.Suspects = d.handlers.RecentSuspects()
+	msg.Parts = d.handlers.RecentParts()
 	msg.StoredUpToMs = d.handlers.StoredUpTo()
 	return msg
 }
@@ -142,6 +143,7 @@
 	d.members.Receive(msg.Membership, now)
 	d.mu.Unlock()
 	d.handlers.MergeSuspects(msg.Suspects)
+	d.handlers.MergeParts(msg.Parts)
 	d.handlers.AcceptCopies(CopyRequest{From: RunID(msg.Membership.From), StoredUpToMs: msg.StoredUpToMs})
 	d.publishViews()
 	if msg.Membership.From.Version > d.configuration.Version() {
--- a/hemlockd/internal/handoff/server.go
+++ b/hemlockd/internal/handoff/server.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, problem.New(problem.BadRequest, "%v", err)
 	}
-	call.Body = body
+	call.Body, call.SharedParts = body, req.SharedParts()
 	if tree != nil {
 		call.PrefixHashes = prefix.BlockHashes(text, pieceTokens(tree, call.Model))
 	}
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -46,6 +46,9 @@
 	}
 	var last error
 	for name != "" {
+		if p := r.crashingPartRefusal(); p != nil {
+			return false, p
+		}
 		err := r.decodeOn(name, kv)
 		if err == nil {
 			return false, nil
@@ -113,8 +116,12 @@
 		metrics.Add("resumes", 1)
 		before := assembler.Next()
 		assembler = streams.NewAssembler(before)
+		broken := k.env.Clock.Now()
 		resumed := r.streamOnce(e, call, before, assembler)
 		if notRun(resumed) {
+			if isBroken(err) && isUnreachable(resumed) {
+				r.recordCrash(name, started, broken)
+			}
 			break // it is unreachable or does not know the stream: keep the earlier error
 		}
 		err = resumed
@@ -125,6 +132,8 @@
 	r.recordAttempt(name, settings.KindDecode, started, err)
 	if err != nil {
 		r.abortFailed(e, call.AttemptID, err)
+	} else {
+		k.parts.RecordCompletion(r.call.Model, r.call.SharedParts, k.env.Clock.Now())
 	}
 	return err
 }
@@ -164,10 +173,21 @@
 	if errors.As(err, &gap) {
 		return true
 	}
+	return isBroken(err)
+}
+
+// isBroken reports whether the connection to the engine ended during the call.
+func isBroken(err error) bool {
 	var call *engines.CallError
 	return errors.As(err, &call) && call.Broken
 }
 
+// isUnreachable reports whether no connection to the engine could be opened.
+func isUnreachable(err error) bool {
+	var call *engines.CallError
+	return errors.As(err, &call) && call.Unreachable
+}
+
 // notRun reports whether the call did not reach the engine or the engine refused it, as it does on
 // a resumption if it does not know the stream.
 func notRun(err error) bool {
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	k, closeKeeper := keeper.New(env, configuration, client, peers, leaving, suspects)
+//	k, closeKeeper := keeper.New(env, configuration, client, peers, leaving, suspects, parts)
 //	run, problem := k.Begin(call)
 //	defer run.Cancel()
 //	for chunks := range run.Chunks(ctx, 0) { ... }
@@ -32,6 +32,7 @@
 	"hemlockmux.example/hemlockd/internal/engines"
 	"hemlockmux.example/hemlockd/internal/membership"
 	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
@@ -47,6 +48,9 @@
 	Live(dataCentre string) []string
 	// Alive reports whether a run of a daemon, as it is named in attempt ids, is alive.
 	Alive(run string) bool
+	// Owns reports whether this daemon, of those that are live in all data centres, is the one
+	// responsible for a key.
+	Owns(key string) bool
 }
 
 // LeavingChecker checks upstreams against the platform's VM list.
@@ -84,6 +88,9 @@
 	// Buffered is true if the caller did not ask for a stream: chunks are held back until the answer
 	// is complete, so that it can be generated again after a failure.
 	Buffered bool `json:"whole,omitempty"`
+	// TryingPart is true if the call tries a part of a prompt again that crashed engines: it is not
+	// refused because of its parts, and not repeated.
+	TryingPart bool `json:"tryingPart,omitempty"`
 
 	// The daemon that a call is handed to derives the following fields again.
 
@@ -91,6 +98,8 @@
 	AllowedEngines map[string]bool `json:"-"`
 	// PrefixHashes holds the hashes of the prompt's pieces.
 	PrefixHashes []uint64 `json:"-"`
+	// SharedParts holds the ids of the prompt's parts without the last, which is the request's own.
+	SharedParts []string `json:"-"`
 	// Body is the caller's request body.
 	Body []byte `json:"-"`
 }
@@ -113,6 +122,7 @@
 	peers         Peers
 	leaving       LeavingChecker
 	suspects      *suspects.Suspects
+	parts         *prompts.Evidence
 	budget        *retries.Budget
 
 	mu       sync.Mutex
@@ -125,6 +135,7 @@
 
 	queueWake      chan struct{} // signals that a request may be queued
 	claims         claims
+	crashes        crashes
 	attemptCounter atomic.Int64
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -139,14 +150,14 @@
 }
 
 // New starts a keeper and returns the function that stops it and waits for its goroutines.
-func New(env process.Environment, cfg *configuration.Configuration, client *engines.Client, peers Peers, leaving LeavingChecker, sus *suspects.Suspects) (*Keeper, func()) {
+func New(env process.Environment, cfg *configuration.Configuration, client *engines.Client, peers Peers, leaving LeavingChecker, sus *suspects.Suspects, parts *prompts.Evidence) (*Keeper, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := &Keeper{
-		env: env, configuration: cfg, client: client, peers: peers, leaving: leaving, suspects: sus,
+		env: env, configuration: cfg, client: client, peers: peers, leaving: leaving, suspects: sus, parts: parts,
 		budget: retries.NewBudget(settings.DefaultSystem().Policy.RetryRatio),
 		groups: map[string]*group{}, runs: map[string]*Run{}, watchers: map[string]*watcher{},
 		leavingSince: map[string]clock.Millis{}, queueWake: make(chan struct{}, 1),
-		claims: newClaims(), ctx: ctx, cancel: cancel,
+		claims: newClaims(), crashes: newCrashes(), ctx: ctx, cancel: cancel,
 	}
 	k.done.Add(2)
 	go k.runQueues()
--- a/hemlockd/internal/keeper/prefill.go
+++ b/hemlockd/internal/keeper/prefill.go
@@ -43,6 +43,9 @@
 	r.grant.Prefill = ""
 	var last error
 	for attempt := 0; name != ""; attempt++ {
+		if p := r.crashingPartRefusal(); p != nil {
+			return completions.KVTransferParams{}, p
+		}
 		result, err := r.prefillOn(name)
 		if err == nil {
 			r.group.decide(func(a *admission.Group) []admission.Decision {
@@ -57,7 +60,7 @@
 		if p := r.crashSuspectRefusal(); p != nil {
 			return completions.KVTransferParams{}, p
 		}
-		if attempt+1 >= policy.MaxAttempts || !k.budget.Take() {
+		if attempt+1 >= policy.MaxAttempts || r.call.TryingPart && r.dispatched || !k.budget.Take() {
 			break
 		}
 		excluded[name] = true
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -253,9 +253,9 @@
 }
 
 // takeRetry reports whether the call may be started again with a new prefill, and takes that from the
-// retry budget, once for each attempt.
+// retry budget, once for each attempt. A call that tries a part again is not repeated.
 func (r *Run) takeRetry() bool {
-	r.retryTaken = r.retryTaken || !r.lastAttempt && r.keeper.budget.Take()
+	r.retryTaken = r.retryTaken || !r.lastAttempt && !r.call.TryingPart && r.keeper.budget.Take()
 	return r.retryTaken
 }
 
