Own door: refused parts of prompts outlast a restart of all daemons

Callers and engines saw: after all daemons had been restarted at once, a part that crashes engines crashed three more before it was refused again.

Cause: the evidence was in memory only. Now blameStore, which does this on the users' platform, also runs at the own door, on rows parts/KEY of the platform's table. It reads them once at the start of a daemon and writes a row when the evidence on a blamed part changes; the daemon that tries the part does that. Rows are not removed, one for each part ever blamed, as on the users' platform.

--- a/hemlockd/e2e/crashparts_test.go
+++ b/hemlockd/e2e/crashparts_test.go
@@ -28,6 +28,9 @@
 	// soundLimit is the time after these crashes from which sound requests must begin
 	// at least half as often as before the first of them.
 	soundLimit = 2 * contactLimit
+	// crashesAfterRestart is the number of engines that may crash after daemons were
+	// killed: fewer than it takes to learn of the part again.
+	crashesAfterRestart = 2
 	// refusalLimit is the time within which a request with the part must be refused.
 	refusalLimit = 200 * time.Millisecond
 )
@@ -413,24 +416,45 @@
 
 // TestRestartedDaemonRefusesCrashingPart checks that a daemon that was killed after the crashes
 // refuses requests with the part soon after it is ready again.
-func TestRestartedDaemonRefusesCrashingPart(t *testing.T) {
+func TestRestartedDaemonRefusesCrashingPart(t *testing.T) { testRestart(t, 1) }
+
+// TestRestartedDaemonsRefuseCrashingPart checks the same of all daemons, killed at once.
+func TestRestartedDaemonsRefuseCrashingPart(t *testing.T) { testRestart(t, 0, 1, 2) }
+
+func testRestart(t *testing.T, killed ...int) {
 	d, f := startOwnPartTraffic(t, options{daemons: 3})
 	fifth := f.waitForCrashes()
-	const killed = 1
-	o := outage{daemons: []int{killed}, from: fifth.Add(contactLimit)}
+	o := outage{daemons: killed, from: fifth.Add(contactLimit)}
 	time.Sleep(time.Until(o.from))
-	d.daemons[killed].kill()
-	<-d.daemons[killed].exitedCh
-	d.daemons[killed].start()
-	d.daemons[killed].waitReady()
-	o.until = time.Now().Add(contactLimit)
+	for _, i := range killed {
+		d.daemons[i].kill()
+	}
+	for _, i := range killed {
+		<-d.daemons[i].exitedCh
+		d.daemons[i].start()
+	}
+	for _, i := range killed {
+		d.daemons[i].waitReady()
+	}
+	ready := time.Now()
+	o.until = ready.Add(contactLimit)
 	settled := o.until
 	if limit := fifth.Add(soundLimit); limit.After(settled) {
 		settled = limit
 	}
 	time.Sleep(time.Until(settled.Add(3 * time.Second)))
+	t.Logf("daemons %v were ready %d ms after they were killed", killed, ready.Sub(o.from).Milliseconds())
 	f.check(fifth, settled, o)
 	f.checkIDs(o)
+	relearned := 0
+	for _, at := range f.door.partCrashes() {
+		if at.After(o.from) {
+			relearned++
+		}
+	}
+	if relearned > crashesAfterRestart {
+		t.Errorf("%d engines crashed after the daemons were killed; at most %d may", relearned, crashesAfterRestart)
+	}
 }
 
 // TestBlamedPartIsRefusedInOtherDataCentres checks that the crashes of one data centre's engines
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -12,6 +12,7 @@
 	"expvar"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -164,9 +165,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	pollsDone := make(chan struct{})
 	go d.runPolls(ctx, pollsDone)
+	var blames sync.WaitGroup
+	blames.Go(func() { newBlameStore(env.Log, env.Clock, ownTable{table}, parts, d.daemons.Owns).run(ctx) })
 	d.onClose(func() {
 		cancel()
 		<-pollsDone
+		blames.Wait()
 	})
 	d.operators = operators.New(env, operators.Dependencies{
 		Configuration: d.configuration, Store: d.store, Objects: objects, Daemons: d.daemons,
--- a/hemlockd/internal/app/blames.go
+++ b/hemlockd/internal/app/blames.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/directory"
+	"hemlockmux.example/common/platform"
 	"hemlockmux.example/hemlockd/internal/prompts"
 )
 
@@ -29,8 +31,44 @@
 // know them after all of them have been restarted. Of the daemons that are alive, the one
 // that tries a part again also stores it.
 type blameStore struct {
-	d      *platformDaemon
-	stored map[string]storedBlame // by key
+	log        *zap.Logger
+	clk        clock.Clock
+	store      partsTable
+	parts      *prompts.Evidence
+	mayTryPart func(part string) bool
+	stored     map[string]storedBlame // by key
+}
+
+func newBlameStore(log *zap.Logger, clk clock.Clock, store partsTable, parts *prompts.Evidence, mayTryPart func(part string) bool) *blameStore {
+	return &blameStore{log: log, clk: clk, store: store, parts: parts, mayTryPart: mayTryPart, stored: map[string]storedBlame{}}
+}
+
+// partsTable is the part of the store that keeps the refused parts.
+type partsTable interface {
+	// Read returns all entries of a topic.
+	Read(ctx context.Context, topic directory.Topic) (directory.Page, error)
+	// Put writes an entry.
+	Put(ctx context.Context, topic directory.Topic, key string, value []byte) error
+}
+
+// ownTable keeps the refused parts in the table of the project's own platform, under the topic's name.
+type ownTable struct{ table *platform.Table }
+
+// Read implements partsTable.
+func (t ownTable) Read(ctx context.Context, topic directory.Topic) (directory.Page, error) {
+	prefix := string(topic) + "/"
+	rows, err := t.table.Range(ctx, platform.PrefixRange(prefix))
+	var page directory.Page
+	for _, row := range rows {
+		page.Entries = append(page.Entries, directory.Entry{Key: strings.TrimPrefix(string(row.Key), prefix), Value: row.Value})
+	}
+	return page, err
+}
+
+// Put implements partsTable.
+func (t ownTable) Put(ctx context.Context, topic directory.Topic, key string, value []byte) error {
+	_, err := t.table.Txn(ctx, platform.TxnRequest{Success: []platform.RequestOp{platform.Put(string(topic)+"/"+key, value)}})
+	return err
 }
 
 // storedBlame is one entry of the store.
@@ -62,21 +100,21 @@
 func (b *blameStore) load(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, blameCallTimeout.Duration())
 	defer cancel()
-	page, err := b.d.store.Read(ctx, directory.Parts)
+	page, err := b.store.Read(ctx, directory.Parts)
 	if err != nil {
 		return false
 	}
-	now := b.d.clk.Now()
+	now := b.clk.Now()
 	for _, entry := range page.Entries {
 		var s storedBlame
 		if err := json.Unmarshal(entry.Value, &s); err != nil {
-			b.d.log.Warn("invalid entry in the list of refused parts of prompts; ignoring it", zap.String("key", entry.Key), zap.Error(err))
+			b.log.Warn("invalid entry in the list of refused parts of prompts; ignoring it", zap.String("key", entry.Key), zap.Error(err))
 			continue
 		}
 		b.stored[entry.Key] = s
 		if age := max(0, now-s.AtMs); age < blameMaxAge && len(s.Report.Engines) > 0 {
-			b.d.prompts.Merge(aged(s.Report, age), now)
-			b.d.log.Info("refused part of prompts taken over from the store", zap.String("part", s.Report.Part), zap.Int("engines", len(s.Report.Engines)))
+			b.parts.Merge(aged(s.Report, age), now)
+			b.log.Info("refused part of prompts taken over from the store", zap.String("part", s.Report.Part), zap.Int("engines", len(s.Report.Engines)))
 		}
 	}
 	return true
@@ -95,19 +133,19 @@
 // update stores the parts that this daemon is responsible for and whose evidence has
 // changed.
 func (b *blameStore) update(ctx context.Context) {
-	now := b.d.clk.Now()
+	now := b.clk.Now()
 	refused := map[string]bool{}
-	for _, r := range b.d.prompts.Blamed(now) {
+	for _, r := range b.parts.Blamed(now) {
 		key := blameKey(r)
 		refused[key] = true
 		last, known := b.stored[key]
 		same := known && last.Report.Epoch == r.Epoch && len(last.Report.Engines) == len(r.Engines) && now-last.AtMs < blameRefresh
-		if !same && b.d.mayTryPart(r.Part) {
+		if !same && b.mayTryPart(r.Part) {
 			b.put(ctx, key, storedBlame{Report: r, AtMs: now})
 		}
 	}
 	for key, s := range b.stored {
-		if !refused[key] && len(s.Report.Engines) > 0 && b.d.mayTryPart(s.Report.Part) {
+		if !refused[key] && len(s.Report.Engines) > 0 && b.mayTryPart(s.Report.Part) {
 			s.Report.Engines, s.AtMs = nil, now
 			b.put(ctx, key, s)
 		}
@@ -117,14 +155,14 @@
 func (b *blameStore) put(ctx context.Context, key string, s storedBlame) {
 	raw, err := json.Marshal(s)
 	if err != nil {
-		b.d.log.Error("a refused part of prompts can't be encoded", zap.Error(err))
+		b.log.Error("a refused part of prompts can't be encoded", zap.Error(err))
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, blameCallTimeout.Duration())
 	defer cancel()
-	if err := b.d.store.Put(ctx, directory.Parts, key, raw); err != nil {
+	if err := b.store.Put(ctx, directory.Parts, key, raw); err != nil {
 		return // tried again after blameInterval
 	}
 	b.stored[key] = s
-	b.d.log.Info("refused part of prompts stored", zap.String("part", s.Report.Part), zap.Int("engines", len(s.Report.Engines)))
+	b.log.Info("refused part of prompts stored", zap.String("part", s.Report.Part), zap.Int("engines", len(s.Report.Engines)))
 }
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -194,7 +194,7 @@
 	go d.runRefresh(ctx)
 	go d.dispatcher.RunProbes(ctx)
 	go d.runRegistration(ctx)
-	go (&blameStore{d: d, stored: map[string]storedBlame{}}).run(ctx)
+	go newBlameStore(d.log, d.clk, store, d.prompts, d.mayTryPart).run(ctx)
 	go roleController.Run(ctx)
 	if d.ready, err = d.listen("ready", d.settings.Ready, http.HandlerFunc(d.serveReady)); err != nil {
 		return err
