--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -123,7 +123,7 @@
 	sus := suspects.New()
 	sus.OnUpdate = d.daemons.GossipNow
 	parts := prompts.New()
-	sharer := newPartsSharer(d.daemons)
+	sharer := newPartsSharer(d.daemons.GossipNow)
 	parts.OnUpdate = sharer.share
 	list, closeList := vmlist.New(env, vms, d.daemons.AddSeed)
 	d.onClose(closeList)
--- a/hemlockd/internal/app/peers.go
+++ b/hemlockd/internal/app/peers.go
@@ -78,12 +78,12 @@
 
 // partsSharer sends changed evidence on parts of prompts to other daemons.
 type partsSharer struct {
-	daemons *daemons.Daemons
+	send    func()        // sends the evidence to some daemons
 	changed chan struct{} // signals that evidence has changed
 }
 
-func newPartsSharer(d *daemons.Daemons) *partsSharer {
-	return &partsSharer{daemons: d, changed: make(chan struct{}, 1)}
+func newPartsSharer(send func()) *partsSharer {
+	return &partsSharer{send: send, changed: make(chan struct{}, 1)}
 }
 
 // share sends the evidence soon.
@@ -112,7 +112,7 @@
 			return
 		case <-s.changed:
 		}
-		s.daemons.GossipNow()
+		s.send()
 		if !clock.Sleep(ctx, shareInterval) {
 			return
 		}
