--- a/common/operatorapi/operatorapi.go
+++ b/common/operatorapi/operatorapi.go
@@ -9,6 +9,8 @@
 //	GET  /v1/daemons            -> []DaemonStatus, one for each known daemon
 //	GET  /v1/verdicts/{id}      -> VerdictResponse
 //	GET  /v1/upstreams          -> []UpstreamStatus
+//	GET  /v1/parts              -> []RefusedPartView, with the model as service
+//	POST /v1/parts/lift         LiftPartRequest -> LiftPartResponse, or 404
 //
 // A response with a status other than 200 has a [Refusal] as its body.
 package operatorapi
--- a/hemlockctl/internal/app/app.go
+++ b/hemlockctl/internal/app/app.go
@@ -134,6 +134,7 @@
 			{Name: "verdict", Usage: "show the outcome of a request", ArgsUsage: "REQUEST-ID", Action: c.verdict},
 			{Name: "daemons", Usage: "list the daemons and the settings version in force in each", Action: c.daemons},
 			{Name: "upstreams", Usage: "list the upstreams as seen by the daemon", Action: c.upstreams},
+			c.partsCommand(),
 			c.keysCommand(),
 			c.explainCommand(),
 			c.platformCommand(),
--- a/hemlockctl/internal/app/app_test.go
+++ b/hemlockctl/internal/app/app_test.go
@@ -66,6 +66,9 @@
 		{"no argument", []string{"verdict"}, nil, 0, nil, ExitUsage, "takes one argument"},
 		{"unknown flag", []string{"settings", "apply", "--nonsense", good}, nil, 0, nil, ExitUsage, "nonsense"},
 		{"no verdict", []string{"verdict", "a~b~c"}, []string{"GET /v1/verdicts/a~b~c"}, 404, operatorapi.Refusal{Code: operatorapi.CodeNotFound, Detail: "none"}, ExitNotFound, "none"},
+		{"refused parts", []string{"parts", "list"}, []string{"GET /v1/parts"}, 200, []operatorapi.RefusedPartView{{Service: "m", Part: "a1b2", Engines: []string{"1", "2", "3"}}}, ExitOK, "a1b2"},
+		{"lift", []string{"parts", "lift", "--model", "m", "--part", "a1b2"}, []string{"POST /v1/parts/lift"}, 200, operatorapi.LiftPartResponse{Lifted: true}, ExitOK, "lifted  a1b2  m"},
+		{"lift of a part that isn't refused", []string{"parts", "lift", "--model", "m", "--part", "a1b2"}, []string{"POST /v1/parts/lift"}, 404, operatorapi.Refusal{Code: operatorapi.CodeNotFound, Detail: "not refused"}, ExitNotFound, "not refused"},
 		{"denied", []string{"daemons"}, []string{"GET /v1/daemons"}, 401, operatorapi.Refusal{Code: operatorapi.CodeDenied, Detail: "no operator's key"}, ExitDenied, "no operator's key"},
 		{"accepted", []string{"settings", "apply", good}, apply, 200, operatorapi.ApplyResponse{Version: 4}, ExitOK, "accepted as version 4"},
 		{"conflict", []string{"settings", "apply", good}, apply, 409, operatorapi.Refusal{
--- a/hemlockctl/internal/operator/operator.go
+++ b/hemlockctl/internal/operator/operator.go
@@ -93,6 +93,16 @@
 	return call[[]operatorapi.UpstreamStatus](ctx, c, http.MethodGet, "/v1/upstreams", nil)
 }
 
+// Parts returns the parts of prompts that the daemon refuses.
+func (c *Client) Parts(ctx context.Context) ([]operatorapi.RefusedPartView, error) {
+	return call[[]operatorapi.RefusedPartView](ctx, c, http.MethodGet, "/v1/parts", nil)
+}
+
+// LiftPart lifts the refusal of a part of prompts at all daemons.
+func (c *Client) LiftPart(ctx context.Context, lift operatorapi.LiftPartRequest) (operatorapi.LiftPartResponse, error) {
+	return call[operatorapi.LiftPartResponse](ctx, c, http.MethodPost, "/v1/parts/lift", lift)
+}
+
 // Verdict returns the verdict of a request.
 func (c *Client) Verdict(ctx context.Context, id string) (operatorapi.VerdictResponse, error) {
 	return call[operatorapi.VerdictResponse](ctx, c, http.MethodGet, "/v1/verdicts/"+url.PathEscape(id), nil)
--- a/hemlockd/e2e/crashparts_test.go
+++ b/hemlockd/e2e/crashparts_test.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"hemlockmux.example/common/operatorapi"
 	"hemlockmux.example/common/problem"
 )
 
@@ -458,10 +461,10 @@
 }
 
 // TestBlamedPartIsRefusedInOtherDataCentres checks that the crashes of one data centre's engines
-// protect those of another.
+// protect those of another. Probes are rare, so that only the messages on changes carry the evidence.
 func TestBlamedPartIsRefusedInOtherDataCentres(t *testing.T) {
 	const guilty = "part that crashes"
-	d := deploy(t, options{dataCentres: []string{"brandon-a", "regina-a"}, decode: 4})
+	d := deploy(t, options{dataCentres: []string{"brandon-a", "regina-a"}, decode: 4, probeMs: 3000})
 	d.injectFault("all", "crashOnPart", map[string]any{"texts": []string{guilty}, "restartMs": engineRestart.Milliseconds()})
 	send := func(daemon int, own string) *partCall {
 		c := &partCall{parts: []string{"first part", guilty, own}, guilty: true, daemon: daemon, sent: time.Now()}
@@ -485,4 +488,33 @@
 			t.Errorf("%s got request %s", e.Upstream, e.RequestID)
 		}
 	}
+	d.clearFaults()
+	d.liftParts(len(d.daemons) - 1)
+	for i := range d.daemons {
+		if c := send(i, fmt.Sprint("own part after the lift at ", i)); !c.began() {
+			t.Errorf("%s after the lift: status %d, error %v, body %s", d.daemons[i].name, c.status, c.err, c.body)
+		}
+	}
+}
+
+// liftParts lifts the refusals of all parts that a daemon refuses, as an operator does, and gives the
+// others the time to learn of it.
+func (d *deployment) liftParts(daemon int) {
+	d.t.Helper()
+	ctl := func(args ...string) []byte {
+		args = append([]string{"--operator", d.daemons[daemon].operators, "--key", operatorKey, "--json"}, args...)
+		out, err := exec.Command(filepath.Join(binaryDir, "hemlockctl"), args...).Output()
+		if err != nil {
+			d.t.Fatalf("hemlockctl %v: %v, %s", args, err, out)
+		}
+		return out
+	}
+	var parts []operatorapi.RefusedPartView
+	if err := json.Unmarshal(ctl("parts", "list"), &parts); err != nil || len(parts) == 0 {
+		d.t.Fatalf("refused parts: %v, error %v", parts, err)
+	}
+	for _, p := range parts {
+		ctl("parts", "lift", "--model", p.Service, "--part", p.Part)
+	}
+	time.Sleep(500 * time.Millisecond)
 }
--- a/hemlockd/internal/operators/operators.go
+++ b/hemlockd/internal/operators/operators.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"fmt"
 	"net/http"
 	"net/http/pprof"
 	"strconv"
@@ -33,6 +34,7 @@
 	"hemlockmux.example/hemlockd/internal/keeper"
 	"hemlockmux.example/hemlockd/internal/membership"
 	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/services"
 	"hemlockmux.example/hemlockd/internal/verdicts"
 )
@@ -58,6 +60,8 @@
 	Keeper *keeper.Keeper
 	// Services reports the status of the instances of plain services.
 	Services *services.Services
+	// Parts is the evidence on parts of prompts that crash engines.
+	Parts *prompts.Evidence
 	// Verdicts holds the recent verdicts of this daemon.
 	Verdicts *verdicts.Recorder
 }
@@ -90,6 +94,8 @@
 		r.Get("/settings/history", o.history)
 		r.Get("/daemons", o.daemons)
 		r.Get("/upstreams", o.upstreams)
+		r.Get("/parts", o.parts)
+		r.Post("/parts/lift", o.liftPart)
 		r.Get("/verdicts/{id}", o.verdict)
 	})
 	r.Route("/debug/pprof", func(r chi.Router) {
@@ -253,6 +259,34 @@
 	writeJSON(w, http.StatusOK, list)
 }
 
+// parts lists the parts of prompts that this daemon refuses.
+func (o *Operators) parts(w http.ResponseWriter, _ *http.Request) {
+	list := []operatorapi.RefusedPartView{}
+	for _, r := range o.Parts.Blamed(o.env.Clock.Now()) {
+		list = append(list, operatorapi.RefusedPartView{
+			Service: r.Service, Part: r.Part, Engines: r.Engines, SinceCrashMs: r.CrashAgoMs, SinceTryMs: r.TryAgoMs, SinceRefusalMs: r.SeenAgoMs,
+		})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// liftPart lifts the refusal of a part of prompts at all daemons, which learn of it by gossip.
+func (o *Operators) liftPart(w http.ResponseWriter, r *http.Request) {
+	var lift operatorapi.LiftPartRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes)).Decode(&lift); err != nil {
+		writeRefusal(w, http.StatusBadRequest, operatorapi.Refusal{Code: operatorapi.CodeBadRequest, Detail: err.Error()})
+		return
+	}
+	if !o.Parts.Lift(lift.Service, lift.Part, o.env.Clock.Now()) {
+		writeRefusal(w, http.StatusNotFound, operatorapi.Refusal{Code: operatorapi.CodeNotFound,
+			Detail: fmt.Sprintf("part %s of prompts for %s is not refused", lift.Part, lift.Service)})
+		return
+	}
+	operator, _ := r.Context().Value(operatorKey{}).(string)
+	o.env.Log.Info("refusal of a part of prompts lifted", zap.String("model", lift.Service), zap.String("part", lift.Part), zap.String("operator", operator))
+	writeJSON(w, http.StatusOK, operatorapi.LiftPartResponse{Lifted: true})
+}
+
 func upstreamState(up, leaving bool) string {
 	switch {
 	case leaving:
