--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -12,6 +12,7 @@
 	"expvar"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,7 @@
 	"hemlockmux.example/hemlockd/internal/operators"
 	"hemlockmux.example/hemlockd/internal/placements"
 	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/services"
 	"hemlockmux.example/hemlockd/internal/suspects"
 	"hemlockmux.example/hemlockd/internal/verdicts"
@@ -121,6 +123,10 @@
 	d.daemons = daemons.New(env, d.configuration)
 	sus := suspects.New()
 	sus.OnUpdate = d.daemons.GossipNow
+	parts := prompts.New()
+	sharer := newPartsSharer(d.daemons.GossipNow)
+	parts.OnUpdate = sharer.share
+	parts.OnMerge = sharer.share // messages go to a few daemons only
 	list, closeList := vmlist.New(env, vms, d.daemons.AddSeed)
 	d.onClose(closeList)
 	recorder, closeRecorder := verdicts.New(env, objects, copyPeers{d.daemons, env.Config}, d.verdictInterval)
@@ -128,7 +134,7 @@
 	d.recorder = recorder
 	ledger, closeLedger := placements.New(env, table, d.ledgerInterval)
 	d.onClose(closeLedger)
-	k, closeKeeper := keeper.New(env, d.configuration, client, d.daemons, list, sus)
+	k, closeKeeper := keeper.New(env, d.configuration, client, d.daemons, list, sus, parts)
 	d.onClose(closeKeeper)
 	d.keeper = k
 	d.configuration.OnChange = func(version int64) {
@@ -148,6 +154,7 @@
 		HandOff:      d.handOff,
 		AcceptCopies: recorder.AcceptCopies, FindVerdict: recorder.Find,
 		StoredUpTo: recorder.StoredUpTo, LendCapacity: d.callers.Lend, RecentSuspects: recentSuspects(env, sus), MergeSuspects: mergeSuspects(env, sus),
+		RecentParts: func() []prompts.Report { return parts.Recent(env.Clock.Now()) }, MergeParts: mergeParts(env, parts),
 		DaemonDied: func(m membership.Member) {
 			k.CancelRunsOf(daemons.RunID(m))
 			recorder.DaemonDied(daemons.RunID(m), m.Name)
@@ -157,16 +164,20 @@
 		return err
 	}
 	d.onClose(closeDaemons)
+	d.onClose(sharer.start())
 	ctx, cancel := context.WithCancel(context.Background())
 	pollsDone := make(chan struct{})
 	go d.runPolls(ctx, pollsDone)
+	var blames sync.WaitGroup
+	blames.Go(func() { newBlameStore(env.Log, env.Clock, ownTable{table}, parts, d.daemons.Owns).run(ctx) })
 	d.onClose(func() {
 		cancel()
 		<-pollsDone
+		blames.Wait()
 	})
 	d.operators = operators.New(env, operators.Dependencies{
 		Configuration: d.configuration, Store: d.store, Objects: objects, Daemons: d.daemons,
-		Keeper: k, Services: svc, Verdicts: recorder,
+		Keeper: k, Services: svc, Parts: parts, Verdicts: recorder,
 	})
 	if d.operatorsPort, err = d.listen("operators", cfg.Operators, d.operators.Handler()); err != nil {
 		return err
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -142,7 +142,8 @@
 	queue := capacity.NewQueue(d.clk, view, func() int { return d.peers.Count() })
 	sus := suspects.New()
 	d.prompts = prompts.New()
-	d.prompts.OnUpdate = (&partsSender{d: d}).sendSoon
+	sharer := newPartsSharer(d.sendParts)
+	d.prompts.OnUpdate = sharer.share
 	boot := clock.Boot()
 	d.directory = inforce.New(inforce.Options{
 		Log: d.log, Clock: boot, Store: store,
@@ -188,6 +189,7 @@
 		IsChanging:    d.dispatcher.IsChangingRole,
 	})
 	d.peers.Start()
+	d.onClose(sharer.start())
 	d.addSeeds(d.settings.Seeds)
 	d.onClose(d.directory.Start())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -195,7 +197,7 @@
 	go d.runRefresh(ctx)
 	go d.dispatcher.RunProbes(ctx)
 	go d.runRegistration(ctx)
-	go (&blameStore{d: d, stored: map[string]storedBlame{}}).run(ctx)
+	go newBlameStore(d.log, d.clk, store, d.prompts, d.mayTryPart).run(ctx)
 	go roleController.Run(ctx)
 	if d.ready, err = d.listen("ready", d.settings.Ready, http.HandlerFunc(d.serveReady)); err != nil {
 		return err
