Own door: a verdict inferred from a whole answer is copied by the daemon that answers

The request was still marked as copied there, so its own daemon sent no copy; killed before its next batch, it took the only record with it.

Change: such a result is marked as inferred, and the mark of the copy is taken back.

Evidence: TestWholeAnswerNeedsNoResult asks for the mark.

--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -181,6 +181,9 @@
 	ctx := e.r.Context()
 	result, err := e.c.HandOff.RunModel(ctx, address, call, sink.writeChunks)
 	if err == nil {
+		if result.Inferred {
+			e.c.Verdicts.SetCopiedElsewhere(e.id, false)
+		}
 		return result
 	}
 	var noResult *handoff.NoResultError
--- a/hemlockd/internal/handoff/handoff.go
+++ b/hemlockd/internal/handoff/handoff.go
@@ -181,7 +181,7 @@
 // wholeAnswerResult is the result of a request whose answer came whole from a daemon that ended before
 // it sent the result.
 func wholeAnswerResult(address string) keeper.Result {
-	return keeper.Result{Ran: problem.RanYes, Attempts: []verdict.Attempt{{
+	return keeper.Result{Inferred: true, Ran: problem.RanYes, Attempts: []verdict.Attempt{{
 		Upstream: address, Phase: "handOff", Result: verdict.AttemptRan, Cause: "the answer came whole, without the result",
 	}}}
 }
--- a/hemlockd/internal/handoff/handoff_test.go
+++ b/hemlockd/internal/handoff/handoff_test.go
@@ -49,6 +49,10 @@
 	if err != nil || chunks != 2 || result.Problem != nil || result.Ran != problem.RanYes || verdict.CombineRan(result.Attempts) != problem.RanYes {
 		t.Errorf("%d chunks, result %+v, error %v; want the whole answer", chunks, result, err)
 	}
+	// Otherwise the verdict would count as copied there, and be lost with this daemon.
+	if !result.Inferred {
+		t.Error("the result counts as one that the daemon gave")
+	}
 }
 
 // TestOnlyCallerEndsRequest guards against a caller that waits and is told that it has
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -112,6 +112,9 @@
 	Ran problem.Ran `json:"ran"`
 	// Attempts holds the attempts at engines, in order.
 	Attempts []verdict.Attempt `json:"attempts"`
+	// Inferred is true if the daemon that ran the call gave no result, which is known from its
+	// whole answer alone. That daemon may hold no copy of the verdict.
+	Inferred bool `json:"-"`
 }
 
 // Keeper owns engine groups and runs their requests.
