--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -150,7 +150,10 @@
 		Decoder:  inforce.Decoder{Config: platform.DecodeConfig, Upstream: platform.DecodeUpstream},
 		OnConfig: d.directoryChanged, OnUpstreams: d.directoryChanged, OnDaemon: d.addListed,
 		ShouldFollowStore: func() bool { return d.peers.ShouldFollowStore() },
-		Limits:            directoryLimits(d.settings),
+		Fetch: func(ctx context.Context, control string, request peers.SnapshotRequest) (peers.Snapshot, error) {
+			return d.peers.FetchSnapshot(ctx, control, request)
+		},
+		Limits: directoryLimits(d.settings),
 	})
 	var err error
 	var closePeers func()
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -75,6 +75,8 @@
 	// ShouldFollowStore reports whether this daemon follows the store itself; otherwise
 	// it gets changes from another daemon of its data centre.
 	ShouldFollowStore func() bool
+	// Fetch fetches the snapshot of the daemon at a control address.
+	Fetch func(ctx context.Context, control string, request peers.SnapshotRequest) (peers.Snapshot, error)
 	// OnDaemon is called with each entry of the list of daemons.
 	OnDaemon func(name string, raw []byte)
 	// Limits are the times within which changes must be in force, see SetLimits.
@@ -315,7 +317,7 @@
 
 func (d *Directory) runFetch(control string) {
 	defer d.fetching.Store(false)
-	s, err := peers.FetchSnapshot(d.ctx, control, peers.SnapshotRequest{HaveVersion: d.Version(), HaveListVersion: d.listVersion.Load()})
+	s, err := d.o.Fetch(d.ctx, control, peers.SnapshotRequest{HaveVersion: d.Version(), HaveListVersion: d.listVersion.Load()})
 	if err != nil {
 		if d.ctx.Err() == nil {
 			d.o.Log.Warn("fetching the snapshot of another daemon failed", zap.String("peer", control), zap.Error(err))
--- a/hemlockd/internal/peers/calls.go
+++ b/hemlockd/internal/peers/calls.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -64,10 +63,10 @@
 const callTimeout = 2 * clock.Second
 
 // FetchSnapshot fetches the snapshot of the daemon at the given control address.
-func FetchSnapshot(ctx context.Context, control string, request SnapshotRequest) (Snapshot, error) {
+func (p *Peers) FetchSnapshot(ctx context.Context, control string, request SnapshotRequest) (Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", control)
+	conn, err := p.options.Network.Dial(ctx, control)
 	if err != nil {
 		return Snapshot{}, fmt.Errorf("connect to daemon at %s: %w", control, err)
 	}
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -93,6 +93,8 @@
 	// dropped; [Peers.ViewStale] is then true for a while and engines confirm
 	// placements.
 	BytesPerSecond int
+	// Network opens the connections; nil: the machine's network.
+	Network Network
 }
 
 // Handlers provides the state that this daemon sends and processes what it receives.
@@ -169,7 +171,7 @@
 type Peers struct {
 	options  Options
 	handlers Handlers
-	conn     *net.UDPConn
+	conn     net.PacketConn
 	budget   *rate.Limiter // in bytes sent
 	listener net.Listener
 	ctx      context.Context
@@ -197,15 +199,14 @@
 // New opens the ports for other daemons. The returned function closes them and
 // stops the goroutines that Start has started.
 func New(o Options, h Handlers) (*Peers, func(), error) {
-	udp, err := net.ResolveUDPAddr("udp4", o.Address)
-	if err != nil {
-		return nil, nil, fmt.Errorf("resolve datagram address for other daemons: %w", err)
+	if o.Network == nil {
+		o.Network = systemNetwork{}
 	}
-	conn, err := net.ListenUDP("udp4", udp)
+	conn, err := o.Network.ListenPacket(o.Address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for datagrams of other daemons: %w", err)
 	}
-	listener, err := net.Listen("tcp4", o.Control)
+	listener, err := o.Network.Listen(o.Control)
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, fmt.Errorf("listen for calls of other daemons: %w", err)
@@ -395,7 +396,7 @@
 		return
 	}
 	for _, udp := range to {
-		if _, err := p.conn.WriteToUDP(datagram, udp); err != nil {
+		if _, err := p.conn.WriteTo(datagram, udp); err != nil {
 			metrics.Add("sendFailed", 1)
 			continue
 		}
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -123,7 +123,7 @@
 	a.version.Store(7)
 	b.AddAddress(a.options.Address)
 	control := <-b.newer
-	s, err := FetchSnapshot(t.Context(), control, SnapshotRequest{})
+	s, err := b.FetchSnapshot(t.Context(), control, SnapshotRequest{})
 	if err != nil || s.Version != 7 || string(s.Config) != "config" {
 		t.Errorf("%+v, %v", s, err)
 	}
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -13,7 +13,7 @@
 func (p *Peers) runReceive() {
 	buffer := make([]byte, maxDatagram)
 	for p.ctx.Err() == nil {
-		n, _, err := p.conn.ReadFromUDP(buffer)
+		n, _, err := p.conn.ReadFrom(buffer)
 		if err != nil {
 			if p.ctx.Err() == nil {
 				p.options.Log.Warn("reading a datagram from other daemons failed", zap.Error(err))
