A fetch that is given up says how many bytes had come

Lines of failed fetches now have receivedBytes and tookMs; counters snapshotsFetched, snapshotBytesFetched and snapshotsServed tell the rest.

--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -320,13 +320,24 @@
 	s, err := d.o.Fetch(d.ctx, control, peers.SnapshotRequest{HaveVersion: d.Version(), HaveListVersion: d.listVersion.Load()})
 	if err != nil {
 		if d.ctx.Err() == nil {
-			d.o.Log.Warn("fetching the snapshot of another daemon failed", zap.String("peer", control), zap.Error(err))
+			d.logFailedFetch(control, err)
 		}
 		return
 	}
 	d.applySnapshot(s, control)
 }
 
+// logFailedFetch logs a failed fetch with what tells a busy source from a narrow link: how much
+// had come by then.
+func (d *Directory) logFailedFetch(control string, err error) {
+	fields := []zap.Field{zap.String("peer", control), zap.Error(err)}
+	var failed *peers.FetchError
+	if errors.As(err, &failed) {
+		fields = append(fields, zap.Int64("receivedBytes", failed.ReceivedBytes), zap.Int64("tookMs", int64(failed.TookMs)))
+	}
+	d.o.Log.Warn("fetching the snapshot of another daemon failed", fields...)
+}
+
 // applySnapshot applies the snapshot of the daemon at the given control address.
 func (d *Directory) applySnapshot(s peers.Snapshot, control string) {
 	if len(s.Config) > 0 {
--- a/hemlockd/internal/peers/calls.go
+++ b/hemlockd/internal/peers/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -44,6 +46,7 @@
 	if err := json.Unmarshal(*req.Params, &request); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
+	metrics.Add("snapshotsServed", 1)
 	return p.handlers.Snapshot(request), nil
 }
 
@@ -62,21 +65,59 @@
 // callTimeout is the time limit of a call between daemons, including the answer.
 const callTimeout = 2 * clock.Second
 
-// FetchSnapshot fetches the snapshot of the daemon at the given control address.
+// FetchError reports that the snapshot of another daemon could not be fetched.
+type FetchError struct {
+	// Control is the control address (IP:port) of the daemon.
+	Control string
+	// ReceivedBytes is the number of bytes that had come by then.
+	ReceivedBytes int64
+	// TookMs is the time from the call to the failure.
+	TookMs clock.Millis
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *FetchError) Error() string {
+	return fmt.Sprintf("fetch snapshot from daemon at %s: %v", e.Control, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *FetchError) Unwrap() error { return e.Err }
+
+// countingConn counts the bytes that are received.
+type countingConn struct {
+	net.Conn
+	received atomic.Int64
+}
+
+// Read implements [net.Conn].
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// FetchSnapshot fetches the snapshot of the daemon at the given control address. Its errors
+// are of type *FetchError.
 func (p *Peers) FetchSnapshot(ctx context.Context, control string, request SnapshotRequest) (Snapshot, error) {
+	started := p.options.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
-	conn, err := p.options.Network.Dial(ctx, control)
+	raw, err := p.options.Network.Dial(ctx, control)
 	if err != nil {
-		return Snapshot{}, fmt.Errorf("connect to daemon at %s: %w", control, err)
+		return Snapshot{}, &FetchError{Control: control, TookMs: p.options.Clock.Now() - started, Err: fmt.Errorf("connect: %w", err)}
 	}
+	conn := &countingConn{Conn: raw}
 	stream := jsonrpc2.NewBufferedStream(conn, jsonrpc2.VarintObjectCodec{})
 	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseCalls))
 	defer func() { _ = rpc.Close() }()
 	var s Snapshot
 	if err := rpc.Call(ctx, methodSnapshot, request, &s); err != nil {
-		return Snapshot{}, fmt.Errorf("fetch snapshot from daemon at %s: %w", control, err)
+		return Snapshot{}, &FetchError{Control: control, ReceivedBytes: conn.received.Load(), TookMs: p.options.Clock.Now() - started, Err: err}
 	}
+	metrics.Add("snapshotsFetched", 1)
+	metrics.Add("snapshotBytesFetched", conn.received.Load())
 	return s, nil
 }
 
