Answers of the store are bounded by their progress, not by their size

Callers saw 404 on routes that had been acknowledged 5 s before, and requests run by an older configuration. Cause: the answer with a configuration of 4,249 routes has 1.6 MB, 1.3 s of a link of 10 Mbit/s, and the calls that read it ended after 700 ms (check), 1.5 s (feed, of which the wait takes up to 0.9 s) however much had come: a daemon on such a link reads and throws away for good, and fills its link with it.

An answer must now begin in time and then go on; while one comes, the check does not ask for a second.

--- a/common/directory/directory.go
+++ b/common/directory/directory.go
@@ -54,7 +54,8 @@
 	StoreMs clock.Millis
 }
 
-// Store is a store of versioned tables.
+// Store is a store of versioned tables. What its answers bring is reported as progress of the
+// call, see package progress.
 type Store interface {
 	// Read returns all entries of a topic. It opens a connection of its own, so that one
 	// that has fallen silent can't hold it up.
--- a/hemlockd/internal/directory/check.go
+++ b/hemlockd/internal/directory/check.go
@@ -13,8 +13,9 @@
 const (
 	// checkInterval is the time between two looks at the age of a topic.
 	checkInterval = 100 * clock.Millisecond
-	// checkTimeout limits the call that reads a topic whose age is too high. The call has a
-	// connection of its own, so that a silent one does not hold it up.
+	// checkTimeout is the time within which the answer must begin to a call that reads a topic
+	// whose age is too high. The call has a connection of its own, so that a silent one does
+	// not hold it up.
 	checkTimeout = 700 * clock.Millisecond
 	// messageDelay is how long a message of another daemon may be on its way. What it
 	// confirms is older by that time than it says.
@@ -24,6 +25,8 @@
 	CallReach = 500 * clock.Millisecond
 	// processingMargin is added for the time that the daemon itself takes.
 	processingMargin = 100 * clock.Millisecond
+	// receivingSpan is how long after a part of an answer the rest of it counts as on its way.
+	receivingSpan = 200 * clock.Millisecond
 	// minAge is the lowest limit of a topic's age.
 	minAge = 300 * clock.Millisecond
 	// minCheckPause is the pause after a failed check; it doubles with each further one,
@@ -108,12 +111,17 @@
 }
 
 // due reports whether the topic's age is above its limit, or not known although there are
-// entries, which then came from another daemon.
+// entries, which then came from another daemon. While an answer about it is on its way, a
+// second one would only take the link from the first.
 func (c *checker) due() bool {
 	ready := c.d.Ready()
 	c.d.mu.Lock()
 	defer c.d.mu.Unlock()
-	age, known := c.d.freshness.age(c.topic, c.d.o.Clock.Now())
+	now := c.d.o.Clock.Now()
+	if at, ok := c.d.receivingMs[c.topic]; ok && now-at < receivingSpan {
+		return false
+	}
+	age, known := c.d.freshness.age(c.topic, now)
 	if !known {
 		return ready
 	}
@@ -121,7 +129,7 @@
 }
 
 func (c *checker) check(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout.Duration())
+	ctx, cancel := c.bound(ctx, checkTimeout)
 	defer cancel()
 	called := c.d.o.Clock.Now()
 	page, err := c.d.o.Store.Read(ctx, c.topic)
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -25,6 +25,7 @@
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/directory"
+	"hemlockmux.example/common/progress"
 	"hemlockmux.example/common/routing"
 	"hemlockmux.example/hemlockd/internal/peers"
 )
@@ -34,10 +35,13 @@
 	// Each answer also tells that there are none, which other daemons rely on.
 	routesWait    = 900 * clock.Millisecond
 	upstreamsWait = 600 * clock.Millisecond
-	// answerMargin is added to a wait to give the time-out of the call.
+	// answerMargin is added to a wait to give the time until an answer must begin.
 	answerMargin = 600 * clock.Millisecond
-	// readTimeout limits the call that reads all entries of a topic.
+	// readTimeout is the time until the answer with all entries of a topic must begin.
 	readTimeout = 1500 * clock.Millisecond
+	// stallTimeout is the time within which an answer that has begun must go on. How long
+	// it takes as a whole depends on its size and on the link.
+	stallTimeout = 600 * clock.Millisecond
 	// daemonsWait is the wait for changes of the list of daemons, which is
 	// needed only while no other daemon is heard from.
 	daemonsWait = 10 * clock.Second
@@ -100,6 +104,9 @@
 	limits    Limits
 	// storeClock converts the times in the store's answers.
 	storeClock storeClock
+	// receivingMs is, by topic, when a part of an answer last came from the store that is
+	// still on its way.
+	receivingMs map[directory.Topic]clock.Millis
 	// lastFailureMs is when a call to the store last failed, or -1.
 	lastFailureMs clock.Millis
 	fetching      atomic.Bool
@@ -109,7 +116,7 @@
 
 // New returns an empty directory.
 func New(o Options) *Directory {
-	d := &Directory{o: o, upstreams: newUpstreamList(), freshness: newFreshness(), lastFailureMs: -1}
+	d := &Directory{o: o, upstreams: newUpstreamList(), freshness: newFreshness(), receivingMs: map[directory.Topic]clock.Millis{}, lastFailureMs: -1}
 	d.SetLimits(o.Limits)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.published.Store(&map[string][]routing.Upstream{})
@@ -381,6 +388,20 @@
 	d.mu.Unlock()
 }
 
+// recordReceiving records that a part of an answer about a topic has come from the store.
+func (d *Directory) recordReceiving(topic directory.Topic) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.receivingMs[topic] = d.o.Clock.Now()
+}
+
+// endReceiving records that no answer about a topic is on its way.
+func (d *Directory) endReceiving(topic directory.Topic) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.receivingMs, topic)
+}
+
 // storeAnswered records an answer of the store to a call that began at called, and returns
 // when the answer was made.
 func (d *Directory) storeAnswered(page directory.Page, called clock.Millis) clock.Millis {
@@ -473,7 +494,7 @@
 func (f *follower) step(ctx context.Context) error {
 	called := f.d.o.Clock.Now()
 	if !f.known {
-		ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+		ctx, cancel := f.bound(ctx, readTimeout)
 		defer cancel()
 		page, err := f.d.o.Store.Read(ctx, f.topic)
 		if err != nil {
@@ -485,8 +506,9 @@
 		f.d.confirm(f.topic, at)
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, (f.wait + answerMargin).Duration())
+	ctx, cancel := f.bound(ctx, f.wait+answerMargin)
 	defer cancel()
+	defer f.d.endReceiving(f.topic)
 	page, err := f.d.o.Store.Follow(ctx, f.topic, f.version, f.wait)
 	var lost *directory.HistoryLostError
 	if errors.As(err, &lost) {
@@ -520,6 +542,11 @@
 	failing bool // the last call failed
 }
 
+// bound returns a context for a call whose answer must begin within a time and then go on.
+func (r *storeReporter) bound(ctx context.Context, begin clock.Millis) (context.Context, context.CancelFunc) {
+	return progress.WithTimeout(ctx, progress.Bounds{FirstMs: begin, IdleMs: stallTimeout, OnProgress: func() { r.d.recordReceiving(r.topic) }})
+}
+
 // report records a failure of the store and logs each change between reachable and
 // unreachable.
 func (r *storeReporter) report(err error) {
