A large configuration spreads from daemon to daemon instead of from one to all

Callers saw 404 on acknowledged routes and requests run by an older configuration. Cause: all daemons asked the one that told them first for its copy, whole and in base64, 1.6 MB for 4,249 routes; its copies shared one link and were all given up after 2 s, nobody else was asked meanwhile, and all began anew with the next.

Now whoever has a version serves it on: a daemon draws one at random among those that said they have it, first in its own data centre, and asks a second one after 600 ms. A daemon bounds what it sends at once by its link, keeps half of the link for callers, and tells others when to come back.

The list of upstreams has calls of its own: it waited behind a configuration. Lines of the library of the calls go to the log's debug level instead of standard error, and a call's goroutine ends with it.

--- a/hemlockd/internal/app/fleet_test.go
+++ b/hemlockd/internal/app/fleet_test.go
@@ -35,6 +35,8 @@
 	store   *fleetStore
 	daemons []*fleetDaemon
 	byHost  map[string]*fleetDaemon
+	// lossShare is the share of datagrams that are lost.
+	lossShare float64
 }
 
 // fleetDaemon is one daemon of a fleet.
@@ -46,6 +48,10 @@
 	peers                  *peers.Peers
 	datagrams              chan []byte
 	calls                  chan net.Conn
+	// silent is set if connections to the daemon, which still open, bring nothing.
+	silent bool
+	// storeCut is set if the daemon does not reach the store.
+	storeCut bool
 }
 
 const (
@@ -147,6 +153,9 @@
 	}
 	to := d.fleet.byHost[host]
 	near, far := net.Pipe()
+	if to.silent {
+		return near, nil
+	}
 	select {
 	case to.calls <- &linkConn{Conn: far, from: to.link, to: d.link}:
 		return &linkConn{Conn: near, from: d.link, to: to.link}, nil
@@ -204,7 +213,7 @@
 		return 0, err
 	}
 	to, ok := p.daemon.fleet.byHost[host]
-	if !ok {
+	if !ok || rand.Float64() < p.daemon.fleet.lossShare {
 		return len(b), nil
 	}
 	datagram := append([]byte{}, b...)
@@ -255,8 +264,19 @@
 
 // fleetStoreClient reaches the store over the link of a daemon.
 type fleetStoreClient struct {
-	store *fleetStore
-	link  *link
+	store  *fleetStore
+	daemon *fleetDaemon
+}
+
+// reach takes the time that a call takes to reach the store, if it does.
+func (c *fleetStoreClient) reach(ctx context.Context) error {
+	if c.daemon.storeCut {
+		<-ctx.Done()
+	}
+	if !clock.Sleep(ctx, 2*fleetDelay) {
+		return ctx.Err()
+	}
+	return nil
 }
 
 // answer brings a page to the daemon. On the wire, values are in base64.
@@ -265,7 +285,7 @@
 	for _, e := range page.Entries {
 		bytes += len(e.Value) * 4 / 3
 	}
-	if err := transfer(ctx, bytes, c.store.link, c.link); err != nil {
+	if err := transfer(ctx, bytes, c.store.link, c.daemon.link); err != nil {
 		return directory.Page{}, fmt.Errorf("read the response: %w", err)
 	}
 	return page, nil
@@ -273,8 +293,8 @@
 
 // Read implements [directory.Store].
 func (c *fleetStoreClient) Read(ctx context.Context, topic directory.Topic) (directory.Page, error) {
-	if !clock.Sleep(ctx, 2*fleetDelay) {
-		return directory.Page{}, ctx.Err()
+	if err := c.reach(ctx); err != nil {
+		return directory.Page{}, err
 	}
 	c.store.mu.Lock()
 	page := c.store.pageLocked(topic, 0)
@@ -284,8 +304,8 @@
 
 // Follow implements [directory.Store].
 func (c *fleetStoreClient) Follow(ctx context.Context, topic directory.Topic, after int64, wait clock.Millis) (directory.Page, error) {
-	if !clock.Sleep(ctx, 2*fleetDelay) {
-		return directory.Page{}, ctx.Err()
+	if err := c.reach(ctx); err != nil {
+		return directory.Page{}, err
 	}
 	timer := time.NewTimer(wait.Duration())
 	defer timer.Stop()
@@ -354,7 +374,7 @@
 	t.Helper()
 	view := capacity.NewView(capacity.DefaultLimits())
 	d.directory = inforce.New(inforce.Options{
-		Log: zap.NewNop(), Clock: d.fleet.time.Clock(), Store: &fleetStoreClient{store: d.fleet.store, link: d.link},
+		Log: zap.NewNop(), Clock: d.fleet.time.Clock(), Store: &fleetStoreClient{store: d.fleet.store, daemon: d},
 		Decoder:  inforce.Decoder{Config: decodeLargeConfig},
 		OnConfig: func() { d.peers.Broadcast(peers.Update{}) }, OnUpstreams: func() {}, OnDaemon: func(string, []byte) {},
 		ShouldFollowStore: func() bool { return d.peers.ShouldFollowStore() },
@@ -367,11 +387,11 @@
 	var closePeers func()
 	d.peers, closePeers, err = peers.New(peers.Options{
 		Log: zap.NewNop(), Clock: d.fleet.time.Clock(), Name: d.name, DataCentre: d.dataCentre, Address: d.host + fleetDatagramPort,
-		Control: d.host + fleetControlPort, StartedMs: 1, BytesPerSecond: peers.DefaultBytesPerSecond, Network: d,
+		Control: d.host + fleetControlPort, StartedMs: 1, BytesPerSecond: peers.DefaultBytesPerSecond, LinkMbps: d.link.bytesPerMs * 8 / 1000, Network: d,
 	}, peers.Handlers{
 		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view,
 		Suspects: suspects.New(), Prompts: prompts.New(), CapacityChanged: func() {}, Unreachable: func([]string) {}, ChangingRole: func([]string) {},
-		NewerVersion: d.directory.FetchFromPeer, Freshness: d.directory.Freshness, Confirmed: d.directory.Confirm,
+		Versions: d.directory.HearPeer, Freshness: d.directory.Freshness, Confirmed: d.directory.Confirm,
 		Snapshot: d.directory.Snapshot, Beliefs: func() operatorapi.DaemonView { return operatorapi.DaemonView{} },
 	})
 	if err != nil {
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -159,12 +159,12 @@
 	var closePeers func()
 	d.peers, closePeers, err = peers.New(peers.Options{
 		Log: d.log, Clock: d.clk, Name: d.settings.Name, DataCentre: d.settings.DataCentre,
-		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes,
+		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes, LinkMbps: d.settings.LinkMbps,
 	}, peers.Handlers{
 		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, CapacityChanged: queue.RetrySoon,
 		Unreachable:  func(ids []string) { d.dispatcher.MarkDown(ids) }, // the dispatcher is constructed below
 		ChangingRole: func(ids []string) { d.dispatcher.MarkRoleChanging(ids) },
-		NewerVersion: d.directory.FetchFromPeer,
+		Versions:     d.directory.HearPeer,
 		Freshness:    d.directory.Freshness, Confirmed: d.directory.Confirm,
 		Snapshot: d.directory.Snapshot, Beliefs: d.beliefs,
 	})
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -109,14 +109,19 @@
 	receivingMs map[directory.Topic]clock.Millis
 	// lastFailureMs is when a call to the store last failed, or -1.
 	lastFailureMs clock.Millis
-	fetching      atomic.Bool
-	ctx           context.Context
-	cancel        context.CancelFunc
+	// configFetcher and listFetcher fetch newer versions from other daemons, configCache and
+	// listCache hold what is sent to them.
+	configFetcher, listFetcher *fetcher
+	configCache, listCache     snapshotCache
+	ctx                        context.Context
+	cancel                     context.CancelFunc
 }
 
 // New returns an empty directory.
 func New(o Options) *Directory {
 	d := &Directory{o: o, upstreams: newUpstreamList(), freshness: newFreshness(), receivingMs: map[directory.Topic]clock.Millis{}, lastFailureMs: -1}
+	d.configFetcher = newFetcher(d, directory.Routes, d.Version)
+	d.listFetcher = newFetcher(d, directory.Upstreams, d.ListVersion)
 	d.SetLimits(o.Limits)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.published.Store(&map[string][]routing.Upstream{})
@@ -149,6 +154,8 @@
 	follow(directory.Daemons, daemonsWait, d.applyDaemons)
 	check(directory.Routes, d.applyRoutes)
 	check(directory.Upstreams, applyUpstreams)
+	running.Go(func() { d.configFetcher.run(d.ctx) })
+	running.Go(func() { d.listFetcher.run(d.ctx) })
 	return func() {
 		d.cancel()
 		running.Wait()
@@ -214,12 +221,13 @@
 	}
 }
 
-// applyConfig puts a configuration into force if it is newer than the one in force.
-func (d *Directory) applyConfig(raw []byte, source string) {
+// applyConfig puts a configuration into force if it is newer than the one in force. It returns
+// its version, or 0 if it cannot be decoded.
+func (d *Directory) applyConfig(raw []byte, source string) int64 {
 	cfg, err := d.o.Decoder.Config(raw)
 	if err != nil {
 		d.o.Log.Error("cannot decode the configuration; keeping the one in force", zap.String("source", source), zap.Error(err))
-		return
+		return 0
 	}
 	d.mu.Lock()
 	old := d.Version()
@@ -229,11 +237,12 @@
 	}
 	d.mu.Unlock()
 	if !newer {
-		return
+		return cfg.Version
 	}
 	d.o.Log.Info("configuration is in force", zap.Int64("version", cfg.Version), zap.Int64("before", old),
-		zap.String("source", source), zap.Int("routes", len(cfg.Routes)))
+		zap.String("source", source), zap.Int("routes", len(cfg.Routes)), zap.Int("bytes", len(raw)))
 	d.o.OnConfig()
+	return cfg.Version
 }
 
 // applyUpstreams applies a page of the list of upstreams unless the list in force is as
@@ -296,71 +305,14 @@
 	}
 }
 
-// Snapshot returns the configuration and the list of upstreams in force, each only if it
-// is newer than the version that the caller has.
-func (d *Directory) Snapshot(request peers.SnapshotRequest) peers.Snapshot {
-	s := peers.Snapshot{Version: d.Version()}
-	if t := d.table.Load(); t != nil && s.Version > request.HaveVersion {
-		s.Config = t.Config.Raw
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	s.ListVersion = d.listVersion.Load()
-	if s.ListVersion > request.HaveListVersion && d.upstreamsLoaded.Load() {
-		s.Upstreams, s.RemovedAgoMs = d.upstreams.raw(d.o.Clock.Now())
-	}
-	return s
-}
-
-// FetchFromPeer fetches the snapshot of the daemon at the given control address in the
-// background and applies a newer configuration and a newer list of upstreams. It does
-// nothing while another fetch is running.
-func (d *Directory) FetchFromPeer(control string) {
-	if !d.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	go d.runFetch(control)
-}
-
-func (d *Directory) runFetch(control string) {
-	defer d.fetching.Store(false)
-	s, err := d.o.Fetch(d.ctx, control, peers.SnapshotRequest{HaveVersion: d.Version(), HaveListVersion: d.listVersion.Load()})
-	if err != nil {
-		if d.ctx.Err() == nil {
-			d.logFailedFetch(control, err)
-		}
-		return
-	}
-	d.applySnapshot(s, control)
-}
-
-// logFailedFetch logs a failed fetch with what tells a busy source from a narrow link: how much
-// had come by then.
-func (d *Directory) logFailedFetch(control string, err error) {
-	fields := []zap.Field{zap.String("peer", control), zap.Error(err)}
-	var failed *peers.FetchError
-	if errors.As(err, &failed) {
-		fields = append(fields, zap.Int64("receivedBytes", failed.ReceivedBytes), zap.Int64("tookMs", int64(failed.TookMs)))
-	}
-	d.o.Log.Warn("fetching the snapshot of another daemon failed", fields...)
-}
-
-// applySnapshot applies the snapshot of the daemon at the given control address.
-func (d *Directory) applySnapshot(s peers.Snapshot, control string) {
-	if len(s.Config) > 0 {
-		d.applyConfig(s.Config, control)
-	}
-	if s.Upstreams == nil {
-		return
-	}
-	page := directory.Page{Version: s.ListVersion}
-	for id, raw := range s.Upstreams {
-		// Each daemon decides for itself whether it still uses what was removed.
-		if _, removed := s.RemovedAgoMs[id]; !removed {
-			page.Entries = append(page.Entries, directory.Entry{Key: id, Value: raw})
-		}
+// HearPeer records the versions that the daemon at a control address has in force; local is set
+// if it is in this daemon's data centre. Newer ones are fetched in the background. Lists of
+// upstreams are fetched within a data centre only.
+func (d *Directory) HearPeer(control string, version, listVersion int64, local bool) {
+	d.configFetcher.heard(control, version, local)
+	if local {
+		d.listFetcher.heard(control, listVersion, local)
 	}
-	d.applyUpstreams(page, true, control)
 }
 
 // All returns all known upstreams, including those that are leaving.
--- a/hemlockd/internal/directory/directory_test.go
+++ b/hemlockd/internal/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -140,11 +141,60 @@
 	d := newTestDirectory(&fakeStore{})
 	d.applyConfig([]byte("7"), "test")
 	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false)}}, true, storeSource)
-	if s := d.Snapshot(peers.SnapshotRequest{}); string(s.Config) != "7" || len(s.Upstreams) != 1 || s.ListVersion != 90 {
-		t.Errorf("%+v", s)
+	for topic, version := range map[directory.Topic]int64{directory.Routes: 7, directory.Upstreams: 90} {
+		s, err := d.Snapshot(peers.SnapshotRequest{Topic: topic, HaveVersion: version - 1})
+		if err != nil || s.Version != version || len(s.Content) == 0 {
+			t.Errorf("%s: %+v, %v", topic, s, err)
+		}
+		s, err = d.Snapshot(peers.SnapshotRequest{Topic: topic, HaveVersion: version})
+		if err != nil || s.Version != version || s.Content != nil {
+			t.Errorf("%s: %+v, %v", topic, s, err)
+		}
+	}
+}
+
+// TestSnapshotIsAppliedAsItWas checks both topics on their way through compression.
+func TestSnapshotIsAppliedAsItWas(t *testing.T) {
+	from, to := newTestDirectory(&fakeStore{}), newTestDirectory(&fakeStore{})
+	from.applyConfig([]byte("7"), "test")
+	from.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true, storeSource)
+	for _, topic := range []directory.Topic{directory.Routes, directory.Upstreams} {
+		s, err := from.Snapshot(peers.SnapshotRequest{Topic: topic})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := to.applySnapshot(topic, s, "peer"); err != nil {
+			t.Fatal(err)
+		}
 	}
-	if s := d.Snapshot(peers.SnapshotRequest{HaveVersion: 7, HaveListVersion: 90}); s.Config != nil || s.Upstreams != nil {
-		t.Errorf("%+v", s)
+	if to.Version() != 7 || string(to.Table().Config.Raw) != "7" || to.ListVersion() != 90 || !to.has("a") || !to.has("b") {
+		t.Errorf("version %d, list version %d, upstreams %v", to.Version(), to.ListVersion(), to.All())
+	}
+}
+
+// TestBadSnapshotsChangeNothing applies what another daemon may send by mistake.
+func TestBadSnapshotsChangeNothing(t *testing.T) {
+	valid := func(text string) []byte {
+		content, err := compress([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return content
+	}
+	for name, content := range map[string][]byte{
+		"no compression": []byte("8"), "cut": valid("8")[:12], "no version": valid("x"), "too large": valid(strings.Repeat("8", maxSnapshotBytes+1)),
+	} {
+		for _, topic := range []directory.Topic{directory.Routes, directory.Upstreams} {
+			d := newTestDirectory(&fakeStore{})
+			d.applyConfig([]byte("7"), "test")
+			err := d.applySnapshot(topic, peers.Snapshot{Version: 8, Content: content}, "peer")
+			if d.Version() != 7 || d.ListVersion() != 0 || name != "no version" && err == nil {
+				t.Errorf("%s, %s: version %d, list version %d, error %v", name, topic, d.Version(), d.ListVersion(), err)
+			}
+			if s, _ := d.Snapshot(peers.SnapshotRequest{Topic: directory.Routes}); s.Version != 7 {
+				t.Errorf("%s, %s: passed on as version %d", name, topic, s.Version)
+			}
+		}
 	}
 }
 
--- a/hemlockd/internal/directory/freshness_test.go
+++ b/hemlockd/internal/directory/freshness_test.go
@@ -110,7 +110,13 @@
 	if !cut.has("a") {
 		t.Error("not kept although nothing is known of other daemons")
 	}
-	sound.applySnapshot(cut.Snapshot(peers.SnapshotRequest{}), "cut")
+	s, err := cut.Snapshot(peers.SnapshotRequest{Topic: directory.Upstreams})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := sound.applySnapshot(directory.Upstreams, s, "cut"); err != nil {
+		t.Fatal(err)
+	}
 	if sound.has("a") || !sound.has("b") {
 		t.Errorf("in use: a, which has left, %t, want false; b %t, want true", sound.has("a"), sound.has("b"))
 	}
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -149,15 +149,14 @@
 	return all
 }
 
-// raw returns the entries in the platform's encoding, for other daemons, and how long
-// ago removed ones that are still used were removed, in ms.
-func (l *upstreamList) raw(now clock.Millis) (all map[string][]byte, removedAgo map[string]clock.Millis) {
-	all, removedAgo = map[string][]byte{}, map[string]clock.Millis{}
+// listed returns the entries in the platform's encoding, for other daemons. Each daemon decides
+// for itself whether it still uses what was removed.
+func (l *upstreamList) listed() map[string][]byte {
+	all := map[string][]byte{}
 	for id, e := range l.entries {
-		all[id] = e.raw
-		if e.removedMs != 0 {
-			removedAgo[id] = now - e.removedMs
+		if e.removedMs == 0 {
+			all[id] = e.raw
 		}
 	}
-	return all, removedAgo
+	return all
 }
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
@@ -11,8 +12,7 @@
 const (
 	// methodState is the notification that carries a State in a datagram.
 	methodState = "daemon.state"
-	// methodSnapshot is the call, over a connection, that returns a Snapshot of routes
-	// and upstreams.
+	// methodSnapshot is the call, over a connection, that returns a Snapshot of one topic.
 	methodSnapshot = "daemon.snapshot"
 )
 
@@ -71,27 +71,22 @@
 	OutageAgoMs clock.Millis `json:"outageAgoMs,omitempty"`
 }
 
-// Snapshot holds the configuration and the upstreams that a daemon knows, in the
-// platform's own encoding.
-type Snapshot struct {
-	// Version is the version of the configuration in force.
-	Version int64 `json:"version"`
-	// Config is the configuration, omitted if the caller already has that version.
-	Config []byte `json:"config,omitempty"`
-	// ListVersion is the version of Upstreams, which is omitted if the caller already
-	// has that version.
-	ListVersion int64 `json:"listVersion"`
-	// Upstreams holds the entries of the list of upstreams, by ID.
-	Upstreams map[string][]byte `json:"upstreams,omitempty"`
-	// RemovedAgoMs holds, by ID, how long ago entries of upstreams were removed around an
-	// outage of the store, in ms. Such entries may come back.
-	RemovedAgoMs map[string]clock.Millis `json:"goneAgoMs,omitempty"`
-}
-
-// SnapshotRequest states which versions the caller already has.
+// SnapshotRequest asks for what a daemon has in force of one topic.
 type SnapshotRequest struct {
-	// HaveVersion is the caller's version of the configuration.
+	// Topic is [directory.Routes] or [directory.Upstreams]. Each has calls of its own, so that
+	// a large configuration does not hold up news of upstreams.
+	Topic directory.Topic `json:"topic"`
+	// HaveVersion is the version that the caller has.
 	HaveVersion int64 `json:"haveVersion"`
-	// HaveListVersion is the caller's version of the list of upstreams.
-	HaveListVersion int64 `json:"haveListVersion"`
+}
+
+// Snapshot holds what a daemon has in force of one topic.
+type Snapshot struct {
+	// Version is the version of the configuration, or the store's version of the list of
+	// upstreams.
+	Version int64 `json:"version"`
+	// Content is compressed with gzip: the configuration in the platform's own encoding, or
+	// the list of upstreams as a JSON object of such entries by ID. It is omitted if the
+	// caller's version is as new.
+	Content []byte `json:"content,omitempty"`
 }
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -93,6 +93,9 @@
 	// dropped; [Peers.ViewStale] is then true for a while and engines confirm
 	// placements.
 	BytesPerSecond int
+	// LinkMbps is the rate of this VM's link, in Mbit/s; 0: DefaultLinkMbps. It bounds the
+	// snapshots that are sent to other daemons.
+	LinkMbps float64
 	// Network opens the connections; nil: the machine's network.
 	Network Network
 }
@@ -118,16 +121,17 @@
 	// ChangingRole is called with engines that another daemon has ordered to change
 	// their role.
 	ChangingRole func(ids []string)
-	// NewerVersion is called when the daemon at the control address has a newer
-	// configuration or, in the same data centre, a newer list of upstreams.
-	NewerVersion func(control string)
+	// Versions is called with the versions of the configuration and of the list of upstreams
+	// that the daemon at the control address has in force; local is set if it is in the same
+	// data centre.
+	Versions func(control string, version, listVersion int64, local bool)
 	// Freshness returns how up to date this daemon is, or nil if it does not know.
 	Freshness func() *Freshness
 	// Confirmed is called with the freshness of another daemon and the versions of the
 	// configuration and of the list of upstreams that it has in force.
 	Confirmed func(f Freshness, version, listVersion int64)
 	// Snapshot answers the snapshot requests of other daemons.
-	Snapshot func(SnapshotRequest) Snapshot
+	Snapshot func(SnapshotRequest) (Snapshot, error)
 	// Beliefs answers the requests of operators for this daemon's state.
 	Beliefs func() operatorapi.DaemonView
 }
@@ -174,6 +178,8 @@
 	conn     net.PacketConn
 	budget   *rate.Limiter // in bytes sent
 	listener net.Listener
+	serving  *serving
+	callLog  callLog
 	ctx      context.Context
 	running  sync.WaitGroup
 
@@ -214,6 +220,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{
 		options: o, handlers: h, conn: conn, listener: listener, ctx: ctx, lastDroppedMs: -staleAfterDrop,
+		serving: newServing(o.LinkMbps), callLog: callLog{log: o.Log},
 		budget:  rate.NewLimiter(rate.Limit(o.BytesPerSecond), o.BytesPerSecond),
 		daemons: map[string]*Daemon{}, addresses: map[string]*peerAddress{},
 	}
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -22,6 +22,8 @@
 	view    *capacity.View
 	version atomic.Int64
 	newer   chan string
+	// content is what the daemon's snapshots hold.
+	content []byte
 }
 
 func freeAddress(t *testing.T) string {
@@ -36,18 +38,20 @@
 
 func start(t *testing.T, name string, started clock.Millis) *node {
 	t.Helper()
-	n := &node{view: capacity.NewView(capacity.DefaultLimits()), newer: make(chan string, 100)}
+	n := &node{view: capacity.NewView(capacity.DefaultLimits()), newer: make(chan string, 100), content: []byte("config")}
 	n.view.SetEngines([]capacity.Engine{{ID: "e", MemoryTokens: 10000, Slots: 8}})
 	p, closePeers, err := New(Options{
 		Log: zap.NewNop(), Clock: clock.System(), Name: name, DataCentre: "a",
 		Address: freeAddress(t), Control: freeAddress(t), StartedMs: started, BytesPerSecond: 20000,
 	}, Handlers{
 		Version: func() int64 { return n.version.Load() }, ListVersion: func() int64 { return 0 }, FollowsStore: func() bool { return true },
-		View: n.view, Suspects: suspects.New(), Prompts: prompts.New(), CapacityChanged: func() {}, NewerVersion: func(control string) { n.newer <- control },
+		View: n.view, Suspects: suspects.New(), Prompts: prompts.New(), CapacityChanged: func() {}, Versions: n.hear,
 		Unreachable: func([]string) {}, ChangingRole: func([]string) {},
 		Freshness: func() *Freshness { return &Freshness{ListAgeMs: 1} }, Confirmed: func(Freshness, int64, int64) {},
-		Snapshot: func(SnapshotRequest) Snapshot { return Snapshot{Version: n.version.Load(), Config: []byte("config")} },
-		Beliefs:  func() operatorapi.DaemonView { return operatorapi.DaemonView{Daemon: name} },
+		Snapshot: func(SnapshotRequest) (Snapshot, error) {
+			return Snapshot{Version: n.version.Load(), Content: n.content}, nil
+		},
+		Beliefs: func() operatorapi.DaemonView { return operatorapi.DaemonView{Daemon: name} },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -58,6 +62,13 @@
 	return n
 }
 
+// hear passes on the control address of a daemon with a newer configuration.
+func (n *node) hear(control string, version, _ int64, _ bool) {
+	if version > n.version.Load() {
+		n.newer <- control
+	}
+}
+
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -124,7 +135,7 @@
 	b.AddAddress(a.options.Address)
 	control := <-b.newer
 	s, err := b.FetchSnapshot(t.Context(), control, SnapshotRequest{})
-	if err != nil || s.Version != 7 || string(s.Config) != "config" {
+	if err != nil || s.Version != 7 || string(s.Content) != "config" {
 		t.Errorf("%+v, %v", s, err)
 	}
 }
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -91,10 +91,7 @@
 	if s.Freshness != nil {
 		p.handlers.Confirmed(*s.Freshness, s.Version, s.ListVersion)
 	}
-	newerList := s.DataCentre == p.options.DataCentre && s.ListVersion > p.handlers.ListVersion()
-	if s.Version > p.handlers.Version() || newerList {
-		p.handlers.NewerVersion(s.Control)
-	}
+	p.handlers.Versions(s.Control, s.Version, s.ListVersion, s.DataCentre == p.options.DataCentre)
 }
 
 func (p *Peers) applyRuns(s State, now clock.Millis) {
