Daemons with the widest links follow the store

The store sends a configuration whole, 1.6 MB for 4,249 routes: 1.3 s over 10 Mbit/s, 0.07 s over 200. Now the widest links come first, then names.

Measured: TestWidestLinksFollowTheStore, red before ('leaves following the store to daemons with narrower links'); unit tests of peers green.

--- a/hemlockd/internal/peers/known.go
+++ b/hemlockd/internal/peers/known.go
@@ -17,12 +17,12 @@
 )
 
 // ShouldFollowStore reports whether this daemon should follow the store. It should if,
-// of the live daemons of its data centre that precede it by name, fewer than
-// storeFollowers follow the store and there are fewer than storeCandidates.
+// of the live daemons of its data centre that precede it, fewer than storeFollowers follow
+// the store and there are fewer than storeCandidates.
 func (p *Peers) ShouldFollowStore() bool {
 	followers, candidates := 0, 0
 	for _, d := range p.Alive() {
-		if d.DataCentre != p.options.DataCentre || d.Leaving || d.Name > p.options.Name {
+		if d.DataCentre != p.options.DataCentre || d.Leaving || !p.isPrecededBy(d) {
 			continue
 		}
 		candidates++
@@ -33,6 +33,16 @@
 	return followers < storeFollowers && candidates < storeCandidates
 }
 
+// isPrecededBy reports whether another daemon comes first in following the store: the one with
+// the wider link, since the store sends a configuration whole; of equal ones that with the
+// lower name.
+func (p *Peers) isPrecededBy(d Daemon) bool {
+	if d.LinkMbps != p.options.LinkMbps {
+		return d.LinkMbps > p.options.LinkMbps
+	}
+	return d.Name <= p.options.Name
+}
+
 // staleAfterDrop is how long after a message was dropped for lack of send budget the
 // daemons' views of each other's runs count as stale.
 const staleAfterDrop = 3 * clock.Second
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -34,6 +34,8 @@
 	ListVersion int64 `json:"listVersion"`
 	// FollowsStore reports whether the sender receives changes from the store itself.
 	FollowsStore bool `json:"followsStore,omitempty"`
+	// LinkMbps is the rate of the sender's link, in Mbit/s; 0 if it does not know it.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 	// Full reports whether Runs holds all runs of the daemon; otherwise they are added
 	// to, or replace, those sent before.
 	Full bool `json:"whole,omitempty"`
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -165,7 +165,9 @@
 	// Leaving reports whether it is shutting down.
 	Leaving bool `json:"leaving"`
 	// FollowsStore reports whether it receives changes from the store itself.
-	FollowsStore     bool `json:"followsStore"`
+	FollowsStore bool `json:"followsStore"`
+	// LinkMbps is the rate of its link, in Mbit/s; 0 if it is not known.
+	LinkMbps         float64 `json:"linkMbps"`
 	startedMs        int64
 	lastSequence     int64
 	lastFullSequence int64 // of the last full-state message
@@ -418,6 +420,7 @@
 	if s.Full { // before the versions: what is fresh must not be more than they say
 		s.Freshness = p.handlers.Freshness()
 	}
+	s.LinkMbps = o.LinkMbps
 	s.Version, s.ListVersion, s.FollowsStore = p.handlers.Version(), p.handlers.ListVersion(), p.handlers.FollowsStore()
 	p.mu.Lock()
 	if s.Sequence == 0 {
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -163,6 +163,26 @@
 	}
 }
 
+// TestWidestLinksFollowTheStore guards against a daemon that reads a large configuration from
+// the store over a narrow link while others of its data centre have wide ones.
+func TestWidestLinksFollowTheStore(t *testing.T) {
+	a := start(t, "m", 1)
+	a.options.LinkMbps = 10
+	receive := func(name string, mbps float64) {
+		a.apply(State{Name: name, StartedMs: 1, Sequence: 1, Address: "127.0.0.1:9", DataCentre: "a", FollowsStore: true, LinkMbps: mbps})
+	}
+	receive("a", 1)
+	receive("b", 1)
+	if !a.ShouldFollowStore() {
+		t.Error("leaves following the store to daemons with narrower links")
+	}
+	receive("z1", 200)
+	receive("z2", 200)
+	if a.ShouldFollowStore() {
+		t.Error("follows the store although two daemons with wider links do")
+	}
+}
+
 // TestUpdatesBeyondTheBudgetAreDropped exceeds the send budget, as 28 daemons in a data
 // centre would. The view must then count as stale, so that engines confirm placements.
 func TestUpdatesBeyondTheBudgetAreDropped(t *testing.T) {
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -60,7 +60,7 @@
 	stale := s.StartedMs < d.startedMs || s.Sequence < d.lastFullSequence || s.Full && s.Sequence < d.lastSequence
 	if s.StartedMs == d.startedMs {
 		d.LastHeardMs, d.Version, d.Leaving, d.FollowsStore = now, max(d.Version, s.Version), s.Leaving, s.FollowsStore
-		d.Address, d.Control, d.DataCentre = s.Address, s.Control, s.DataCentre
+		d.Address, d.Control, d.DataCentre, d.LinkMbps = s.Address, s.Control, s.DataCentre, s.LinkMbps
 		d.lastSequence = max(d.lastSequence, s.Sequence)
 		if s.Full && !stale {
 			d.lastFullSequence = s.Sequence
