A check of the configuration reads what has changed, not the whole

Daemons now tell each other the store's version at which the configuration was confirmed; a check asks for the changes after it, and reads the whole only where the history is gone. The list of upstreams is still read whole: its entries may lapse while feeds are silent.

--- a/common/directory/directory.go
+++ b/common/directory/directory.go
@@ -64,6 +64,9 @@
 	// has no entries if nothing has changed. It returns a *HistoryLostError if the
 	// changes after the version are no longer available.
 	Follow(ctx context.Context, topic Topic, after int64, wait clock.Millis) (Page, error)
+	// Changes returns the changes after a version at once, as Follow does. It opens a
+	// connection of its own, as Read does.
+	Changes(ctx context.Context, topic Topic, after int64) (Page, error)
 	// Put writes one entry. Only the router's own topics can be written.
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
 	// CompareAndSwap writes one entry if it still has the expected version (0 if it must
--- a/hemlockd/internal/app/fleet_test.go
+++ b/hemlockd/internal/app/fleet_test.go
@@ -326,6 +326,11 @@
 	}
 }
 
+// Changes implements [directory.Store].
+func (c *fleetStoreClient) Changes(ctx context.Context, topic directory.Topic, after int64) (directory.Page, error) {
+	return c.Follow(ctx, topic, after, 0)
+}
+
 // Put implements [directory.Store].
 func (c *fleetStoreClient) Put(context.Context, directory.Topic, string, []byte) error { return nil }
 
--- a/hemlockd/internal/directory/check.go
+++ b/hemlockd/internal/directory/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"math/rand/v2"
 
@@ -132,12 +133,28 @@
 	ctx, cancel := c.bound(ctx, checkTimeout)
 	defer cancel()
 	called := c.d.o.Clock.Now()
-	page, err := c.d.o.Store.Read(ctx, c.topic)
+	page, full, err := c.read(ctx)
 	if err != nil {
 		return err
 	}
 	at := c.d.storeAnswered(page, called)
-	c.apply(page, true)
-	c.d.confirm(c.topic, at)
+	if full || len(page.Entries) > 0 {
+		c.apply(page, full)
+	}
+	c.d.confirm(c.topic, at, page.Version)
 	return nil
 }
+
+// read reads the topic from the store: the configuration, which may be large, only if it has
+// changed since it was last confirmed.
+func (c *checker) read(ctx context.Context) (page directory.Page, full bool, err error) {
+	if after := c.d.storeVersion(c.topic); c.topic == directory.Routes && after > 0 {
+		page, err = c.d.o.Store.Changes(ctx, c.topic, after)
+		var lost *directory.HistoryLostError
+		if !errors.As(err, &lost) {
+			return page, false, err
+		}
+	}
+	page, err = c.d.o.Store.Read(ctx, c.topic)
+	return page, true, err
+}
--- a/hemlockd/internal/directory/check_test.go
+++ b/hemlockd/internal/directory/check_test.go
@@ -86,3 +86,25 @@
 		}
 	})
 }
+
+// TestUnchangedConfigurationIsNotReadAgain guards the link of a daemon that nobody tells that
+// its configuration is up to date: each check read it whole.
+func TestUnchangedConfigurationIsNotReadAgain(t *testing.T) {
+	for _, historyLost := range []bool{false, true} {
+		inVirtualTime(t, func(b *bubble, store *feedStore) {
+			b.followsStore.Store(false)
+			b.pass(clock.Second)
+			store.mu.Lock()
+			store.historyLost = historyLost
+			before := store.configReads
+			store.mu.Unlock()
+			b.pass(clock.Minute)
+			store.mu.Lock()
+			reads, changeCalls := store.configReads-before, store.changeCalls
+			store.mu.Unlock()
+			if changeCalls < 10 || historyLost != (reads > 0) {
+				t.Errorf("history lost %t: the configuration was read %d times beside %d calls for changes", historyLost, reads, changeCalls)
+			}
+		})
+	}
+}
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -364,11 +364,19 @@
 	return at
 }
 
-// confirm records that the entries in force of a topic were the store's at a time.
-func (d *Directory) confirm(topic directory.Topic, at clock.Millis) {
+// confirm records that the entries in force of a topic were the store's at a time, when the
+// store's version was the given one.
+func (d *Directory) confirm(topic directory.Topic, at clock.Millis, storeVersion int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.freshness.confirm(topic, at)
+	d.freshness.confirm(topic, at, storeVersion)
+}
+
+// storeVersion returns the store's version when a topic was last confirmed, or 0.
+func (d *Directory) storeVersion(topic directory.Topic) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.freshness.storeVersion[topic]
 }
 
 // Freshness returns how up to date this daemon is, to be sent to other daemons, or nil if
@@ -382,7 +390,7 @@
 	if !configKnown || !listKnown {
 		return nil
 	}
-	f := &peers.Freshness{ConfigAgeMs: configAge, ListAgeMs: listAge}
+	f := &peers.Freshness{ConfigAgeMs: configAge, ListAgeMs: listAge, ConfigStoreVersion: d.freshness.storeVersion[directory.Routes]}
 	if ago := now - d.freshness.surelyReachableSince(); ago < outageMemory {
 		f.OutageAgoMs = max(1, ago)
 	}
@@ -402,10 +410,10 @@
 	}
 	d.freshness.reachableFor(reachableSince, ago(min(f.ConfigAgeMs, f.ListAgeMs)), now)
 	if version <= d.Version() {
-		d.freshness.confirm(directory.Routes, ago(f.ConfigAgeMs))
+		d.freshness.confirm(directory.Routes, ago(f.ConfigAgeMs), f.ConfigStoreVersion)
 	}
 	if listVersion <= d.listVersion.Load() {
-		d.freshness.confirm(directory.Upstreams, ago(f.ListAgeMs))
+		d.freshness.confirm(directory.Upstreams, ago(f.ListAgeMs), 0)
 	}
 }
 
@@ -455,7 +463,7 @@
 		f.version, f.known = page.Version, true
 		at := f.d.storeAnswered(page, called)
 		f.apply(page, true)
-		f.d.confirm(f.topic, at)
+		f.d.confirm(f.topic, at, page.Version)
 		return nil
 	}
 	ctx, cancel := f.bound(ctx, f.wait+answerMargin)
@@ -475,7 +483,7 @@
 	if len(page.Entries) > 0 {
 		f.apply(page, false)
 	}
-	f.d.confirm(f.topic, at)
+	f.d.confirm(f.topic, at, page.Version)
 	return nil
 }
 
--- a/hemlockd/internal/directory/directory_test.go
+++ b/hemlockd/internal/directory/directory_test.go
@@ -54,6 +54,10 @@
 	return directory.Page{Version: after}, nil
 }
 
+func (f *fakeStore) Changes(ctx context.Context, topic directory.Topic, after int64) (directory.Page, error) {
+	return f.Follow(ctx, topic, after, 0)
+}
+
 func (f *fakeStore) Put(context.Context, directory.Topic, string, []byte) error { return nil }
 
 func (f *fakeStore) CompareAndSwap(context.Context, directory.Topic, string, []byte, int64) (int64, error) {
--- a/hemlockd/internal/directory/freshness_test.go
+++ b/hemlockd/internal/directory/freshness_test.go
@@ -120,8 +120,8 @@
 	if sound.has("a") || !sound.has("b") {
 		t.Errorf("in use: a, which has left, %t, want false; b %t, want true", sound.has("a"), sound.has("b"))
 	}
-	sound.confirm(directory.Routes, now.Clock().Now())
-	sound.confirm(directory.Upstreams, now.Clock().Now())
+	sound.confirm(directory.Routes, now.Clock().Now(), 0)
+	sound.confirm(directory.Upstreams, now.Clock().Now(), 0)
 	cut.Confirm(*sound.Freshness(), 0, 95)
 	cut.ExpireUpstreams()
 	if cut.has("a") {
@@ -196,8 +196,8 @@
 	fresh := newTestDirectory(&fakeStore{})
 	fresh.o.Clock = now.Clock()
 	fresh.storeAnswered(directory.Page{}, now.Clock().Now())
-	fresh.confirm(directory.Routes, now.Clock().Now())
-	fresh.confirm(directory.Upstreams, now.Clock().Now())
+	fresh.confirm(directory.Routes, now.Clock().Now(), 0)
+	fresh.confirm(directory.Upstreams, now.Clock().Now(), 0)
 	old := newTestDirectory(&fakeStore{})
 	old.o.Clock = now.Clock()
 	old.freshness = steady(clock.Second, 50*clock.Second)
--- a/hemlockd/internal/directory/leaving_test.go
+++ b/hemlockd/internal/directory/leaving_test.go
@@ -25,7 +25,10 @@
 	changed     chan struct{}
 	silenced    chan struct{} // closed when the calls that wait lose their connections
 	unreachable bool
+	historyLost bool // for calls of Changes
 	reads       int
+	configReads int
+	changeCalls int
 }
 
 func newFeedStore(ids ...string) *feedStore {
@@ -68,7 +71,7 @@
 func (s *feedStore) readCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reads
+	return s.reads + s.changeCalls
 }
 
 func (s *feedStore) Read(ctx context.Context, topic directory.Topic) (directory.Page, error) {
@@ -81,6 +84,7 @@
 	page := directory.Page{Version: s.version}
 	switch topic {
 	case directory.Routes:
+		s.configReads++
 		page.Entries = []directory.Entry{{Key: "config", Value: []byte("1")}}
 	case directory.Upstreams:
 		for _, e := range s.rows {
@@ -124,6 +128,17 @@
 	}
 }
 
+func (s *feedStore) Changes(ctx context.Context, topic directory.Topic, after int64) (directory.Page, error) {
+	s.mu.Lock()
+	s.changeCalls++
+	lost := s.historyLost
+	s.mu.Unlock()
+	if lost {
+		return directory.Page{}, &directory.HistoryLostError{Topic: topic, After: after}
+	}
+	return s.Follow(ctx, topic, after, 0)
+}
+
 func (s *feedStore) Put(context.Context, directory.Topic, string, []byte) error { return nil }
 
 func (s *feedStore) CompareAndSwap(context.Context, directory.Topic, string, []byte, int64) (int64, error) {
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -66,6 +66,8 @@
 type Freshness struct {
 	// ConfigAgeMs is the time since the configuration in force was known to be the store's.
 	ConfigAgeMs clock.Millis `json:"configMs"`
+	// ConfigStoreVersion is the store's version of that time; 0 if it is not known.
+	ConfigStoreVersion int64 `json:"configStoreVersion,omitempty"`
 	// ListAgeMs is the time since the list of upstreams was known to be the store's.
 	ListAgeMs clock.Millis `json:"listMs"`
 	// OutageAgoMs is the time since which the store is known to have answered some daemon or
