A check of the store counts the bytes of its answer, and leaves the link to the feed's

The sum of the hops of a change held for small answers only: the check that reads what nothing confirms took 700 ms in it, whatever came. It now takes the time that what is in force needs over the daemon's own link as well (up to half of what there is, beyond which reading earlier does not help).

--- a/hemlockd/internal/app/fleet_test.go
+++ b/hemlockd/internal/app/fleet_test.go
@@ -386,7 +386,7 @@
 		Fetch: func(ctx context.Context, control string, request peers.SnapshotRequest) (peers.Snapshot, error) {
 			return d.peers.FetchSnapshot(ctx, control, request)
 		},
-		Limits: inforce.Limits{LeavingMs: 4000, ConfigMs: 4000, OutageMs: 2400},
+		LinkMbps: d.link.bytesPerMs * 8 / 1000, Limits: inforce.Limits{LeavingMs: 4000, ConfigMs: 4000, OutageMs: 2400},
 	})
 	var err error
 	var closePeers func()
--- a/hemlockd/internal/directory/check.go
+++ b/hemlockd/internal/directory/check.go
@@ -8,6 +8,7 @@
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/directory"
+	"hemlockmux.example/hemlockd/internal/peers"
 )
 
 // The hops of a change that no other way has brought here in time, see [Limits].
@@ -26,7 +27,8 @@
 	CallReach = 500 * clock.Millisecond
 	// processingMargin is added for the time that the daemon itself takes.
 	processingMargin = 100 * clock.Millisecond
-	// receivingSpan is how long after a part of an answer the rest of it counts as on its way.
+	// receivingSpan is how long after a part of the feed's answer the rest of it counts as on
+	// its way.
 	receivingSpan = 200 * clock.Millisecond
 	// minAge is the lowest limit of a topic's age.
 	minAge = 300 * clock.Millisecond
@@ -67,20 +69,28 @@
 }
 
 // maxAge returns the age of a topic at which the daemon reads it from the store itself.
-// With the hops after that it adds up to the topic's limit. The list of upstreams is also
-// read so early that the daemon's own silence is never taken for an outage of the store.
-func (l Limits) maxAge(topic directory.Topic) clock.Millis {
+// With the hops after that, of which the last takes transfer for the bytes of the answer, it adds
+// up to the topic's limit. The list of upstreams is also read so early that the daemon's own
+// silence is never taken for an outage of the store.
+func (l Limits) maxAge(topic directory.Topic, transfer clock.Millis) clock.Millis {
 	const ownRead = messageDelay + checkInterval + checkTimeout + processingMargin
 	if topic == directory.Routes {
-		return max(minAge, l.ConfigMs-ownRead)
+		return lessTransfer(l.ConfigMs-ownRead, transfer)
 	}
-	return max(minAge, min(l.LeavingMs-ownRead-CallReach, l.OutageMs-checkInterval-checkTimeout))
+	return lessTransfer(min(l.LeavingMs-ownRead-CallReach, l.OutageMs-checkInterval-checkTimeout), transfer)
+}
+
+// lessTransfer returns what is left of the time until a read when its answer takes a while. An
+// answer that takes more than half of it comes too late over such a link in any case, and reading
+// ever more often would not help.
+func lessTransfer(left, transfer clock.Millis) clock.Millis {
+	return max(minAge, left-min(transfer, left/2))
 }
 
 // Met reports whether the hops of a change add up to no more than the limits.
 func (l Limits) Met() bool {
 	l = l.withDefaults()
-	return l.maxAge(directory.Routes) > minAge && l.maxAge(directory.Upstreams) > minAge
+	return l.maxAge(directory.Routes, 0) > minAge && l.maxAge(directory.Upstreams, 0) > minAge
 }
 
 // metrics counts the reads of topics whose age was too high.
@@ -102,6 +112,9 @@
 		}
 		metrics.Add("checks "+string(c.topic), 1)
 		err := c.check(ctx)
+		if errors.Is(err, errFeedReceives) {
+			continue
+		}
 		c.report(err)
 		if err != nil {
 			metrics.Add("checksFailed "+string(c.topic), 1)
@@ -112,28 +125,64 @@
 }
 
 // due reports whether the topic's age is above its limit, or not known although there are
-// entries, which then came from another daemon. While an answer about it is on its way, a
-// second one would only take the link from the first.
+// entries, which then came from another daemon.
 func (c *checker) due() bool {
 	ready := c.d.Ready()
+	if c.d.isReceiving(c.topic) {
+		return false
+	}
 	c.d.mu.Lock()
 	defer c.d.mu.Unlock()
 	now := c.d.o.Clock.Now()
-	if at, ok := c.d.receivingMs[c.topic]; ok && now-at < receivingSpan {
-		return false
-	}
 	age, known := c.d.freshness.age(c.topic, now)
 	if !known {
 		return ready
 	}
-	return age > c.d.limits.maxAge(c.topic)
+	return age > c.d.limits.maxAge(c.topic, c.d.transferLocked(c.topic))
+}
+
+// encodedShare is the size of an entry in an answer of the store, as a multiple of its own: values
+// are in base64.
+const encodedShare = 4.0 / 3
+
+// transferLocked returns how long the answer takes on this daemon's link that brings what is in
+// force of a topic.
+func (d *Directory) transferLocked(topic directory.Topic) clock.Millis {
+	bytes := d.upstreams.bytes()
+	if topic == directory.Routes {
+		bytes = 0
+		if t := d.table.Load(); t != nil {
+			bytes = len(t.Config.Raw)
+		}
+	}
+	return clock.Millis(encodedShare * float64(bytes) / linkBytesPerMs(d.o.LinkMbps))
+}
+
+// linkBytesPerMs returns what a link of a rate in Mbit/s carries.
+func linkBytesPerMs(mbps float64) float64 {
+	if mbps <= 0 {
+		mbps = peers.DefaultLinkMbps
+	}
+	return mbps * 1e6 / 8 / float64(clock.Second)
 }
 
+// errFeedReceives ends a check whose answer would take the link from the feed's.
+var errFeedReceives = errors.New("the feed brings the same answer")
+
 func (c *checker) check(ctx context.Context) error {
-	ctx, cancel := c.bound(ctx, checkTimeout)
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	bounded, cancel := bound(ctx, checkTimeout, func() {
+		if c.d.isReceiving(c.topic) {
+			giveUp(errFeedReceives)
+		}
+	})
 	defer cancel()
 	called := c.d.o.Clock.Now()
-	page, full, err := c.read(ctx)
+	page, full, err := c.read(bounded)
+	if err != nil && errors.Is(context.Cause(ctx), errFeedReceives) {
+		return errFeedReceives
+	}
 	if err != nil {
 		return err
 	}
--- a/hemlockd/internal/directory/check_test.go
+++ b/hemlockd/internal/directory/check_test.go
@@ -20,14 +20,18 @@
 			return
 		}
 		l = l.withDefaults()
-		known := messageDelay + checkInterval + checkTimeout + processingMargin
-		if sum := l.maxAge(directory.Upstreams) + known + CallReach; sum > l.LeavingMs {
+		transfer := clock.Millis(rapid.Int64Range(0, 2000).Draw(t, "transfer"))
+		if left := min(l.maxAge(directory.Upstreams, 0), l.maxAge(directory.Routes, 0)); transfer > left/2 || left-transfer < minAge {
+			return // so much does not come over such a link in time
+		}
+		known := messageDelay + checkInterval + checkTimeout + transfer + processingMargin
+		if sum := l.maxAge(directory.Upstreams, transfer) + known + CallReach; sum > l.LeavingMs {
 			t.Errorf("a call may reach an upstream %d ms after it has left, want at most %d", sum, l.LeavingMs)
 		}
-		if sum := l.maxAge(directory.Routes) + known; sum > l.ConfigMs {
+		if sum := l.maxAge(directory.Routes, transfer) + known; sum > l.ConfigMs {
 			t.Errorf("a configuration may be in force after %d ms, want at most %d", sum, l.ConfigMs)
 		}
-		if silence := l.maxAge(directory.Upstreams) + checkInterval + checkTimeout; silence > l.OutageMs {
+		if silence := l.maxAge(directory.Upstreams, transfer) + checkInterval + checkTimeout + transfer; silence > l.OutageMs {
 			t.Errorf("a silence of %d ms here may pass for an outage, which lasts %d", silence, l.OutageMs)
 		}
 	})
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -83,6 +83,8 @@
 	Fetch func(ctx context.Context, control string, request peers.SnapshotRequest) (peers.Snapshot, error)
 	// OnDaemon is called with each entry of the list of daemons.
 	OnDaemon func(name string, raw []byte)
+	// LinkMbps is the rate of this VM's link, in Mbit/s; 0: peers.DefaultLinkMbps.
+	LinkMbps float64
 	// Limits are the times within which changes must be in force, see SetLimits.
 	Limits Limits
 }
@@ -104,8 +106,8 @@
 	limits    Limits
 	// storeClock converts the times in the store's answers.
 	storeClock storeClock
-	// receivingMs is, by topic, when a part of an answer last came from the store that is
-	// still on its way.
+	// receivingMs is, by topic, when a part of the feed's answer last came that is still on
+	// its way.
 	receivingMs map[directory.Topic]clock.Millis
 	// lastFailureMs is when a call to the store last failed, or -1.
 	lastFailureMs clock.Millis
@@ -340,14 +342,22 @@
 	d.mu.Unlock()
 }
 
-// recordReceiving records that a part of an answer about a topic has come from the store.
+// recordReceiving records that a part of the feed's answer about a topic has come.
 func (d *Directory) recordReceiving(topic directory.Topic) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.receivingMs[topic] = d.o.Clock.Now()
 }
 
-// endReceiving records that no answer about a topic is on its way.
+// isReceiving reports whether the feed's answer about a topic is on its way.
+func (d *Directory) isReceiving(topic directory.Topic) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at, ok := d.receivingMs[topic]
+	return ok && d.o.Clock.Now()-at < receivingSpan
+}
+
+// endReceiving records that no answer of the feed about a topic is on its way.
 func (d *Directory) endReceiving(topic directory.Topic) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -454,7 +464,7 @@
 func (f *follower) step(ctx context.Context) error {
 	called := f.d.o.Clock.Now()
 	if !f.known {
-		ctx, cancel := f.bound(ctx, readTimeout)
+		ctx, cancel := bound(ctx, readTimeout, nil)
 		defer cancel()
 		page, err := f.d.o.Store.Read(ctx, f.topic)
 		if err != nil {
@@ -466,7 +476,7 @@
 		f.d.confirm(f.topic, at, page.Version)
 		return nil
 	}
-	ctx, cancel := f.bound(ctx, f.wait+answerMargin)
+	ctx, cancel := bound(ctx, f.wait+answerMargin, func() { f.d.recordReceiving(f.topic) })
 	defer cancel()
 	defer f.d.endReceiving(f.topic)
 	page, err := f.d.o.Store.Follow(ctx, f.topic, f.version, f.wait)
@@ -503,8 +513,8 @@
 }
 
 // bound returns a context for a call whose answer must begin within a time and then go on.
-func (r *storeReporter) bound(ctx context.Context, begin clock.Millis) (context.Context, context.CancelFunc) {
-	return progress.WithTimeout(ctx, progress.Bounds{FirstMs: begin, IdleMs: stallTimeout, OnProgress: func() { r.d.recordReceiving(r.topic) }})
+func bound(ctx context.Context, begin clock.Millis, onProgress func()) (context.Context, context.CancelFunc) {
+	return progress.WithTimeout(ctx, progress.Bounds{FirstMs: begin, IdleMs: stallTimeout, OnProgress: onProgress})
 }
 
 // report records a failure of the store and logs each change between reachable and
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -160,3 +160,12 @@
 	}
 	return all
 }
+
+// bytes returns the size of all entries, in bytes.
+func (l *upstreamList) bytes() int {
+	total := 0
+	for _, e := range l.entries {
+		total += len(e.raw)
+	}
+	return total
+}
