Own door: large settings arrive over narrow links, and hold up no probes

Deltas spread by gossip already, so no source is asked by all. Calls are now bounded by their progress, settings have a connection of their own, from three peers at once at most. The library of the calls logs through zap on both doors.

Measured: TestLargeSettingsArriveOverANarrowLink (1 MiB at 330 KB/s), red before: 'a probe beside the settings failed', version 0 of 5; TestLargeAnswerIsReadAsLongAsItGoesOn (common/platform), red before: 'Client.Timeout exceeded while reading body'.

--- a/common/platform/platform.go
+++ b/common/platform/platform.go
@@ -28,6 +28,7 @@
 	"time"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/progress"
 )
 
 // maxHeadBytes bounds the head of one response.
@@ -61,10 +62,13 @@
 	base   string
 	token  string
 	client *http.Client
+	// timeout is the time within which an answer must begin, and within which it must go on.
+	timeout clock.Millis
 }
 
 // newConnection returns a connection and the function that closes its idle HTTP
-// connections.
+// connections. An answer must begin within the timeout and then go on; how long it takes as a
+// whole depends on its size.
 func newConnection(base, token string, timeout clock.Millis) (*connection, func()) {
 	transport := &http.Transport{
 		DialContext:           (&net.Dialer{Timeout: timeout.Duration()}).DialContext,
@@ -74,7 +78,7 @@
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	c := &connection{base: base, token: token, client: &http.Client{Transport: transport, Timeout: timeout.Duration()}}
+	c := &connection{base: base, token: token, client: &http.Client{Transport: transport}, timeout: timeout}
 	return c, transport.CloseIdleConnections
 }
 
@@ -92,6 +96,8 @@
 
 // do sends one request and returns the status and the complete body.
 func (c *connection) do(ctx context.Context, op, method, path string, body []byte) (int, []byte, error) {
+	ctx, cancel := progress.WithTimeout(ctx, progress.Bounds{FirstMs: c.timeout, IdleMs: c.timeout})
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, &UnavailableError{Op: op, Err: err}
@@ -102,10 +108,10 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return 0, nil, &UnavailableError{Op: op, MayHaveTakenEffect: !neverSent(err), Err: err}
+		return 0, nil, &UnavailableError{Op: op, MayHaveTakenEffect: !neverSent(err), Err: progress.Cause(ctx, err)}
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	answer, err := io.ReadAll(io.LimitReader(progress.Reader(ctx, resp.Body), maxAnswerBytes+1))
 	if err != nil {
 		return 0, nil, &UnavailableError{Op: op, MayHaveTakenEffect: true, Err: err}
 	}
--- a/common/progress/progress.go
+++ b/common/progress/progress.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -123,3 +124,16 @@
 	}
 	return n, Cause(r.ctx, err)
 }
+
+// Conn returns a connection whose reads are progress of the call whose context is ctx.
+func Conn(ctx context.Context, conn net.Conn) net.Conn {
+	return &progressConn{Conn: conn, reader: Reader(ctx, conn)}
+}
+
+type progressConn struct {
+	net.Conn
+	reader io.Reader
+}
+
+// Read implements [net.Conn].
+func (c *progressConn) Read(b []byte) (int, error) { return c.reader.Read(b) }
--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -84,6 +84,7 @@
 	members *membership.Membership
 
 	views          atomic.Pointer[[]membership.View]
+	catchUps       chan struct{} // one element for each fetch of settings from a peer
 	versionChanged chan struct{} // signals that a new settings version is in force here
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -101,10 +102,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemons{
 		env: env, configuration: cfg,
-		pool:           newPool(env.Config),
+		pool:           newPool(env.Config, env.Log),
 		members:        membership.New(self, rand.New(rand.NewPCG(seed, seed>>32))),
-		versionChanged: make(chan struct{}, 1),
-		ctx:            ctx, cancel: cancel,
+		versionChanged: make(chan struct{}, 1), catchUps: make(chan struct{}, maxCatchUps),
+		ctx: ctx, cancel: cancel,
 	}
 	for _, peer := range env.Config.Peers {
 		d.members.AddSeed(peer)
--- a/hemlockd/internal/daemons/probe.go
+++ b/hemlockd/internal/daemons/probe.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/progress"
 	"hemlockmux.example/hemlockd/internal/membership"
 )
 
@@ -16,6 +17,14 @@
 // round-trip time between the most distant regions.
 const probeTimeout = 400 * clock.Millisecond
 
+// maxCatchUps is the number of peers from which settings are fetched at the same time: one that
+// is silent does not hold up the others.
+const maxCatchUps = 3
+
+// catchUpTimeout is the time within which settings that are fetched from a peer must begin to
+// come, and within which they must go on.
+const catchUpTimeout = 2 * clock.Second
+
 // maxRefreshProbes bounds the number of probes that one refresh sends.
 const maxRefreshProbes = 16
 
@@ -151,12 +160,19 @@
 	}
 }
 
-// catchUp fetches newer settings from a peer that has them.
+// catchUp fetches newer settings from a peer that has them. Settings may be large, so the call
+// has a connection of its own, which holds up no probes, and is bounded by its progress.
 func (d *Daemons) catchUp(address string) {
-	ctx, cancel := context.WithTimeout(d.ctx, 5*probeTimeout.Duration())
+	select {
+	case d.catchUps <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-d.catchUps }()
+	ctx, cancel := progress.WithTimeout(d.ctx, progress.Bounds{FirstMs: catchUpTimeout, IdleMs: catchUpTimeout})
 	defer cancel()
 	var delta SettingsAnswer
-	if err := d.pool.call(ctx, address, methodSettings, SettingsRequest{Have: d.configuration.Version()}, &delta); err != nil {
+	if err := d.pool.callOnce(ctx, address, methodSettings, SettingsRequest{Have: d.configuration.Version()}, &delta); err != nil {
 		metrics.Add("catchUpFailures", 1)
 		return
 	}
--- a/hemlockd/internal/daemons/rpc.go
+++ b/hemlockd/internal/daemons/rpc.go
@@ -11,8 +11,11 @@
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/progress"
+	"hemlockmux.example/hemlockd/internal/logs"
 	"hemlockmux.example/hemlockd/internal/process"
 )
 
@@ -32,7 +35,7 @@
 		return
 	}
 	stream := jsonrpc2.NewBufferedStream(&bufferedConn{Conn: countingConn{Conn: conn}, reader: buffer.Reader}, jsonrpc2.VarintObjectCodec{})
-	rpc := jsonrpc2.NewConn(d.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(d.handle)))
+	rpc := jsonrpc2.NewConn(d.ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(d.handle)), jsonrpc2.SetLogger(d.pool.log))
 	go d.runUntilClosed(rpc)
 }
 
@@ -79,6 +82,7 @@
 // pool holds one connection to each peer.
 type pool struct {
 	key    string
+	log    logs.CallLogger
 	dialer *net.Dialer
 
 	mu     sync.Mutex
@@ -86,8 +90,8 @@
 	closed bool
 }
 
-func newPool(cfg process.Config) *pool {
-	return &pool{key: cfg.DaemonKey, dialer: cfg.Dialer(dialTimeout), conns: map[string]*jsonrpc2.Conn{}}
+func newPool(cfg process.Config, log *zap.Logger) *pool {
+	return &pool{key: cfg.DaemonKey, log: logs.CallLogger{Log: log, Metrics: metrics}, dialer: cfg.Dialer(dialTimeout), conns: map[string]*jsonrpc2.Conn{}}
 }
 
 func (p *pool) close() {
@@ -114,6 +118,16 @@
 	return err
 }
 
+// callOnce makes one call over a connection of its own. What comes is progress of ctx.
+func (p *pool) callOnce(ctx context.Context, address, method string, in, out any) error {
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	return progress.Cause(ctx, conn.Call(ctx, method, in, out))
+}
+
 func (p *pool) drop(address string, conn *jsonrpc2.Conn) {
 	p.mu.Lock()
 	if p.conns[address] == conn {
@@ -155,7 +169,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = raw.SetDeadline(deadline)
 	}
-	conn := countingConn{Conn: raw}
+	conn := countingConn{Conn: progress.Conn(ctx, raw)}
 	reader, err := p.upgrade(conn, address)
 	if err != nil {
 		_ = raw.Close()
@@ -166,7 +180,7 @@
 	handler := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end of the connection serves no methods"}
 	})
-	return jsonrpc2.NewConn(context.Background(), stream, handler), nil
+	return jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(p.log)), nil
 }
 
 func (p *pool) upgrade(conn net.Conn, address string) (*bufio.Reader, error) {
--- a/hemlockd/internal/peers/calls.go
+++ b/hemlockd/internal/peers/calls.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -195,16 +194,6 @@
 	return busy
 }
 
-// callLog counts what the library of the calls has to say, mostly on connections that end
-// early, and logs it at the debug level.
-type callLog struct{ log *zap.Logger }
-
-// Printf implements [jsonrpc2.Logger].
-func (l callLog) Printf(format string, v ...any) {
-	metrics.Add("callMessages", 1)
-	l.log.Debug("call between daemons", zap.String("cause", strings.TrimSpace(fmt.Sprintf(format, v...))))
-}
-
 // refuseCalls rejects calls that the called daemon makes over the same connection.
 func refuseCalls(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls in this direction are not supported"}
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -32,6 +32,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/operatorapi"
 	"hemlockmux.example/hemlockd/internal/capacity"
+	"hemlockmux.example/hemlockd/internal/logs"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
 )
@@ -181,7 +182,7 @@
 	budget   *rate.Limiter // in bytes sent
 	listener net.Listener
 	serving  *serving
-	callLog  callLog
+	callLog  logs.CallLogger
 	ctx      context.Context
 	running  sync.WaitGroup
 
@@ -222,7 +223,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{
 		options: o, handlers: h, conn: conn, listener: listener, ctx: ctx, lastDroppedMs: -staleAfterDrop,
-		serving: newServing(o.LinkMbps), callLog: callLog{log: o.Log},
+		serving: newServing(o.LinkMbps), callLog: logs.CallLogger{Log: o.Log, Metrics: metrics},
 		budget:  rate.NewLimiter(rate.Limit(o.BytesPerSecond), o.BytesPerSecond),
 		daemons: map[string]*Daemon{}, addresses: map[string]*peerAddress{},
 	}
