--- a/standin/internal/usersplatform/admin.go
+++ b/standin/internal/usersplatform/admin.go
@@ -69,6 +69,7 @@
 //	PUT  /config              the operator's configuration
 //	POST /servers             start a server (ServerSpec)
 //	POST /servers/ID/fault    ServerFault
+//	POST /servers/ID/limit    name a limit in all answers (ServerLimit)
 //	POST /servers/ID/drain    set the server's state to draining
 //	POST /servers/ID/unlist   remove the server's entry; it goes on serving
 //	POST /servers/ID/crash    stop the server; ?gone=1 also removes its entry
@@ -139,6 +140,11 @@
 		if decode(w, r, &f) {
 			s.setFault(f)
 		}
+	case "limit":
+		var l ServerLimit
+		if decode(w, r, &l) {
+			s.setLimit(l.PerSecond)
+		}
 	case "drain":
 		s.publish("draining")
 	case "unlist":
@@ -148,6 +154,13 @@
 	}
 }
 
+// ServerLimit is the limit that a server names.
+type ServerLimit struct {
+	// PerSecond is the number of requests a second that the server takes from all daemons
+	// together; 0 ends the limit.
+	PerSecond float64 `json:"perSecond"`
+}
+
 func decode(w http.ResponseWriter, r *http.Request, into any) bool {
 	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/internal/usersplatform/server.go
+++ b/standin/internal/usersplatform/server.go
@@ -92,6 +92,7 @@
 	conns          map[net.Conn]bool
 	running        map[*Arrival]bool
 	fault          ServerFault
+	limit          string // the rate that answers name as the server's limit; "" if none
 	handles        map[string]bool
 	activeRequests int
 	stageChanges   int64
@@ -182,6 +183,22 @@
 	s.fault = f
 }
 
+// setLimit makes answers name a rate as the server's limit; 0 means none.
+func (s *Server) setLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = ""
+	if perSecond > 0 {
+		s.limit = strconv.FormatFloat(perSecond, 'f', -1, 64)
+	}
+}
+
+func (s *Server) namedLimit() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit
+}
+
 // consumeFault returns the fault for the current request and clears it if it has
 // Once set.
 func (s *Server) consumeFault() ServerFault {
@@ -197,6 +214,9 @@
 // ServeHTTP implements [http.Handler].
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance-Id", s.spec.ID)
+	if limit := s.namedLimit(); limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	switch {
 	case r.URL.Path == "/health":
 		w.WriteHeader(http.StatusOK)
