The limits that upstreams name are kept over all daemons

Cause: nothing read Server-Limit; the choice of an upstream knew distance, calls in flight and failures only.

Each daemon now uses a share of a limit. One daemon, drawn by rendezvous for each limited upstream, leases rates for 1.2 s by demand; a lease ends at its holder no later than in the ledger, so that shares add up to the limit while they move; no more daemons hold one than calls may be sent in a second, since each may begin with one. A new granter, one that was paused and a process that does not know the others yet grant nothing until all older leases have expired; where a part of the known daemons is silent, the rest uses its part only. All that reaches the upstream counts: first attempts, repeats, prefills, decodes, health checks of upstreams that are down; reservations at limited engines are left out. What the limits leave no room for is refused at once, reason upstreamLimited, with a Retry-After from the demand of all daemons over what the limits allow. News is ordered: an answer that names none ends a limit only if its call was sent after the last one that named it; a new process starts without; 30 s without an answer end it.

Weighed: an equal share for each daemon (0.09 a second at 82 daemons, a burst of 82 where 49 are allowed); one daemon that may call alone (uses its own demand only: 3 of 7.3 at 82 daemons); leases by demand.

--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -157,6 +157,9 @@
 	CauseConnectionLost Cause = "broken"
 	// CauseMismatchedReply means that the answer does not belong to the call.
 	CauseMismatchedReply Cause = "foreign"
+	// CauseLimited means that the call was not sent because of the limit that the upstream
+	// names.
+	CauseLimited Cause = "limited"
 	// CauseTimeout means that no answer came within the time allowed.
 	CauseTimeout Cause = "silent"
 	// CauseTruncated means that a stream ended in the middle of an event.
@@ -196,3 +199,16 @@
 	// Sealed is true if the answer carries the upstream's seal.
 	Sealed bool
 }
+
+// Answer tells that an upstream has answered a call, and what it said of itself. Refusals count,
+// and answers to the router's own calls.
+type Answer struct {
+	// Upstream is the id of the upstream, and StartedMs the start of its process.
+	Upstream  string
+	StartedMs clock.Millis
+	// LimitPerSecond is the number of requests per second that the upstream takes from all
+	// daemons together; 0 if it names no limit.
+	LimitPerSecond float64
+	// TookMs is the time from the call to the answer.
+	TookMs clock.Millis
+}
--- a/common/operatorapi/operatorapi.go
+++ b/common/operatorapi/operatorapi.go
@@ -136,6 +136,8 @@
 	Daemons []PeerView `json:"daemons"`
 	// RefusedParts are the parts of prompts that the daemon refuses.
 	RefusedParts []RefusedPartView `json:"refusedParts"`
+	// Limits are the limits that upstreams name.
+	Limits []LimitView `json:"limits"`
 }
 
 // RefusedPartView is a part of prompts that a daemon refuses because engines crash on it.
@@ -203,6 +205,22 @@
 	MsPerToken float64 `json:"msPerToken"`
 }
 
+// LimitView is the limit that an upstream names, as a daemon knows it.
+type LimitView struct {
+	// Upstream is the upstream's ID.
+	Upstream string `json:"upstream"`
+	// PerSecond is the limit over all daemons, and Share what this daemon may use of it, in
+	// requests per second.
+	PerSecond float64 `json:"perSecond"`
+	Share     float64 `json:"share"`
+	// Used is the number of requests that this daemon sent there in the last full second.
+	Used int `json:"used"`
+	// SinceMs is the time since the limit was first heard of, and ConfirmedMs the time since an
+	// answer last named it.
+	SinceMs     clock.Millis `json:"sinceMs"`
+	ConfirmedMs clock.Millis `json:"confirmedMs"`
+}
+
 // PeerView is another daemon as seen by a daemon.
 type PeerView struct {
 	// Daemon is the name of the other daemon.
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -26,6 +26,7 @@
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/roles"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 	"hemlockmux.example/platform"
 )
 
@@ -71,6 +72,7 @@
 	failed       chan error
 	retries      *retries.ServiceBudgets
 	prompts      *prompts.Evidence
+	limits       *upstreamlimits.Limits
 	stopping     chan struct{} // closed when the shutdown begins
 	cleanup      []func()      // run in reverse
 }
@@ -133,7 +135,8 @@
 	store, closeStore := platform.NewStore(d.settings.StoreAddress)
 	d.onClose(closeStore)
 	d.store = store
-	servers, closeServers := platform.NewServers()
+	d.limits = upstreamlimits.New(d.settings.Name, d.clk.Now(), d.sendLimitNews)
+	servers, closeServers := platform.NewServers(d.observeAnswer)
 	d.onClose(closeServers)
 	d.checkLimits(d.settings)
 	started := d.clk.Now()
@@ -161,7 +164,7 @@
 		Log: d.log, Clock: d.clk, Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes, LinkMbps: d.settings.LinkMbps,
 	}, peers.Handlers{
-		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, CapacityChanged: queue.RetrySoon,
+		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, Limits: d.limits, CapacityChanged: queue.RetrySoon,
 		Unreachable:  func(ids []string) { d.dispatcher.MarkDown(ids) }, // the dispatcher is constructed below
 		ChangingRole: func(ids []string) { d.dispatcher.MarkRoleChanging(ids) },
 		Versions:     d.directory.HearPeer,
@@ -179,7 +182,7 @@
 	d.onClose(closeVerdicts)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Log: d.log, Clock: d.clk, Directory: d.directory, Upstreams: servers, View: view, Queue: queue, Peers: d.peers,
-		Retries: d.retries, Suspects: sus, Prompts: d.prompts, MayTryPart: d.mayTryPart, Verdicts: verdicts, Name: d.settings.Name,
+		Retries: d.retries, Suspects: sus, Prompts: d.prompts, Limits: d.limits, MayTryPart: d.mayTryPart, Verdicts: verdicts, Name: d.settings.Name,
 		ReadCall: platform.ReadCall, DataCentre: d.settings.DataCentre, Regions: d.settings.Regions,
 	})
 	roleController := roles.NewController(roles.Options{
@@ -198,6 +201,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.onClose(cancel)
 	go d.runRefresh(ctx)
+	go d.runLimits(ctx)
 	go d.dispatcher.RunProbes(ctx)
 	go d.runRegistration(ctx)
 	go newBlameStore(d.log, d.clk, store, d.prompts, d.mayTryPart).run(ctx)
@@ -331,6 +335,11 @@
 			Service: r.Service, Part: r.Part, Engines: r.Engines, SinceCrashMs: r.CrashAgoMs, SinceTryMs: r.TryAgoMs, SinceRefusalMs: r.SeenAgoMs,
 		})
 	}
+	for _, l := range d.limits.All(now) {
+		s.Limits = append(s.Limits, operatorapi.LimitView{
+			Upstream: l.Upstream, PerSecond: l.PerSecond, Share: l.Share, Used: l.Used, SinceMs: l.SinceMs, ConfirmedMs: l.ConfirmedMs,
+		})
+	}
 	for _, p := range d.peers.All() {
 		s.Daemons = append(s.Daemons, operatorapi.PeerView{
 			Daemon: p.Name, DataCentre: p.DataCentre, Address: p.Address, Version: p.Version, SinceHeardMs: now - p.LastHeardMs, Leaving: p.Leaving,
--- /dev/null
+++ b/hemlockd/internal/dispatch/limited.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"errors"
+
+	"hemlockmux.example/common/calls"
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/routing"
+)
+
+// Bounds of the span over which callers return that were refused because of the limits of upstreams.
+const (
+	minLimitedRetry = 400 * clock.Millisecond
+	maxLimitedRetry = 3 * clock.Second
+)
+
+// errLimited reports that a call was not sent because of the upstream's limit.
+var errLimited = errors.New("this daemon's share of the upstream's limit is used up")
+
+// wantUpstreams counts the request in the demand for the upstreams of its service.
+func (x *exchange) wantUpstreams() {
+	for _, u := range x.d.opts.Directory.Upstreams(x.service) {
+		x.d.opts.Limits.Want(u.ID, x.now())
+	}
+}
+
+// allLimited reports whether the service has upstreams, and no call may be sent to any of them in the
+// given role now because of their limits.
+func (x *exchange) allLimited(role routing.Role) bool {
+	found := false
+	for _, u := range x.d.opts.Directory.Upstreams(x.service) {
+		if u.Role != role || x.d.health.isDown(u.ID) {
+			continue
+		}
+		if !x.d.opts.Limits.Limited(u.ID, x.now()) || x.d.opts.Limits.HasShare(u.ID, x.now()) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// limitedRetry returns when a caller should come back that was refused because of the limits of the
+// upstreams: the callers of all daemons are spread over the time in which there is room for them.
+func (x *exchange) limitedRetry() clock.Millis {
+	var ids []string
+	for _, u := range x.d.opts.Directory.Upstreams(x.service) {
+		ids = append(ids, u.ID)
+	}
+	span := clock.Millis(x.d.opts.Limits.Pressure(ids, x.now()) * float64(clock.Second))
+	span = max(minLimitedRetry, min(maxLimitedRetry, span))
+	return span/2 + jitter(span)
+}
+
+// limitedError is the result of a call that was not sent because of the upstream's limit.
+func limitedError(upstream string, phase calls.Phase) *calls.Error {
+	return &calls.Error{Upstream: upstream, Phase: phase, Cause: calls.CauseLimited, Outcome: calls.NotRun, Err: errLimited}
+}
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -82,6 +82,11 @@
 	m.stream.lastEventID = m.call.ResumeAfter
 	defer m.releaseAll()
 	defer func() { m.drop(m.continuation) }() // if the caller left when it had become ready
+	m.wantUpstreams()
+	if m.allLimited(routing.RoleDecode) {
+		m.respondError(http.StatusServiceUnavailable, reasonLimited, m.limitedRetry())
+		return
+	}
 	if !m.d.opts.View.Fits(m.run) {
 		m.respondError(http.StatusServiceUnavailable, reasonNoUpstream, capacityRetryAfter+jitter(capacityRetryAfter))
 		return
@@ -181,6 +186,10 @@
 		m.respondFailure(reasonPart, m.blame.RetryAfterMs)
 		return
 	}
+	if m.limitedSkipped && reason == reasonBusy {
+		m.respondFailure(reasonLimited, m.limitedRetry())
+		return
+	}
 	m.respondFailure(reason, capacityRetryAfter+jitter(capacityRetryAfter))
 }
 
@@ -209,7 +218,8 @@
 		return false
 	}
 	// The next call is not a retry if this one reached no engine.
-	if failed.Cause != calls.CauseUnreachable && !m.d.opts.Retries.Take(m.service, m.now()) {
+	sent := failed.Cause != calls.CauseUnreachable && failed.Cause != calls.CauseLimited
+	if sent && !m.d.opts.Retries.Take(m.service, m.now()) {
 		return false
 	}
 	return m.place(m.resultExpiresMs - resultExpiryMargin - m.now())
@@ -256,6 +266,10 @@
 			Err: errors.New("engine is no longer listed in the directory"),
 		}
 	}
+	if !m.d.opts.Limits.Take(u.ID, m.now()) {
+		m.limitedSkipped = true
+		return nil, limitedError(u.ID, calls.PhaseDecode)
+	}
 	start := m.now()
 	m.decodeCalls++
 	m.stream.start(m.ctx)
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -58,11 +58,19 @@
 	var fallback *bufferedReply
 	runs, reached, reason := 0, false, reasonNoUpstream
 	paid := false // the next call has been taken from the retry budget
+	x.wantUpstreams()
 	for len(tried) < maxUpstreamsTried && x.remainingMs() > 0 && !x.callerGone() {
 		u, ok := x.chooseUpstream(tried)
+		if !ok && reason == reasonNoUpstream && x.limitedSkipped {
+			reason = reasonLimited
+		}
 		if !ok || runs >= x.route.MaxAttempts || reached && !paid && !x.d.opts.Retries.Take(x.service, x.now()) {
 			break
 		}
+		if !x.d.opts.Limits.Take(u.ID, x.now()) {
+			paid = paid || reached // what has been taken from the budget is left for the next call
+			continue
+		}
 		tried[u.ID] = true
 		start := x.now()
 		_, others := x.chooseUpstream(tried)
@@ -100,6 +108,10 @@
 		x.deliver(fallback)
 		return
 	}
+	if reason == reasonLimited {
+		x.respondFailure(reason, x.limitedRetry())
+		return
+	}
 	retry := busyRetryAfter
 	if reason != reasonBusy {
 		retry = unreachableRetryAfter
@@ -108,7 +120,8 @@
 }
 
 // chooseUpstream returns the untried upstream with the lowest cost: the sum of the
-// round-trip time, the load and the failure rate. It returns false if there is none.
+// round-trip time, the load and the failure rate. It returns false if there is none. Upstreams
+// whose limit allows no call now are skipped.
 func (x *exchange) chooseUpstream(tried map[string]bool) (routing.Upstream, bool) {
 	var best routing.Upstream
 	bestCost, found := 0.0, false
@@ -116,6 +129,10 @@
 		if tried[u.ID] {
 			continue
 		}
+		if !x.d.opts.Limits.Ready(u.ID, x.now()) {
+			x.limitedSkipped = true
+			continue
+		}
 		inFlight, failureRate := x.d.health.stats(u.ID)
 		cost := x.d.rttMs(u.DataCentre) + inFlightCostMs*float64(inFlight)/float64(max(1, u.Slots)) + failureRateCostMs*failureRate
 		if x.d.health.isDown(u.ID) {
--- a/hemlockd/internal/dispatch/prefill.go
+++ b/hemlockd/internal/dispatch/prefill.go
@@ -58,11 +58,16 @@
 		if m.blamed() || m.run.Prefill == "" && !m.placePrefill(tried) {
 			return false
 		}
+		id := m.run.Prefill
+		tried[id] = true
+		if !m.d.opts.Limits.Take(id, m.now()) {
+			m.limitedSkipped = true
+			m.finishPrefill(false)
+			continue
+		}
 		if m.prefillCalls > 0 && !m.d.opts.Retries.Take(m.service, m.now()) {
 			return false
 		}
-		id := m.run.Prefill
-		tried[id] = true
 		u, ok := m.upstream(id)
 		if !ok {
 			m.finishPrefill(false)
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -6,6 +6,7 @@
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
 // Methods of the messages between daemons.
@@ -55,6 +56,11 @@
 	Suspects []suspects.Entry `json:"suspects,omitempty"`
 	// Parts is the evidence on parts of prompts that crash engines.
 	Parts []prompts.Report `json:"parts,omitempty"`
+	// Limits says what the sender knows of the limits that upstreams name.
+	Limits []upstreamlimits.News `json:"limits,omitempty"`
+	// LimitAsks asks the receiver for shares of limits, and LimitGrants gives it some.
+	LimitAsks   []upstreamlimits.Ask   `json:"limitAsks,omitempty"`
+	LimitGrants []upstreamlimits.Grant `json:"limitGrants,omitempty"`
 	// Leaving reports whether the sender is shutting down.
 	Leaving bool `json:"leaving,omitempty"`
 	// Freshness is part of full states.
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -35,6 +35,7 @@
 	"hemlockmux.example/hemlockd/internal/logs"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
 const (
@@ -115,6 +116,8 @@
 	Suspects *suspects.Suspects
 	// Prompts holds the evidence on parts of prompts that crash engines.
 	Prompts *prompts.Evidence
+	// Limits holds the limits that upstreams name.
+	Limits *upstreamlimits.Limits
 	// CapacityChanged is called when runs of other daemons may have ended.
 	CapacityChanged func()
 	// Unreachable is called with upstreams that another daemon found unreachable.
@@ -149,6 +152,8 @@
 	ChangingRole []string
 	// Parts holds new evidence on parts of prompts that crash engines.
 	Parts []prompts.Report
+	// Limits holds news of limits that upstreams name.
+	Limits []upstreamlimits.News
 }
 
 // Daemon is the last known state of another daemon.
@@ -281,7 +286,26 @@
 
 // Broadcast sends an update at once to all daemons that are alive.
 func (p *Peers) Broadcast(u Update) {
-	p.send(State{Runs: u.Runs, Ended: u.Ended, Unreachable: u.Unreachable, ChangingRole: u.ChangingRole, Parts: u.Parts}, p.aliveAddresses())
+	p.send(State{Runs: u.Runs, Ended: u.Ended, Unreachable: u.Unreachable, ChangingRole: u.ChangingRole, Parts: u.Parts, Limits: u.Limits}, p.aliveAddresses())
+}
+
+// AskForLimit asks another daemon for a share of an upstream's limit.
+func (p *Peers) AskForLimit(m upstreamlimits.Message) {
+	p.send(State{LimitAsks: []upstreamlimits.Ask{m.Ask}}, p.addressOf(m.To))
+}
+
+// addressOf returns the address of a daemon, or none if it is not known.
+func (p *Peers) addressOf(name string) []*net.UDPAddr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d, ok := p.daemons[name]
+	if !ok {
+		return nil
+	}
+	if a, ok := p.addresses[d.Address]; ok {
+		return []*net.UDPAddr{a.udp}
+	}
+	return nil
 }
 
 func (p *Peers) aliveAddresses() []*net.UDPAddr {
@@ -365,6 +389,7 @@
 	p.mu.Unlock()
 	p.send(State{
 		Sequence: sequence, Full: true, Runs: p.handlers.View.LocalRuns(now), Suspects: p.handlers.Suspects.Recent(now), Parts: p.handlers.Prompts.Recent(now),
+		Limits: p.handlers.Limits.Recent(now),
 	}, p.dueAddresses(all))
 }
 
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
 // runReceive reads and applies the datagrams of other daemons.
@@ -88,12 +89,31 @@
 	for _, r := range s.Parts {
 		p.handlers.Prompts.Merge(r, now)
 	}
+	p.applyLimits(s, now)
 	if s.Freshness != nil {
 		p.handlers.Confirmed(*s.Freshness, s.Version, s.ListVersion)
 	}
 	p.handlers.Versions(s.Control, s.Version, s.ListVersion, s.DataCentre == p.options.DataCentre)
 }
 
+// applyLimits applies what a message says of the limits that upstreams name, and answers what it
+// asks for.
+func (p *Peers) applyLimits(s State, now clock.Millis) {
+	for _, n := range s.Limits {
+		p.handlers.Limits.Merge(n, now)
+	}
+	for _, g := range s.LimitGrants {
+		p.handlers.Limits.HandleGrant(g, now)
+	}
+	var grants []upstreamlimits.Grant
+	for _, a := range s.LimitAsks {
+		grants = append(grants, p.handlers.Limits.HandleAsk(s.Name, a, now))
+	}
+	if len(grants) > 0 {
+		p.send(State{LimitGrants: grants}, p.addressOf(s.Name))
+	}
+}
+
 func (p *Peers) applyRuns(s State, now clock.Millis) {
 	if s.Full {
 		p.handlers.View.Replace(s.Name, s.Runs, now)
--- /dev/null
+++ b/hemlockd/internal/upstreamlimits/limits.go
@@ -0,0 +1,433 @@
+// Package upstreamlimits keeps the rate limits that upstreams name in their answers. A limit holds
+// over all daemons together, and over all calls that reach the upstream: first attempts, repeats,
+// prefills and decodes.
+//
+// Each daemon may use a share of a limit. One of the live daemons, the upstream's granter, leases
+// rates to the others for a short time, by their demand. A lease expires at its holder no later than
+// in the granter's ledger, since the holder counts from when it asked; so the leases add up to no
+// more than the limit while shares move. Where a part of the known daemons is silent, the rest uses
+// no more than its part of the limit. The package does no I/O and takes the time as an argument.
+//
+// # Usage
+//
+//	l := upstreamlimits.New("daemon-1", started, onNews)
+//	l.Observe(answer, now)          // each answer of an upstream
+//	if l.Take(upstream, now) { ... } // before each call to one
+//	for _, m := range l.Tick(alive, known, now) { send(m.To, m.Ask) }
+//	grant := l.HandleAsk(from, ask, now) // at the granter
+//	l.HandleGrant(grant, now)            // at the holder
+package upstreamlimits
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"hemlockmux.example/common/clock"
+)
+
+const (
+	// lapseSpan is how long a limit holds that no answer confirms.
+	lapseSpan = 30 * clock.Second
+	// endedSpan is how long other daemons are told that a limit has ended.
+	endedSpan = 5 * clock.Second
+	// newsDelay is how long news of another daemon may be on its way.
+	newsDelay = 500 * clock.Millisecond
+	// burstSpan is the time whose share may be saved up, in addition to one call.
+	burstSpan = 700 * clock.Millisecond
+	// acquaintSpan is how long after its start a daemon may not know the others yet, and takes no
+	// share that depends on their number.
+	acquaintSpan = 2500 * clock.Millisecond
+	// demandWindow is the time over which the demand for an upstream is counted.
+	demandWindow = clock.Second
+)
+
+// Answer is what one answer of an upstream says about its limit.
+type Answer struct {
+	// Upstream is the upstream's ID, and StartedMs the start of its process.
+	Upstream  string
+	StartedMs clock.Millis
+	// PerSecond is the limit in requests per second; 0 if the answer names none.
+	PerSecond float64
+	// SentMs is when the call was sent that the answer is for.
+	SentMs clock.Millis
+}
+
+// News is what a daemon knows of an upstream's limit, to be sent to other daemons.
+type News struct {
+	// Upstream is the upstream's ID, and StartedMs the start of its process.
+	Upstream  string       `json:"upstream"`
+	StartedMs clock.Millis `json:"startedMs"`
+	// PerSecond is the limit in requests per second; 0 if it has ended.
+	PerSecond float64 `json:"perSecond"`
+	// AgoMs is the time since the last answer that said so.
+	AgoMs clock.Millis `json:"agoMs"`
+	// SinceAgoMs is the time since the limit was first heard of.
+	SinceAgoMs clock.Millis `json:"sinceAgoMs"`
+}
+
+// View is the state of one limit, for operators.
+type View struct {
+	// Upstream is the upstream's ID.
+	Upstream string
+	// PerSecond is the limit, and Share what this daemon may use of it, in requests per second.
+	PerSecond, Share float64
+	// SinceMs is the time since the limit was first heard of, and ConfirmedMs the time since an
+	// answer last named it.
+	SinceMs, ConfirmedMs clock.Millis
+	// Used is the number of calls that this daemon sent in the last full second.
+	Used int
+}
+
+// Limits holds the limits of all upstreams and this daemon's shares. It is safe for concurrent use.
+type Limits struct {
+	self   string
+	onNews func(News)
+	// count is the number of entries, so that calls cost nothing where there are none.
+	count atomic.Int64
+
+	mu        sync.Mutex
+	upstreams map[string]*upstream
+	// alive are the live daemons, this one included, and known is the number of all known ones.
+	alive  []string
+	known  int
+	tickMs clock.Millis // of the last Tick
+	// acquaintedMs is the time from which on the other daemons are surely known.
+	acquaintedMs clock.Millis
+}
+
+// upstream is one upstream that names a limit, or has lately.
+type upstream struct {
+	startedMs clock.Millis
+	perSecond float64 // 0 once the limit has ended
+	// sinceMs is when the limit was first heard of.
+	sinceMs clock.Millis
+	// namedMs is when an answer last named the limit, and endedMs when one last named none.
+	namedMs, endedMs clock.Millis
+	share            share
+	demand, used     counter
+	ledger           ledger
+}
+
+// share is what this daemon may use of a limit.
+type share struct {
+	rate    float64 // calls per second
+	untilMs clock.Millis
+	tokens  float64 // calls that may be sent now
+	atMs    clock.Millis
+}
+
+// advance adds the tokens that have become due.
+func (s *share) advance(now clock.Millis) {
+	until := min(now, s.untilMs)
+	if until > s.atMs {
+		s.tokens += s.rate * float64(until-s.atMs) / float64(clock.Second)
+	}
+	s.atMs = now
+	s.tokens = min(s.tokens, 1+s.rate*float64(burstSpan)/float64(clock.Second))
+	if now >= s.untilMs {
+		s.rate, s.tokens = 0, 0
+	}
+}
+
+// renew replaces the rate. Tokens that were saved up stay.
+func (s *share) renew(rate float64, until, now clock.Millis) {
+	s.advance(now)
+	s.rate, s.untilMs = rate, until
+}
+
+// counter counts events in windows of demandWindow.
+type counter struct {
+	startMs     clock.Millis
+	count, last int
+}
+
+func (c *counter) advance(now clock.Millis) {
+	if now-c.startMs < demandWindow {
+		return
+	}
+	c.last = c.count
+	if now-c.startMs >= 2*demandWindow {
+		c.last = 0
+	}
+	c.count, c.startMs = 0, now
+}
+
+func (c *counter) add(now clock.Millis) {
+	c.advance(now)
+	c.count++
+}
+
+// perSecond returns the events of the last full window, or of the current one if there were more.
+func (c *counter) perSecond(now clock.Millis) float64 {
+	c.advance(now)
+	return float64(max(c.last, c.count)) * float64(clock.Second) / float64(demandWindow)
+}
+
+// New returns the limits of a daemon that started at the given time, without any upstream. onNews
+// is called, with no lock held, with what should be sent to other daemons at once.
+func New(self string, started clock.Millis, onNews func(News)) *Limits {
+	return &Limits{
+		self: self, onNews: onNews, upstreams: map[string]*upstream{}, alive: []string{self}, known: 1, acquaintedMs: started + acquaintSpan,
+	}
+}
+
+// Observe records what an answer says about its upstream's limit. Answers may overtake each
+// other: one that names no limit ends it only if its call was sent after the last answer that
+// named one had come, and of two figures whose order is not known the lower one holds.
+func (l *Limits) Observe(a Answer, now clock.Millis) {
+	if a.PerSecond <= 0 && l.count.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	u, ok := l.upstreams[a.Upstream]
+	if ok && a.StartedMs != u.startedMs {
+		if a.StartedMs < u.startedMs {
+			l.mu.Unlock()
+			return
+		}
+		l.deleteLocked(a.Upstream)
+		ok = false
+	}
+	if !ok {
+		if a.PerSecond > 0 {
+			u = l.addLocked(a.Upstream, a.StartedMs)
+		} else {
+			l.mu.Unlock()
+			return
+		}
+	}
+	before := u.perSecond
+	if before == 0 && a.SentMs < u.endedMs { // overtaken by the answer that ended the limit
+		l.mu.Unlock()
+		return
+	}
+	if before == 0 && a.PerSecond > 0 {
+		u.sinceMs = now
+	}
+	switch {
+	case a.PerSecond > 0 && (before == 0 || a.SentMs >= u.namedMs):
+		l.nameLocked(a.Upstream, a.PerSecond, now, now)
+	case a.PerSecond > 0:
+		l.nameLocked(a.Upstream, min(before, a.PerSecond), now, now)
+	case before > 0 && a.SentMs >= u.namedMs:
+		u.perSecond, u.endedMs = 0, now
+	}
+	changed := u.perSecond != before
+	news := u.news(a.Upstream, now)
+	l.mu.Unlock()
+	if changed {
+		l.onNews(news)
+	}
+}
+
+// Merge records what another daemon knows of a limit.
+func (l *Limits) Merge(n News, now clock.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := now - max(0, n.AgoMs)
+	if now-at > lapseSpan {
+		return
+	}
+	u, ok := l.upstreams[n.Upstream]
+	if ok && n.StartedMs != u.startedMs {
+		if n.StartedMs < u.startedMs {
+			return
+		}
+		l.deleteLocked(n.Upstream)
+		ok = false
+	}
+	if !ok && n.PerSecond > 0 {
+		u, ok = l.addLocked(n.Upstream, n.StartedMs), true
+	}
+	switch {
+	case !ok:
+	case n.PerSecond > 0 && u.perSecond == 0 && u.endedMs > 0 && at <= u.endedMs+newsDelay: // overtaken
+	case n.PerSecond > 0 && at > u.namedMs:
+		if u.perSecond == 0 {
+			u.sinceMs = now - max(0, n.SinceAgoMs)
+		}
+		l.nameLocked(n.Upstream, n.PerSecond, at, now)
+	case n.PerSecond <= 0 && u.perSecond > 0 && at > u.namedMs:
+		u.perSecond, u.endedMs = 0, at
+	}
+}
+
+func (l *Limits) addLocked(id string, startedMs clock.Millis) *upstream {
+	u := &upstream{startedMs: startedMs, ledger: newLedger()}
+	l.upstreams[id] = u
+	l.count.Store(int64(len(l.upstreams)))
+	return u
+}
+
+func (l *Limits) deleteLocked(id string) {
+	delete(l.upstreams, id)
+	l.count.Store(int64(len(l.upstreams)))
+}
+
+// nameLocked records that a limit was named at a time. Until the granter has heard of a new limit,
+// each daemon may use an equal share of it.
+func (l *Limits) nameLocked(id string, perSecond float64, at, now clock.Millis) {
+	u := l.upstreams[id]
+	if u.perSecond == 0 {
+		u.sinceMs = max(u.sinceMs, u.endedMs)
+		u.ledger = newLedger()
+		u.ledger.restart(max(now, l.acquaintedMs))
+		u.ledger.granting = l.granterLocked(id) == l.self
+		u.share = share{atMs: now}
+		if now-u.sinceMs < leaseSpan && now >= l.acquaintedMs {
+			u.share.renew(perSecond/float64(max(1, l.known)), now+leaseSpan+AskInterval, now)
+		}
+	}
+	u.perSecond, u.namedMs = perSecond, max(u.namedMs, at)
+}
+
+func (u *upstream) news(id string, now clock.Millis) News {
+	at := u.namedMs
+	if u.perSecond == 0 {
+		at = u.endedMs
+	}
+	return News{Upstream: id, StartedMs: u.startedMs, PerSecond: u.perSecond, AgoMs: now - at, SinceAgoMs: now - u.sinceMs}
+}
+
+// Recent returns what other daemons should know: all limits, and which have ended lately.
+func (l *Limits) Recent(now clock.Millis) []News {
+	if l.count.Load() == 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expireLocked(now)
+	var all []News
+	for _, id := range slices.Sorted(maps.Keys(l.upstreams)) {
+		all = append(all, l.upstreams[id].news(id, now))
+	}
+	return all
+}
+
+// expireLocked forgets limits that no answer has confirmed for long, and those that have ended.
+func (l *Limits) expireLocked(now clock.Millis) {
+	for id, u := range l.upstreams {
+		if u.perSecond > 0 && now-u.namedMs > lapseSpan || u.perSecond == 0 && now-u.endedMs > endedSpan {
+			l.deleteLocked(id)
+		}
+	}
+}
+
+// limitedLocked returns the upstream if it has a limit.
+func (l *Limits) limitedLocked(id string, now clock.Millis) *upstream {
+	u, ok := l.upstreams[id]
+	if !ok || u.perSecond == 0 || now-u.namedMs > lapseSpan {
+		return nil
+	}
+	return u
+}
+
+// Want counts the demand for an upstream: a request that it could serve.
+func (l *Limits) Want(id string, now clock.Millis) {
+	if l.count.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if u := l.limitedLocked(id, now); u != nil {
+		u.demand.add(now)
+	}
+}
+
+// Ready reports whether a call may be sent to an upstream now.
+func (l *Limits) Ready(id string, now clock.Millis) bool {
+	if l.count.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.limitedLocked(id, now)
+	if u == nil {
+		return true
+	}
+	u.share.advance(now)
+	return u.share.tokens >= 1
+}
+
+// HasShare reports whether this daemon may send calls to an upstream now or soon.
+func (l *Limits) HasShare(id string, now clock.Millis) bool {
+	if l.count.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.limitedLocked(id, now)
+	if u == nil {
+		return true
+	}
+	u.share.advance(now)
+	return u.share.tokens >= 1 || u.share.rate > 0
+}
+
+// Limited reports whether an upstream has a limit.
+func (l *Limits) Limited(id string, now clock.Millis) bool {
+	if l.count.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limitedLocked(id, now) != nil
+}
+
+// Take takes one call to an upstream from this daemon's share. It returns false if none is left; the
+// call must not be sent then.
+func (l *Limits) Take(id string, now clock.Millis) bool {
+	if l.count.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.limitedLocked(id, now)
+	if u == nil {
+		return true
+	}
+	u.share.advance(now)
+	if u.share.tokens < 1 {
+		return false
+	}
+	u.share.tokens--
+	u.used.add(now)
+	return true
+}
+
+// Pressure returns the demand of all daemons for upstreams as a multiple of what their limits
+// allow together, as far as this daemon knows; 0 if none of them has a limit.
+func (l *Limits) Pressure(ids []string, now clock.Millis) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	allowed, demand := 0.0, 0.0
+	for _, id := range ids {
+		if u := l.limitedLocked(id, now); u != nil {
+			allowed += u.perSecond
+			demand = max(demand, u.ledger.totalDemand, u.demand.perSecond(now))
+		}
+	}
+	if allowed == 0 {
+		return 0
+	}
+	return demand / allowed
+}
+
+// All returns all limits, by upstream.
+func (l *Limits) All(now clock.Millis) []View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []View
+	for _, id := range slices.Sorted(maps.Keys(l.upstreams)) {
+		u := l.limitedLocked(id, now)
+		if u == nil {
+			continue
+		}
+		u.share.advance(now)
+		u.used.advance(now)
+		all = append(all, View{Upstream: id, PerSecond: u.perSecond, Share: u.share.rate, SinceMs: now - u.sinceMs, ConfirmedMs: now - u.namedMs, Used: u.used.last})
+	}
+	return all
+}
