A refusal because of a limit says which limits; news of limits is logged at every daemon

hemlockctl explain shows the basis of a refusal with reason upstreamLimited: each limited upstream with its limit and the daemon's share. Counters upstreamLimits.callsSent and callsHeldBack.

--- a/hemlockd/internal/app/limits.go
+++ b/hemlockd/internal/app/limits.go
@@ -21,7 +21,7 @@
 
 // sendLimitNews tells the other daemons of a changed limit.
 func (d *platformDaemon) sendLimitNews(n upstreamlimits.News) {
-	d.log.Info("an upstream has changed its limit", zap.String("upstream", n.Upstream), zap.Float64("perSecond", n.PerSecond))
+	d.log.Info("an upstream has changed its limit", zap.String("upstream", n.Upstream), zap.Float64("perSecond", n.PerSecond), zap.String("source", "own call"))
 	d.peers.Broadcast(peers.Update{Limits: []upstreamlimits.News{n}})
 }
 
--- a/hemlockd/internal/dispatch/limited.go
+++ b/hemlockd/internal/dispatch/limited.go
@@ -40,13 +40,24 @@
 	return found
 }
 
-// limitedRetry returns when a caller should come back that was refused because of the limits of the
-// upstreams: the callers of all daemons are spread over the time in which there is room for them.
-func (x *exchange) limitedRetry() clock.Millis {
+// refuseLimited refuses the request because of the limits of its upstreams.
+func (x *exchange) refuseLimited() {
+	ids := x.upstreamIDs()
+	x.refusalBasis = x.d.opts.Limits.Summary(ids, x.now())
+	x.respondFailure(reasonLimited, x.limitedRetry(ids))
+}
+
+func (x *exchange) upstreamIDs() []string {
 	var ids []string
 	for _, u := range x.d.opts.Directory.Upstreams(x.service) {
 		ids = append(ids, u.ID)
 	}
+	return ids
+}
+
+// limitedRetry returns when a caller should come back that was refused because of the limits of the
+// upstreams: the callers of all daemons are spread over the time in which there is room for them.
+func (x *exchange) limitedRetry(ids []string) clock.Millis {
 	span := clock.Millis(x.d.opts.Limits.Pressure(ids, x.now()) * float64(clock.Second))
 	span = max(minLimitedRetry, min(maxLimitedRetry, span))
 	return span/2 + jitter(span)
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -84,7 +84,7 @@
 	defer func() { m.drop(m.continuation) }() // if the caller left when it had become ready
 	m.wantUpstreams()
 	if m.allLimited(routing.RoleDecode) {
-		m.respondError(http.StatusServiceUnavailable, reasonLimited, m.limitedRetry())
+		m.refuseLimited()
 		return
 	}
 	if !m.d.opts.View.Fits(m.run) {
@@ -187,7 +187,7 @@
 		return
 	}
 	if m.limitedSkipped && reason == reasonBusy {
-		m.respondFailure(reasonLimited, m.limitedRetry())
+		m.refuseLimited()
 		return
 	}
 	m.respondFailure(reason, capacityRetryAfter+jitter(capacityRetryAfter))
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -109,7 +109,7 @@
 		return
 	}
 	if reason == reasonLimited {
-		x.respondFailure(reason, x.limitedRetry())
+		x.refuseLimited()
 		return
 	}
 	retry := busyRetryAfter
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -100,7 +100,9 @@
 // asks for.
 func (p *Peers) applyLimits(s State, now clock.Millis) {
 	for _, n := range s.Limits {
-		p.handlers.Limits.Merge(n, now)
+		if p.handlers.Limits.Merge(n, now) {
+			p.options.Log.Info("an upstream has changed its limit", zap.String("upstream", n.Upstream), zap.Float64("perSecond", n.PerSecond), zap.String("source", s.Name))
+		}
 	}
 	for _, g := range s.LimitGrants {
 		p.handlers.Limits.HandleGrant(g, now)
--- a/hemlockd/internal/upstreamlimits/limits.go
+++ b/hemlockd/internal/upstreamlimits/limits.go
@@ -19,8 +19,11 @@
 package upstreamlimits
 
 import (
+	"expvar"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -43,6 +46,10 @@
 	demandWindow = clock.Second
 )
 
+// metrics counts calls to upstreams that have a limit: those sent, and those for which no share was
+// left.
+var metrics = expvar.NewMap("upstreamLimits")
+
 // Answer is what one answer of an upstream says about its limit.
 type Answer struct {
 	// Upstream is the upstream's ID, and StartedMs the start of its process.
@@ -222,18 +229,19 @@
 	}
 }
 
-// Merge records what another daemon knows of a limit.
-func (l *Limits) Merge(n News, now clock.Millis) {
+// Merge records what another daemon knows of a limit. It reports whether the limit is another one
+// now.
+func (l *Limits) Merge(n News, now clock.Millis) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := now - max(0, n.AgoMs)
 	if now-at > lapseSpan {
-		return
+		return false
 	}
 	u, ok := l.upstreams[n.Upstream]
 	if ok && n.StartedMs != u.startedMs {
 		if n.StartedMs < u.startedMs {
-			return
+			return false
 		}
 		l.deleteLocked(n.Upstream)
 		ok = false
@@ -241,8 +249,11 @@
 	if !ok && n.PerSecond > 0 {
 		u, ok = l.addLocked(n.Upstream, n.StartedMs), true
 	}
+	if !ok {
+		return false
+	}
+	before := u.perSecond
 	switch {
-	case !ok:
 	case n.PerSecond > 0 && u.perSecond == 0 && u.endedMs > 0 && at <= u.endedMs+newsDelay: // overtaken
 	case n.PerSecond > 0 && at > u.namedMs:
 		if u.perSecond == 0 {
@@ -252,6 +263,7 @@
 	case n.PerSecond <= 0 && u.perSecond > 0 && at > u.namedMs:
 		u.perSecond, u.endedMs = 0, at
 	}
+	return u.perSecond != before
 }
 
 func (l *Limits) addLocked(id string, startedMs clock.Millis) *upstream {
@@ -390,8 +402,10 @@
 	}
 	u.share.advance(now)
 	if u.share.tokens < 1 {
+		metrics.Add("callsHeldBack", 1)
 		return false
 	}
+	metrics.Add("callsSent", 1)
 	u.share.tokens--
 	u.used.add(now)
 	return true
@@ -431,3 +445,14 @@
 	}
 	return all
 }
+
+// Summary describes the limits of upstreams, as the reason of a refusal.
+func (l *Limits) Summary(ids []string, now clock.Millis) string {
+	var texts []string
+	for _, v := range l.All(now) {
+		if slices.Contains(ids, v.Upstream) {
+			texts = append(texts, fmt.Sprintf("%s: limit %.1f/s, share %.1f/s", v.Upstream, v.PerSecond, v.Share))
+		}
+	}
+	return strings.Join(texts, "; ")
+}
