Red: own door: the limit that an instance of a service names is not kept

The stand-ins name a limit in the answers of engines and services (fault kind limit, header Upstream-Limit). Seen on this code: 219 requests in 4 s at a limit of 10 a second, 65 allowed, and nothing is refused.

--- a/standin/internal/fault/fault.go
+++ b/standin/internal/fault/fault.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -55,8 +56,14 @@
 	IgnoreAbort Kind = "ignoreAbort"
 	// ReportLeaving makes the upstream report that it is leaving.
 	ReportLeaving Kind = "leave"
+	// NameLimit makes the upstream name PerSecond as its limit in all answers. It does not
+	// enforce it.
+	NameLimit Kind = "limit"
 )
 
+// headerLimit is the number of requests per second that an upstream takes from all daemons together.
+const headerLimit = "Upstream-Limit"
+
 // Fault is a fault to put in force.
 type Fault struct {
 	// Target is the name of a stand-in, or "all" for all engines.
@@ -70,6 +77,8 @@
 	ForMs int64 `json:"forMs,omitempty"`
 	// DelayMs is the delay that Slow adds to each request, in milliseconds.
 	DelayMs int64 `json:"delayMs,omitempty"`
+	// PerSecond is the limit that NameLimit names, in requests per second.
+	PerSecond float64 `json:"perSecond,omitempty"`
 	// Match limits the fault to requests whose text contains it: the path, the
 	// prompt, the body or the attempt ID, depending on Kind.
 	Match string `json:"match,omitempty"`
@@ -168,7 +177,7 @@
 }
 
 // Middleware applies the faults that concern whole requests (Silent, Down, Slow,
-// DropResponse) to next.
+// DropResponse, NameLimit) to next.
 func (i *Injector) Middleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if i.IsConnSilent(r.Context()) {
@@ -185,6 +194,9 @@
 			next.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
+		if f, ok := i.Consume(NameLimit, r.URL.Path); ok {
+			w.Header().Set(headerLimit, strconv.FormatFloat(f.PerSecond, 'f', -1, 64))
+		}
 		next.ServeHTTP(w, r)
 	})
 }
