Own door: the limits that upstreams name are kept over all daemons of a data centre

The same mechanism as on the platform's door: daemons of a data centre, the only ones that call its upstreams, ask the granter of a limited upstream for a lease of a rate by call, and tell each other of limits at once and with their probes. Instances of services beyond their limit are left for others; what is left is refused at once with the new reason upstreamLimited. Engines are held back at the gate where prefills, decodes and resumptions leave: a call beyond the limit counts as refused by the engine and goes elsewhere; admission does not know the limit beforehand.

--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -12,7 +12,10 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/verdict"
@@ -212,3 +215,17 @@
 	// TookMs is the time from the call to the answer.
 	TookMs clock.Millis
 }
+
+// minLimit is the lowest limit of an upstream, in requests per second. With none at all it would
+// never be seen that the limit has ended.
+const minLimit = 0.1
+
+// ParseLimit parses the limit that an upstream names, in requests per second. It returns 0, which
+// means none, for text that is no such number.
+func ParseLimit(text string) float64 {
+	limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+		return 0
+	}
+	return max(minLimit, limit)
+}
--- a/common/problem/problem.go
+++ b/common/problem/problem.go
@@ -49,6 +49,7 @@
 	Overloaded            Reason = "overloaded"
 	NoUpstream            Reason = "noUpstream"
 	UpstreamFailed        Reason = "upstreamFailed"
+	UpstreamLimited       Reason = "upstreamLimited"
 	UpstreamSilent        Reason = "upstreamSilent"
 	CrashSuspect          Reason = "crashSuspect"
 	CrashingPart          Reason = "crashingPart"
@@ -72,6 +73,7 @@
 	UpstreamSilent: http.StatusGatewayTimeout, CrashSuspect: http.StatusUnprocessableEntity,
 	PlatformUnavailable: http.StatusServiceUnavailable, OutcomeUnknown: http.StatusConflict,
 	NotReady:             http.StatusServiceUnavailable,
+	UpstreamLimited:      http.StatusServiceUnavailable,
 	CrashingPart:         http.StatusServiceUnavailable,
 	DataCentreOutOfReach: http.StatusServiceUnavailable, CallerGone: 499,
 	DaemonLost: http.StatusBadGateway, Internal: http.StatusInternalServerError,
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -35,6 +35,7 @@
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/services"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 	"hemlockmux.example/hemlockd/internal/verdicts"
 	"hemlockmux.example/hemlockd/internal/vmlist"
 )
@@ -49,20 +50,21 @@
 
 // Daemon is a running daemon with all its parts.
 type Daemon struct {
-	env           process.Environment
-	configuration *configuration.Configuration
-	store         *settings.Store
-	daemons       *daemons.Daemons
-	keeper        *keeper.Keeper
-	services      *services.Services
-	handOff       *handoff.Server
-	recorder      *verdicts.Recorder
-	operators     *operators.Operators
-	callers       *callers.Callers
-	callersPort   *port
-	operatorsPort *port
-	failed        chan error
-	cleanup       []func() // run in reverse
+	env            process.Environment
+	configuration  *configuration.Configuration
+	store          *settings.Store
+	daemons        *daemons.Daemons
+	keeper         *keeper.Keeper
+	services       *services.Services
+	handOff        *handoff.Server
+	recorder       *verdicts.Recorder
+	upstreamLimits *upstreamlimits.Limits
+	operators      *operators.Operators
+	callers        *callers.Callers
+	callersPort    *port
+	operatorsPort  *port
+	failed         chan error
+	cleanup        []func() // run in reverse
 }
 
 // Run runs a daemon until ctx is done or a port fails, then shuts it down
@@ -113,7 +115,8 @@
 	d.onClose(closeObjects)
 	vms, closeVMs := platform.NewVMs(cfg.VMs, cfg.PlatformToken, cfg.PlatformTimeoutMs)
 	d.onClose(closeVMs)
-	client, closeClient := engines.NewClient()
+	d.upstreamLimits = upstreamlimits.New(cfg.Name, env.Clock.Now(), d.sendLimitNews)
+	client, closeClient := engines.NewClient(d.upstreamLimits, env.Clock)
 	d.onClose(closeClient)
 	handOff, closeHandOff := handoff.NewClient(cfg)
 	d.onClose(closeHandOff)
@@ -142,7 +145,7 @@
 		k.Reconcile()
 		d.checkLeavingGrace()
 	}
-	svc, closeServices := services.New(env, d.configuration, ledger, list)
+	svc, closeServices := services.New(env, d.configuration, ledger, list, d.upstreamLimits)
 	d.onClose(closeServices)
 	d.services = svc
 	d.callers = callers.New(env, callers.Dependencies{
@@ -155,6 +158,8 @@
 		AcceptCopies: recorder.AcceptCopies, FindVerdict: recorder.Find,
 		StoredUpTo: recorder.StoredUpTo, LendCapacity: d.callers.Lend, RecentSuspects: recentSuspects(env, sus), MergeSuspects: mergeSuspects(env, sus),
 		RecentParts: func() []prompts.Report { return parts.Recent(env.Clock.Now()) }, MergeParts: mergeParts(env, parts),
+		ShareLimit: d.shareLimit, MergeLimits: d.mergeLimits,
+		RecentLimits: func() []upstreamlimits.News { return d.upstreamLimits.Recent(env.Clock.Now()) },
 		DaemonDied: func(m membership.Member) {
 			k.CancelRunsOf(daemons.RunID(m))
 			recorder.DaemonDied(daemons.RunID(m), m.Name)
@@ -168,6 +173,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	pollsDone := make(chan struct{})
 	go d.runPolls(ctx, pollsDone)
+	go d.runLimits(ctx)
 	var blames sync.WaitGroup
 	blames.Go(func() { newBlameStore(env.Log, env.Clock, ownTable{table}, parts, d.daemons.Owns).run(ctx) })
 	d.onClose(func() {
--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -35,6 +35,7 @@
 	"hemlockmux.example/hemlockd/internal/membership"
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/prompts"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
 var metrics = expvar.NewMap("daemons")
@@ -59,6 +60,12 @@
 	StoredUpTo func() clock.Millis
 	// LendCapacity lends another daemon the capacity that a team does not use here.
 	LendCapacity func(LendRequest) LendAnswer
+	// ShareLimit gives another daemon a share of an upstream's limit.
+	ShareLimit func(LimitRequest) LimitAnswer
+	// RecentLimits returns what is known of limits, to be sent to daemons of this data centre.
+	RecentLimits func() []upstreamlimits.News
+	// MergeLimits merges what a daemon of this data centre knows of limits.
+	MergeLimits func([]upstreamlimits.News)
 	// RecentSuspects returns the crash suspects to send to other daemons.
 	RecentSuspects func() []SuspectUpdate
 	// MergeSuspects merges crash suspects received from another daemon.
@@ -263,6 +270,28 @@
 	return loan, err
 }
 
+// ShareLimit asks another daemon for a share of an upstream's limit.
+func (d *Daemons) ShareLimit(ctx context.Context, name string, req LimitRequest) (LimitAnswer, error) {
+	var grant LimitAnswer
+	err := d.call(ctx, name, methodLimit, req, &grant)
+	return grant, err
+}
+
+// silentMemory is how long a dead daemon may be one that is only cut off.
+const silentMemory = clock.Minute
+
+// Known returns the number of daemons of a data centre, this one included if it is there, that are
+// alive or were heard lately.
+func (d *Daemons) Known(dataCentre string) int {
+	n := 0
+	for _, v := range d.Views() {
+		if v.DataCentre == dataCentre && (v.State != membership.Dead || v.HeardMsAgo < silentMemory) {
+			n++
+		}
+	}
+	return n
+}
+
 // UnknownDaemonError reports a call to a daemon that is not a known member.
 type UnknownDaemonError struct {
 	// Name is the name of the daemon that was called.
--- a/hemlockd/internal/daemons/messages.go
+++ b/hemlockd/internal/daemons/messages.go
@@ -7,6 +7,7 @@
 	"hemlockmux.example/hemlockd/internal/limits"
 	"hemlockmux.example/hemlockd/internal/membership"
 	"hemlockmux.example/hemlockd/internal/prompts"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
 // Method names of the protocol between daemons.
@@ -16,6 +17,7 @@
 	methodCopy     = "copyVerdicts"
 	methodFind     = "findVerdict"
 	methodLend     = "lend"
+	methodLimit    = "upstreamLimit"
 )
 
 // ProbeMessage is a probe or the response to one.
@@ -29,6 +31,8 @@
 	Suspects []SuspectUpdate `json:"suspects,omitempty"`
 	// Parts holds the sender's evidence on parts of prompts that crash engines.
 	Parts []prompts.Report `json:"parts,omitempty"`
+	// Limits says what the sender knows of the limits that upstreams of its data centre name.
+	Limits []upstreamlimits.News `json:"limits,omitempty"`
 }
 
 // SuspectUpdate describes one crash suspect.
@@ -95,6 +99,19 @@
 // LendAnswer is the capacity that is lent.
 type LendAnswer = limits.Loan
 
+// LimitRequest asks for a share of an upstream's limit, and brings news of limits.
+type LimitRequest struct {
+	// From is the name of the asking daemon.
+	From string `json:"from"`
+	// Ask is empty if the request only brings news.
+	Ask upstreamlimits.Ask `json:"ask"`
+	// News says what the sender knows of limits.
+	News []upstreamlimits.News `json:"news,omitempty"`
+}
+
+// LimitAnswer is the share that was asked for.
+type LimitAnswer = upstreamlimits.Grant
+
 // FindRequest asks for a verdict or a copy of it.
 type FindRequest struct {
 	// RequestID is the ID of the request.
--- a/hemlockd/internal/daemons/probe.go
+++ b/hemlockd/internal/daemons/probe.go
@@ -141,6 +141,7 @@
 	d.mu.Unlock()
 	msg.Suspects = d.handlers.RecentSuspects()
 	msg.Parts = d.handlers.RecentParts()
+	msg.Limits = d.handlers.RecentLimits()
 	msg.StoredUpToMs = d.handlers.StoredUpTo()
 	return msg
 }
@@ -153,6 +154,9 @@
 	d.mu.Unlock()
 	d.handlers.MergeSuspects(msg.Suspects)
 	d.handlers.MergeParts(msg.Parts)
+	if msg.Membership.From.DataCentre == d.env.Config.DataCentre {
+		d.handlers.MergeLimits(msg.Limits)
+	}
 	d.handlers.AcceptCopies(CopyRequest{From: RunID(msg.Membership.From), StoredUpToMs: msg.StoredUpToMs})
 	d.publishViews()
 	if msg.Membership.From.Version > d.configuration.Version() {
--- a/hemlockd/internal/daemons/rpc.go
+++ b/hemlockd/internal/daemons/rpc.go
@@ -61,6 +61,8 @@
 		return respond(req, d.handlers.AcceptCopies)
 	case methodLend:
 		return respond(req, d.handlers.LendCapacity)
+	case methodLimit:
+		return respond(req, d.handlers.ShareLimit)
 	case methodFind:
 		return respond(req, d.handlers.FindVerdict)
 	}
--- a/hemlockd/internal/engines/engines.go
+++ b/hemlockd/internal/engines/engines.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	c, closeClient := engines.NewClient()
+//	c, closeClient := engines.NewClient(limits, clk)
 //	result, err := c.Prefill(ctx, engine, call)
 //	for event, err := range c.Stream(ctx, engine, call, engines.Fresh) { ... }
 //
@@ -27,11 +27,13 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/completions"
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/streams"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
 // Bounds of the calls to engines.
@@ -54,6 +56,9 @@
 // prefill is no longer held.
 const statusExpired = http.StatusConflict
 
+// errLimited reports that a call was not sent because of the engine's limit.
+var errLimited = errors.New("this daemon's share of the engine's limit is used up")
+
 // Engine is the target of a call.
 type Engine struct {
 	// Name is the engine's name in the settings.
@@ -119,17 +124,21 @@
 type Client struct {
 	control *http.Client // connections are reused
 	work    *http.Client // a new connection for each call
+	limits  *upstreamlimits.Limits
+	clk     clock.Clock
 }
 
 // NewClient returns a client and the function that closes its connections.
 //
 // Calls that do work use a new connection each: a pooled connection whose state a device on the
 // network path has dropped could swallow a call without an error.
-func NewClient() (*Client, func()) {
+//
+// All calls that do work keep to the engines' limits. Load reports and aborts do not count.
+func NewClient(limits *upstreamlimits.Limits, clk clock.Clock) (*Client, func()) {
 	dial := (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
 	control := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: process.MaxHeadBytes}
 	work := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: process.MaxHeadBytes}
-	c := &Client{control: &http.Client{Transport: control}, work: &http.Client{Transport: work}}
+	c := &Client{control: &http.Client{Transport: control}, work: &http.Client{Transport: work}, limits: limits, clk: clk}
 	return c, func() {
 		control.CloseIdleConnections()
 		work.CloseIdleConnections()
@@ -148,10 +157,18 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Request-Id", call.AttemptID)
 	req.Header.Set("X-Correlation-Id", call.RequestID)
+	sent := c.clk.Now()
+	c.limits.Want(e.Name, sent)
+	if !c.limits.Take(e.Name, sent) {
+		return nil, &CallError{Engine: e.Name, Result: verdict.AttemptNotRun, Refused: true, Err: errLimited}
+	}
 	resp, err := c.work.Do(req)
 	if err != nil {
 		return nil, transportError(e, err)
 	}
+	c.limits.Observe(upstreamlimits.Answer{
+		Upstream: e.Name, PerSecond: calls.ParseLimit(resp.Header.Get(upstreamlimits.Header)), SentMs: sent,
+	}, c.clk.Now())
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
--- a/hemlockd/internal/engines/engines_test.go
+++ b/hemlockd/internal/engines/engines_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 	"io"
 	"net"
 	"strings"
@@ -41,7 +43,7 @@
 			closed <- struct{}{}
 		}
 	}()
-	c, closeClient := NewClient()
+	c, closeClient := NewClient(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), clock.System())
 	defer closeClient()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
--- a/hemlockd/internal/handoff/server_test.go
+++ b/hemlockd/internal/handoff/server_test.go
@@ -22,6 +22,7 @@
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
 // alone is the view of a daemon without others, and of upstreams none of which is leaving.
@@ -47,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client, closeClient := engines.NewClient()
+	client, closeClient := engines.NewClient(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), clock.System())
 	t.Cleanup(closeClient)
 	k, closeKeeper := keeper.New(env, c, client, alone{}, alone{}, suspects.New(), parts)
 	t.Cleanup(closeKeeper)
--- a/hemlockd/internal/services/atmostonce.go
+++ b/hemlockd/internal/services/atmostonce.go
@@ -107,6 +107,7 @@
 	s, excluded := d.services, map[string]bool{}
 	defer s.dispatched.Add(-1)
 	defer close(d.done)
+	s.wantInstances(d.tree, d.call)
 	for range d.tree.System.Policy.MaxAttempts {
 		name, ok := s.choose(s.configuration.Tree(), d.call, excluded)
 		if !ok {
@@ -127,6 +128,10 @@
 		excluded[name] = true // the instance never received the call
 	}
 	s.ledger.Release(d.claim)
+	if len(excluded) == 0 && s.heldBack(d.tree, d.call, excluded) {
+		d.out.Problem = s.limitedProblem(d.tree, d.call)
+		return
+	}
 	d.out.Problem = problem.New(problem.NoUpstream, "no instance of service %q could be reached in %s", d.call.Service, s.env.Config.DataCentre).WithRetryAfter(clock.Second)
 }
 
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	s, closeServices := services.New(env, configuration, ledger, leaving)
+//	s, closeServices := services.New(env, configuration, ledger, leaving, limits)
 //	outcome := s.Run(ctx, call)
 package services
 
@@ -26,6 +26,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/settings"
@@ -34,6 +35,7 @@
 	"hemlockmux.example/hemlockd/internal/placements"
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/retries"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
 var metrics = expvar.NewMap("services")
@@ -114,6 +116,7 @@
 	pooledClient   *http.Client // for the first attempt of idempotent calls
 	unpooledClient *http.Client // opens a new connection for each call
 	dispatched     atomic.Int64 // calls under a claim that have not ended
+	limits         *upstreamlimits.Limits
 
 	mu     sync.Mutex
 	health map[string]*health
@@ -123,13 +126,13 @@
 //
 // Calls that may not be repeated use a new connection each: on a reused one, net/http itself repeats
 // a request that has an Idempotency-Key if the connection ends before the response.
-func New(env process.Environment, cfg *configuration.Configuration, ledger *placements.Ledger, leaving LeavingChecker) (*Services, func()) {
+func New(env process.Environment, cfg *configuration.Configuration, ledger *placements.Ledger, leaving LeavingChecker, limits *upstreamlimits.Limits) (*Services, func()) {
 	dial := (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
 	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: process.MaxHeadBytes}
 	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: process.MaxHeadBytes}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Services{
-		env: env, configuration: cfg, ledger: ledger, leaving: leaving,
+		env: env, configuration: cfg, ledger: ledger, leaving: leaving, limits: limits,
 		budget:         retries.NewBudget(settings.DefaultSystem().Policy.RetryRatio),
 		pooledClient:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
 		unpooledClient: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
@@ -167,6 +170,7 @@
 func (s *Services) runIdempotent(ctx context.Context, tree *settings.Tree, service settings.Service, call Call) Outcome {
 	var out Outcome
 	var last error
+	s.wantInstances(tree, call)
 	excluded := map[string]bool{}
 	s.budget.SetRatio(tree.System.Policy.RetryRatio)
 	s.budget.RecordFirstAttempt()
@@ -202,6 +206,10 @@
 		out.Problem = problem.New(problem.CallerGone, "the caller disconnected before the service answered").WithRan(verdict.CombineRan(out.Attempts))
 		return out
 	}
+	if last == nil && s.heldBack(tree, call, excluded) {
+		out.Problem = s.limitedProblem(tree, call)
+		return out
+	}
 	if last == nil {
 		out.Problem = problem.New(problem.NoUpstream, "no instance of service %q is available in %s", call.Service, s.env.Config.DataCentre).WithRetryAfter(clock.Second)
 		return out
@@ -244,17 +252,19 @@
 	return names
 }
 
-// Available reports whether this data centre has an instance that can serve the call.
+// Available reports whether this data centre has an instance that can serve the call, now or when its
+// limit allows it.
 func (s *Services) Available(tree *settings.Tree, call Call) bool {
 	_, ok := s.choose(tree, call, nil)
-	return ok
+	return ok || s.heldBack(tree, call, nil)
 }
 
 // choose returns the instance with the fewest calls in flight from this daemon, without instances
-// that are down, leaving or excluded. The result is false if there is none.
+// that are down, leaving or excluded and those whose limit allows no call now. The result is false
+// if there is none.
 func (s *Services) choose(tree *settings.Tree, call Call, excluded map[string]bool) (string, bool) {
 	best, bestLoad := "", 0
-	names := s.instances(tree, call)
+	names, now := s.instances(tree, call), s.env.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, name := range names {
@@ -262,6 +272,9 @@
 		if excluded[name] || h.failures >= failuresToDown || h.leaving || tree.System.Upstreams[name].Leaving || s.leaving.Leaving(name) {
 			continue
 		}
+		if !s.limits.Ready(name, now) {
+			continue
+		}
 		if best == "" || h.inFlight < bestLoad {
 			best, bestLoad = name, h.inFlight
 		}
@@ -279,13 +292,54 @@
 
 func (e *callError) Unwrap() error { return e.err }
 
-// callOnce makes one attempt and appends it to out.
+// errLimited reports that a call was not sent because of the instance's limit.
+var errLimited = errors.New("this daemon's share of the instance's limit is used up")
+
+// Bounds of the span over which callers return that were refused because of limits.
+const (
+	minLimitedRetry = 400 * clock.Millisecond
+	maxLimitedRetry = 3 * clock.Second
+)
+
+// wantInstances counts the call in the demand for the instances that could serve it.
+func (s *Services) wantInstances(tree *settings.Tree, call Call) {
+	now := s.env.Clock.Now()
+	for _, name := range s.instances(tree, call) {
+		s.limits.Want(name, now)
+	}
+}
+
+// heldBack reports whether a call that no instance is left for has one that only its limit excludes.
+func (s *Services) heldBack(tree *settings.Tree, call Call, excluded map[string]bool) bool {
+	names, now := s.instances(tree, call), s.env.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		if !excluded[name] && s.limits.Limited(name, now) && s.healthLocked(name).failures < failuresToDown {
+			return true
+		}
+	}
+	return false
+}
+
+// limitedProblem refuses a call because of the limits of the instances. Callers of all daemons are
+// spread over the time in which there is room for them.
+func (s *Services) limitedProblem(tree *settings.Tree, call Call) *problem.Problem {
+	names, now := s.instances(tree, call), s.env.Clock.Now()
+	span := clock.Millis(s.limits.Pressure(names, now) * float64(clock.Second))
+	span = max(minLimitedRetry, min(maxLimitedRetry, span))
+	return problem.New(problem.UpstreamLimited, "the instances of service %q take no more calls now: %s", call.Service, s.limits.Summary(names, now)).
+		WithRetryAfter(span/2 + clock.Millis(rand.Int64N(int64(span)+1)))
+}
+
+// callOnce makes one attempt and appends it to out. One that the instance's limit does not allow is
+// not sent.
 func (s *Services) callOnce(ctx context.Context, client *http.Client, name string, tree *settings.Tree, call Call, timeout clock.Millis, out *Outcome) (*placements.Answer, error) {
 	s.mu.Lock()
 	s.healthLocked(name).inFlight++
 	s.mu.Unlock()
 	started := s.env.Clock.Now()
-	answer, err := s.send(ctx, client, tree.System.Upstreams[name].Address, call, timeout)
+	answer, err := s.sendWithinLimit(ctx, client, name, tree.System.Upstreams[name].Address, call, timeout)
 	a := verdict.Attempt{Upstream: name, Phase: "call", Result: verdict.AttemptRan, StartMs: started, EndMs: s.env.Clock.Now()}
 	var failed *callError
 	if errors.As(err, &failed) {
@@ -298,6 +352,22 @@
 	return answer, err
 }
 
+// sendWithinLimit sends the call to an instance if its limit allows that, and records what its answer
+// says of the limit.
+func (s *Services) sendWithinLimit(ctx context.Context, client *http.Client, name, address string, call Call, timeout clock.Millis) (*placements.Answer, error) {
+	sent := s.env.Clock.Now()
+	if !s.limits.Take(name, sent) {
+		return nil, &callError{result: verdict.AttemptNotRun, err: errLimited}
+	}
+	answer, err := s.send(ctx, client, address, call, timeout)
+	if err == nil {
+		s.limits.Observe(upstreamlimits.Answer{
+			Upstream: name, PerSecond: calls.ParseLimit(answer.Header.Get(upstreamlimits.Header)), SentMs: sent,
+		}, s.env.Clock.Now())
+	}
+	return answer, err
+}
+
 // hopHeaders are headers that are not forwarded: they apply to one connection only or, like
 // Authorization, hold the caller's secret.
 var hopHeaders = []string{
--- a/hemlockd/internal/services/services_test.go
+++ b/hemlockd/internal/services/services_test.go
@@ -20,6 +20,7 @@
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/placements"
 	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
 // noSignals reports no upstream as leaving.
@@ -55,7 +56,7 @@
 	}
 	ledger, closeLedger := placements.New(env, memory.New(), func() clock.Millis { return 1 })
 	t.Cleanup(closeLedger)
-	s, closeServices := New(env, c, ledger, noSignals{})
+	s, closeServices := New(env, c, ledger, noSignals{}, upstreamlimits.New("d", 0, func(upstreamlimits.News) {}))
 	t.Cleanup(closeServices)
 	return s
 }
--- a/hemlockd/internal/upstreamlimits/limits.go
+++ b/hemlockd/internal/upstreamlimits/limits.go
@@ -87,6 +87,10 @@
 	Used int
 }
 
+// Header is the header in which upstreams of the own interface name their limit, in requests per
+// second.
+const Header = "Upstream-Limit"
+
 // Limits holds the limits of all upstreams and this daemon's shares. It is safe for concurrent use.
 type Limits struct {
 	self   string
