Operators see the limits that upstreams name

hemlockctl limits (own door) and hemlockctl platform beliefs list each limited upstream: its limit, the daemon's share and how much of it was used in the last second, since when, and when an answer last named it.

--- a/hemlockctl/internal/operator/operator.go
+++ b/hemlockctl/internal/operator/operator.go
@@ -93,6 +93,11 @@
 	return call[[]operatorapi.UpstreamStatus](ctx, c, http.MethodGet, "/v1/upstreams", nil)
 }
 
+// Limits returns the limits that upstreams name, as the daemon knows them.
+func (c *Client) Limits(ctx context.Context) ([]operatorapi.LimitView, error) {
+	return call[[]operatorapi.LimitView](ctx, c, http.MethodGet, "/v1/limits", nil)
+}
+
 // Parts returns the parts of prompts that the daemon refuses.
 func (c *Client) Parts(ctx context.Context) ([]operatorapi.RefusedPartView, error) {
 	return call[[]operatorapi.RefusedPartView](ctx, c, http.MethodGet, "/v1/parts", nil)
--- a/hemlockd/e2e/limits_test.go
+++ b/hemlockd/e2e/limits_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"hemlockmux.example/common/operatorapi"
 )
 
 // mostRunsInWindow returns the largest number of runs that began at an upstream within limitWindow,
@@ -65,6 +67,10 @@
 	if used := float64(total) / (limit * 10); used < 0.6 {
 		t.Errorf("%.2f of what the instance offers is used, want 0.6 or more", used)
 	}
+	var limits []operatorapi.LimitView
+	if _, err := d.daemons[0].operator(http.MethodGet, "/v1/limits", nil, &limits); err != nil || len(limits) != 1 || limits[0].PerSecond != limit {
+		t.Errorf("limits shown to operators: %+v, %v", limits, err)
+	}
 	counts.mu.Lock()
 	defer counts.mu.Unlock()
 	if len(counts.counts) != 1 {
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -183,7 +183,7 @@
 	})
 	d.operators = operators.New(env, operators.Dependencies{
 		Configuration: d.configuration, Store: d.store, Objects: objects, Daemons: d.daemons,
-		Keeper: k, Services: svc, Parts: parts, Verdicts: recorder,
+		Keeper: k, Services: svc, Limits: d.upstreamLimits, Parts: parts, Verdicts: recorder,
 	})
 	if d.operatorsPort, err = d.listen("operators", cfg.Operators, d.operators.Handler()); err != nil {
 		return err
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -335,11 +335,7 @@
 			Service: r.Service, Part: r.Part, Engines: r.Engines, SinceCrashMs: r.CrashAgoMs, SinceTryMs: r.TryAgoMs, SinceRefusalMs: r.SeenAgoMs,
 		})
 	}
-	for _, l := range d.limits.All(now) {
-		s.Limits = append(s.Limits, operatorapi.LimitView{
-			Upstream: l.Upstream, PerSecond: l.PerSecond, Share: l.Share, Used: l.Used, SinceMs: l.SinceMs, ConfirmedMs: l.ConfirmedMs,
-		})
-	}
+	s.Limits = d.limits.All(now)
 	for _, p := range d.peers.All() {
 		s.Daemons = append(s.Daemons, operatorapi.PeerView{
 			Daemon: p.Name, DataCentre: p.DataCentre, Address: p.Address, Version: p.Version, SinceHeardMs: now - p.LastHeardMs, Leaving: p.Leaving,
--- a/hemlockd/internal/operators/operators.go
+++ b/hemlockd/internal/operators/operators.go
@@ -36,6 +36,7 @@
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/services"
+	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 	"hemlockmux.example/hemlockd/internal/verdicts"
 )
 
@@ -62,6 +63,8 @@
 	Services *services.Services
 	// Parts is the evidence on parts of prompts that crash engines.
 	Parts *prompts.Evidence
+	// Limits holds the limits that upstreams name.
+	Limits *upstreamlimits.Limits
 	// Verdicts holds the recent verdicts of this daemon.
 	Verdicts *verdicts.Recorder
 }
@@ -95,6 +98,7 @@
 		r.Get("/daemons", o.daemons)
 		r.Get("/upstreams", o.upstreams)
 		r.Get("/parts", o.parts)
+		r.Get("/limits", o.limits)
 		r.Post("/parts/lift", o.liftPart)
 		r.Get("/verdicts/{id}", o.verdict)
 	})
@@ -270,6 +274,11 @@
 	writeJSON(w, http.StatusOK, list)
 }
 
+// limits lists the limits that upstreams of this data centre name, as this daemon knows them.
+func (o *Operators) limits(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, o.Limits.All(o.env.Clock.Now()))
+}
+
 // liftPart lifts the refusal of a part of prompts at all daemons, which learn of it by gossip.
 func (o *Operators) liftPart(w http.ResponseWriter, r *http.Request) {
 	var lift operatorapi.LiftPartRequest
--- a/hemlockd/internal/upstreamlimits/limits.go
+++ b/hemlockd/internal/upstreamlimits/limits.go
@@ -28,6 +28,7 @@
 	"sync/atomic"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/operatorapi"
 )
 
 const (
@@ -74,19 +75,6 @@
 	SinceAgoMs clock.Millis `json:"sinceAgoMs"`
 }
 
-// View is the state of one limit, for operators.
-type View struct {
-	// Upstream is the upstream's ID.
-	Upstream string
-	// PerSecond is the limit, and Share what this daemon may use of it, in requests per second.
-	PerSecond, Share float64
-	// SinceMs is the time since the limit was first heard of, and ConfirmedMs the time since an
-	// answer last named it.
-	SinceMs, ConfirmedMs clock.Millis
-	// Used is the number of calls that this daemon sent in the last full second.
-	Used int
-}
-
 // Header is the header in which upstreams of the own interface name their limit, in requests per
 // second.
 const Header = "Upstream-Limit"
@@ -433,11 +421,11 @@
 	return demand / allowed
 }
 
-// All returns all limits, by upstream.
-func (l *Limits) All(now clock.Millis) []View {
+// All returns all limits, by upstream, for operators.
+func (l *Limits) All(now clock.Millis) []operatorapi.LimitView {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var all []View
+	all := []operatorapi.LimitView{}
 	for _, id := range slices.Sorted(maps.Keys(l.upstreams)) {
 		u := l.limitedLocked(id, now)
 		if u == nil {
@@ -445,7 +433,7 @@
 		}
 		u.share.advance(now)
 		u.used.advance(now)
-		all = append(all, View{Upstream: id, PerSecond: u.perSecond, Share: u.share.rate, SinceMs: now - u.sinceMs, ConfirmedMs: now - u.namedMs, Used: u.used.last})
+		all = append(all, operatorapi.LimitView{Upstream: id, PerSecond: u.perSecond, Share: u.share.rate, SinceMs: now - u.sinceMs, ConfirmedMs: now - u.namedMs, Used: u.used.last})
 	}
 	return all
 }
