Own door: admission knows the limits of engines; a call that is held back is no failure

Admission now leaves out engines whose limit allows no call just now; a call that is held back costs no retry, and if none is left the request is refused as upstreamLimited. One function gives the Retry-After on both doors.

--- a/common/admission/admission.go
+++ b/common/admission/admission.go
@@ -56,6 +56,9 @@
 	Predict bool
 	// Priorities orders the queue by priority before arrival.
 	Priorities bool
+	// HeldBack, if not nil, reports whether an engine gets no new work just now because of a
+	// limit that it names.
+	HeldBack func(engine string) bool
 }
 
 // DefaultOptions returns the options that daemons use.
--- a/common/admission/engine.go
+++ b/common/admission/engine.go
@@ -186,13 +186,18 @@
 	var eligible []*engine
 	for _, e := range g.sorted(kind) {
 		separate := !r.Suspect || e.suspect == "" || e.suspect == r.ID
-		if e.usable() && r.allows(e) && !exclude[e.Name] && separate {
+		if e.usable() && r.allows(e) && !exclude[e.Name] && separate && !g.heldBack(e) {
 			eligible = append(eligible, e)
 		}
 	}
 	return eligible
 }
 
+// heldBack reports whether an engine gets no new work just now because of its limit.
+func (g *Group) heldBack(e *engine) bool {
+	return g.options.HeldBack != nil && g.options.HeldBack(e.Name)
+}
+
 // chooseDecode returns the engine with the lowest load that has a free slot and enough
 // memory, or nil.
 func (g *Group) chooseDecode(r *request, exclude map[string]bool) *engine {
--- a/hemlockd/e2e/limits_test.go
+++ b/hemlockd/e2e/limits_test.go
@@ -114,3 +114,35 @@
 		t.Errorf("answers %v, want some refused as upstreamLimited", counts.counts)
 	}
 }
+
+// TestLimitOfAnEngineIsKept guards prefills, decodes and resumptions at an engine of the own door.
+func TestLimitOfAnEngineIsKept(t *testing.T) {
+	const limit = 3
+	d := deploy(t, options{daemons: 2, prefill: 2, decode: 2})
+	counts := &statusCounts{counts: map[string]int{}}
+	stop := runWorkers(6, func(w, i int) {
+		counts.add(d.daemons[(w+i)%2].complete(fmt.Sprintf("w%d i%d", w, i), 5))
+	})
+	time.Sleep(time.Second)
+	limited := []string{"brandon-a-decode-1", "brandon-a-prefill-1"}
+	for _, engine := range limited {
+		d.injectFault(engine, "limit", map[string]any{"perSecond": limit})
+	}
+	time.Sleep(limitGrace)
+	from := time.Now()
+	time.Sleep(8 * time.Second)
+	stop()
+	for _, engine := range limited {
+		most, total := d.mostRunsInWindow(engine, from)
+		t.Logf("%s: at most %d runs in %v, %d in all", engine, most, limitWindow, total)
+		if float64(most) > allowedInWindow(limit) {
+			t.Errorf("%s got %d requests in %v, at most %.0f are allowed", engine, most, limitWindow, allowedInWindow(limit))
+		}
+	}
+	counts.mu.Lock()
+	defer counts.mu.Unlock()
+	t.Logf("answers %v", counts.counts)
+	if counts.counts["200"] == 0 {
+		t.Errorf("answers %v, want most served: the other engines have no limit", counts.counts)
+	}
+}
--- a/hemlockd/e2e/usersplatform_limits_test.go
+++ b/hemlockd/e2e/usersplatform_limits_test.go
@@ -147,3 +147,43 @@
 		t.Errorf("statuses %v after the limits have ended, want 200 only", load.statuses)
 	}
 }
+
+// TestPlatformLimitsOfEnginesAreKept guards prefills, decodes and repeats, which all count as requests
+// to an engine.
+func TestPlatformLimitsOfEnginesAreKept(t *testing.T) {
+	const limit = 6
+	p := deployUsersPlatform(t, 3)
+	statuses := &statusCounts{counts: map[string]int{}}
+	var sending sync.WaitGroup
+	run := func(span time.Duration) {
+		started := time.Now()
+		for i := 0; time.Since(started) < span; i++ {
+			d, attempt := p.daemons[i%len(p.daemons)], fmt.Sprintf("engine-%d-%d", started.UnixNano(), i)
+			sending.Go(func() {
+				resp := p.stream(d, attempt, "resumable", 2)
+				statuses.add(response{status: resp.status, body: resp.body})
+			})
+			time.Sleep(40 * time.Millisecond)
+		}
+		sending.Wait()
+	}
+	run(time.Second)
+	limited := []string{"i-dec1", "i-pre1"}
+	for _, server := range limited {
+		p.nameLimit(server, limit)
+	}
+	run(limitGrace)
+	from := time.Now()
+	run(8 * time.Second)
+	for _, server := range limited {
+		most, total := p.mostInWindow(server, from)
+		t.Logf("%s: at most %d requests in %v, %d in all", server, most, limitWindow, total)
+		if float64(most) > allowedInWindow(limit) {
+			t.Errorf("%s got %d requests in %v, at most %.0f are allowed", server, most, limitWindow, allowedInWindow(limit))
+		}
+	}
+	if statuses.counts["200"] == 0 {
+		t.Errorf("answers %v, want most served: the other engines have no limit", statuses.counts)
+	}
+	t.Logf("answers %v", statuses.counts)
+}
--- a/hemlockd/internal/dispatch/limited.go
+++ b/hemlockd/internal/dispatch/limited.go
@@ -4,16 +4,9 @@
 	"errors"
 
 	"hemlockmux.example/common/calls"
-	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/routing"
 )
 
-// Bounds of the span over which callers return that were refused because of the limits of upstreams.
-const (
-	minLimitedRetry = 400 * clock.Millisecond
-	maxLimitedRetry = 3 * clock.Second
-)
-
 // errLimited reports that a call was not sent because of the upstream's limit.
 var errLimited = errors.New("this daemon's share of the upstream's limit is used up")
 
@@ -44,7 +37,7 @@
 func (x *exchange) refuseLimited() {
 	ids := x.upstreamIDs()
 	x.refusalBasis = x.d.opts.Limits.Summary(ids, x.now())
-	x.respondFailure(reasonLimited, x.limitedRetry(ids))
+	x.respondFailure(reasonLimited, x.d.opts.Limits.Retry(ids, x.now()))
 }
 
 func (x *exchange) upstreamIDs() []string {
@@ -55,14 +48,6 @@
 	return ids
 }
 
-// limitedRetry returns when a caller should come back that was refused because of the limits of the
-// upstreams: the callers of all daemons are spread over the time in which there is room for them.
-func (x *exchange) limitedRetry(ids []string) clock.Millis {
-	span := clock.Millis(x.d.opts.Limits.Pressure(ids, x.now()) * float64(clock.Second))
-	span = max(minLimitedRetry, min(maxLimitedRetry, span))
-	return span/2 + jitter(span)
-}
-
 // limitedError is the result of a call that was not sent because of the upstream's limit.
 func limitedError(upstream string, phase calls.Phase) *calls.Error {
 	return &calls.Error{Upstream: upstream, Phase: phase, Cause: calls.CauseLimited, Outcome: calls.NotRun, Err: errLimited}
--- a/hemlockd/internal/engines/engines.go
+++ b/hemlockd/internal/engines/engines.go
@@ -101,6 +101,9 @@
 	Expired bool
 	// Refused is true if the engine answered that it accepts no more work.
 	Refused bool
+	// Limited is true if the call was not sent because of the limit that the engine names. Refused
+	// is true as well.
+	Limited bool
 	// Unreachable is true if no connection could be opened.
 	Unreachable bool
 	// Broken is true if the connection ended during the call.
@@ -145,6 +148,19 @@
 	}
 }
 
+// HeldBack reports whether an engine's limit allows no call now. Whoever asks wants to send one.
+func (c *Client) HeldBack(engine string) bool {
+	now := c.clk.Now()
+	c.limits.Want(engine, now)
+	return !c.limits.Ready(engine, now)
+}
+
+// LimitedRetry returns when callers should come back that were refused because of an engine's limit:
+// those of all daemons are spread over the time in which there is room for them.
+func (c *Client) LimitedRetry(engine string) clock.Millis {
+	return c.limits.Retry([]string{engine}, c.clk.Now())
+}
+
 // post sends a call that does work and returns the response if its status is 200.
 func (c *Client) post(ctx context.Context, e Engine, call Call, header http.Header) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Address+call.Path, bytes.NewReader(call.Body))
@@ -158,9 +174,8 @@
 	req.Header.Set("X-Request-Id", call.AttemptID)
 	req.Header.Set("X-Correlation-Id", call.RequestID)
 	sent := c.clk.Now()
-	c.limits.Want(e.Name, sent)
 	if !c.limits.Take(e.Name, sent) {
-		return nil, &CallError{Engine: e.Name, Result: verdict.AttemptNotRun, Refused: true, Err: errLimited}
+		return nil, &CallError{Engine: e.Name, Result: verdict.AttemptNotRun, Refused: true, Limited: true, Err: errLimited}
 	}
 	resp, err := c.work.Do(req)
 	if err != nil {
--- a/hemlockd/internal/keeper/attempts.go
+++ b/hemlockd/internal/keeper/attempts.go
@@ -77,6 +77,10 @@
 	if err == nil {
 		return problem.New(problem.NoUpstream, "no engine is available for the %s", phase).WithRetryAfter(clock.Second)
 	}
+	var call *engines.CallError
+	if errors.As(err, &call) && call.Limited {
+		return problem.New(problem.UpstreamLimited, "the engines for the %s take no more requests now: %v", phase, err).WithRetryAfter(r.keeper.client.LimitedRetry(call.Engine))
+	}
 	if errors.Is(err, errStalled) {
 		return problem.New(problem.UpstreamSilent, "the %s stream stalled: no chunk arrived within the stall time-out", phase).WithRetryAfter(clock.Second)
 	}
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -182,6 +182,12 @@
 	return errors.As(err, &call) && call.Broken
 }
 
+// isLimited reports whether the call was not sent because of the limit that the engine names.
+func isLimited(err error) bool {
+	var call *engines.CallError
+	return errors.As(err, &call) && call.Limited
+}
+
 // isUnreachable reports whether no connection to the engine could be opened.
 func isUnreachable(err error) bool {
 	var call *engines.CallError
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -206,8 +206,10 @@
 	g, ok := k.groups[name]
 	if !ok {
 		rng := rand.New(rand.NewPCG(uint64(k.env.Incarnation), uint64(len(k.groups))))
+		options := admission.DefaultOptions()
+		options.HeldBack = k.client.HeldBack
 		g = &group{
-			admission: admission.NewGroup(admission.DefaultOptions(), tree.System.Models[model], tree.System.Policy, rng),
+			admission: admission.NewGroup(options, tree.System.Models[model], tree.System.Policy, rng),
 			waiting:   map[string]chan admission.Decision{},
 		}
 		g.admission.SetEngines(groupEngines(tree, name))
--- a/hemlockd/internal/services/atmostonce.go
+++ b/hemlockd/internal/services/atmostonce.go
@@ -108,6 +108,7 @@
 	defer s.dispatched.Add(-1)
 	defer close(d.done)
 	s.wantInstances(d.tree, d.call)
+	limited := false // a call was not sent because of the instance's limit
 	for range d.tree.System.Policy.MaxAttempts {
 		name, ok := s.choose(s.configuration.Tree(), d.call, excluded)
 		if !ok {
@@ -125,10 +126,11 @@
 			d.out.Problem = s.outcomeUnknown(d.call, failed)
 			return
 		}
+		limited = limited || errors.Is(err, errLimited)
 		excluded[name] = true // the instance never received the call
 	}
 	s.ledger.Release(d.claim)
-	if len(excluded) == 0 && s.heldBack(d.tree, d.call, excluded) {
+	if limited || s.heldBack(d.tree, d.call, excluded) {
 		d.out.Problem = s.limitedProblem(d.tree, d.call)
 		return
 	}
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -206,7 +206,7 @@
 		out.Problem = problem.New(problem.CallerGone, "the caller disconnected before the service answered").WithRan(verdict.CombineRan(out.Attempts))
 		return out
 	}
-	if last == nil && s.heldBack(tree, call, excluded) {
+	if errors.Is(last, errLimited) || last == nil && s.heldBack(tree, call, excluded) {
 		out.Problem = s.limitedProblem(tree, call)
 		return out
 	}
@@ -295,12 +295,6 @@
 // errLimited reports that a call was not sent because of the instance's limit.
 var errLimited = errors.New("this daemon's share of the instance's limit is used up")
 
-// Bounds of the span over which callers return that were refused because of limits.
-const (
-	minLimitedRetry = 400 * clock.Millisecond
-	maxLimitedRetry = 3 * clock.Second
-)
-
 // wantInstances counts the call in the demand for the instances that could serve it.
 func (s *Services) wantInstances(tree *settings.Tree, call Call) {
 	now := s.env.Clock.Now()
@@ -322,14 +316,11 @@
 	return false
 }
 
-// limitedProblem refuses a call because of the limits of the instances. Callers of all daemons are
-// spread over the time in which there is room for them.
+// limitedProblem refuses a call because of the limits of the instances.
 func (s *Services) limitedProblem(tree *settings.Tree, call Call) *problem.Problem {
 	names, now := s.instances(tree, call), s.env.Clock.Now()
-	span := clock.Millis(s.limits.Pressure(names, now) * float64(clock.Second))
-	span = max(minLimitedRetry, min(maxLimitedRetry, span))
 	return problem.New(problem.UpstreamLimited, "the instances of service %q take no more calls now: %s", call.Service, s.limits.Summary(names, now)).
-		WithRetryAfter(span/2 + clock.Millis(rand.Int64N(int64(span)+1)))
+		WithRetryAfter(s.limits.Retry(names, now))
 }
 
 // callOnce makes one attempt and appends it to out. One that the instance's limit does not allow is
--- a/hemlockd/internal/upstreamlimits/limits.go
+++ b/hemlockd/internal/upstreamlimits/limits.go
@@ -22,6 +22,7 @@
 	"expvar"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -403,9 +404,23 @@
 	return true
 }
 
-// Pressure returns the demand of all daemons for upstreams as a multiple of what their limits
+// Bounds of the span over which callers return that were refused because of limits.
+const (
+	minRetry = 400 * clock.Millisecond
+	maxRetry = 3 * clock.Second
+)
+
+// Retry returns when a caller should come back that was refused because of the limits of upstreams:
+// the callers of all daemons are spread over the time in which there is room for them.
+func (l *Limits) Retry(ids []string, now clock.Millis) clock.Millis {
+	span := clock.Millis(l.pressure(ids, now) * float64(clock.Second))
+	span = max(minRetry, min(maxRetry, span))
+	return span/2 + clock.Millis(rand.Int64N(int64(span)+1))
+}
+
+// pressure returns the demand of all daemons for upstreams as a multiple of what their limits
 // allow together, as far as this daemon knows; 0 if none of them has a limit.
-func (l *Limits) Pressure(ids []string, now clock.Millis) float64 {
+func (l *Limits) pressure(ids []string, now clock.Millis) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	allowed, demand := 0.0, 0.0
--- a/hemlockd/internal/upstreamlimits/limits_test.go
+++ b/hemlockd/internal/upstreamlimits/limits_test.go
@@ -336,7 +336,12 @@
 			t.Fatal("an upstream without a limit is limited")
 		}
 	}
-	if l.Pressure([]string{"v"}, 2) != 0 {
+	if l.pressure([]string{"v"}, 2) != 0 {
 		t.Error("an upstream without a limit is under pressure")
 	}
+	for range 1000 {
+		if retry := l.Retry([]string{"u"}, 2); retry < minRetry/2 || retry > 2*maxRetry {
+			t.Fatalf("callers come back after %d ms", retry)
+		}
+	}
 }
