--- a/hemlockd/e2e/limits_test.go
+++ b/hemlockd/e2e/limits_test.go
@@ -19,14 +19,7 @@
 			at = append(at, e.AtMs)
 		}
 	}
-	first := 0
-	for i := range at {
-		for at[i]-at[first] >= limitWindow.Milliseconds() {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most, len(at)
+	return mostWithin(at), len(at)
 }
 
 // statusCounts counts the answers of calls by status and reason.
--- a/hemlockd/e2e/usersplatform_limits_test.go
+++ b/hemlockd/e2e/usersplatform_limits_test.go
@@ -81,6 +81,11 @@
 			at = append(at, a.AtMs)
 		}
 	}
+	return mostWithin(at), len(at)
+}
+
+// mostWithin returns the largest number of moments (Unix ms, ascending) within limitWindow.
+func mostWithin(at []int64) (most int) {
 	first := 0
 	for i := range at {
 		for at[i]-at[first] >= limitWindow.Milliseconds() {
@@ -88,7 +93,7 @@
 		}
 		most = max(most, i-first+1)
 	}
-	return most, len(at)
+	return most
 }
 
 // TestPlatformLimitOfAServerIsKeptOverAllDaemons guards against daemons that send a server more than
--- a/hemlockd/internal/directory/fetcher.go
+++ b/hemlockd/internal/directory/fetcher.go
@@ -83,6 +83,11 @@
 	}
 	s.version, s.local, s.heardMs = max(s.version, version), local, now
 	f.mu.Unlock()
+	f.signal()
+}
+
+// signal wakes the fetcher if it waits.
+func (f *fetcher) signal() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
@@ -182,10 +187,7 @@
 	if err != nil && !errors.As(err, &busy) && ctx.Err() == nil {
 		f.d.logFailedFetch(f.topic, control, err)
 	}
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
+	f.signal()
 }
 
 // finish records the end of a fetch.
@@ -206,9 +208,3 @@
 
 // randomUpTo returns a random time between 0 and span.
 func randomUpTo(span clock.Millis) clock.Millis { return clock.Millis(rand.Int64N(int64(span) + 1)) }
-
-// asFetchError returns the *peers.FetchError that err wraps.
-func asFetchError(err error) (*peers.FetchError, bool) {
-	var failed *peers.FetchError
-	return failed, errors.As(err, &failed)
-}
--- a/hemlockd/internal/directory/snapshots.go
+++ b/hemlockd/internal/directory/snapshots.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -147,7 +148,8 @@
 // had come by then.
 func (d *Directory) logFailedFetch(topic directory.Topic, control string, err error) {
 	fields := []zap.Field{zap.String("topic", string(topic)), zap.String("peer", control), zap.Error(err)}
-	if failed, ok := asFetchError(err); ok {
+	var failed *peers.FetchError
+	if errors.As(err, &failed) {
 		fields = append(fields, zap.Int64("receivedBytes", failed.ReceivedBytes), zap.Int64("tookMs", int64(failed.TookMs)))
 	}
 	d.o.Log.Warn("fetching the snapshot of another daemon failed", fields...)
