Own door: copies of verdicts that were lost with a VM are sent again

Cause found by reading: a daemon copies what is not stored to its holder again only when the holder's *name* changes or a message to it fails. A holder that started again under its name, and the daemon that had run a request handed to it and so held its copy, took the copy with them, and nobody made another one; when the daemon itself died before its next batch, the verdict was gone. Each death of a daemon now makes all others copy again what is not stored.

Measured: TestCopiesThatWereLostWithAVMAreSentAgain, red before in both cases ('no daemon has a copy 5 s after the death').

--- a/hemlockd/internal/verdicts/copies.go
+++ b/hemlockd/internal/verdicts/copies.go
@@ -134,12 +134,19 @@
 	return daemons.CopyAnswer{Held: held}
 }
 
-// DaemonDied queues the copies held for a dead run of a daemon for the object store.
+// DaemonDied queues the copies held for a dead run of a daemon for the object store. The copies that
+// the run held for this daemon are lost: what is not stored is copied again.
 func (r *Recorder) DaemonDied(run, daemon string) {
 	now := r.env.Clock.Now()
 	r.mu.Lock()
 	verdicts, batches := r.copies.markDead(run, now)
 	r.segments = append(r.segments, batches...)
+	r.holder = "" // makes unsentOpen send everything to the holder
+	for i := range r.segments {
+		if r.segments[i].holder == daemon {
+			r.segments[i].holder = ""
+		}
+	}
 	r.mu.Unlock()
 	if len(verdicts) == 0 {
 		return
--- a/hemlockd/internal/verdicts/verdicts_test.go
+++ b/hemlockd/internal/verdicts/verdicts_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -168,3 +169,35 @@
 		t.Errorf("a death is reported twice: %v", again)
 	}
 }
+
+// TestCopiesThatWereLostWithAVMAreSentAgain guards against a verdict that is lost though its two VMs
+// have died one long after the other: the daemon that held the copy had started again under the same
+// name, or had run the request itself, and nobody copied the verdict a second time.
+func TestCopiesThatWereLostWithAVMAreSentAgain(t *testing.T) {
+	for _, elsewhere := range []bool{false, true} {
+		var outage sync.Map
+		violated := 0
+		peers := &fakePeers{held: newCopies()}
+		r := newTestRecorder(t, peers, &outage, &violated)
+		id := verdict.NewID("vm-1", 1000)
+		v := verdict.Verdict{RequestID: id, StartMs: 1000, Daemon: "vm-1"}
+		r.Open(v)
+		r.SetCopiedElsewhere(id, elsewhere)
+		v.Outcome, v.Ran, v.EndMs = verdict.OutcomeRun, problem.RanYes, r.env.Clock.Now()
+		r.Close(context.Background(), v)
+		time.Sleep(2 * openCopyInterval.Duration()) // the holder is known by then
+		peers.mu.Lock()
+		peers.held = newCopies() // the process that held the copy has ended
+		peers.mu.Unlock()
+		r.DaemonDied("holder~1", "holder")
+		found := false
+		for end := time.Now().Add(5 * time.Second); !found && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			peers.mu.Lock()
+			_, found = peers.held.find(id)
+			peers.mu.Unlock()
+		}
+		if !found {
+			t.Errorf("copied elsewhere %t: no daemon has a copy 5 s after the death of the one that had it", elsewhere)
+		}
+	}
+}
