A decode engine's limit is asked before the prefill

TestRequestsGoWhereLimitsLeaveRoom found it: with all decode engines limited, a request was prefilled and only then refused, since the gate stood before the decode call. The call is now taken from the engine's limit when the run is placed, as its memory is; an engine without room is left for another at once. Where no engine has room now the request is refused before anything is sent.

--- a/hemlockd/internal/dispatch/limited.go
+++ b/hemlockd/internal/dispatch/limited.go
@@ -25,7 +25,7 @@
 		if u.Role != role || x.d.health.isDown(u.ID) {
 			continue
 		}
-		if !x.d.opts.Limits.Limited(u.ID, x.now()) || x.d.opts.Limits.HasShare(u.ID, x.now()) {
+		if x.d.opts.Limits.Ready(u.ID, x.now()) {
 			return false
 		}
 		found = true
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -42,6 +42,8 @@
 	resultExpiresMs clock.Millis
 	// reservation is an unused reservation at the run's engine, or nil.
 	reservation *reservation
+	// limitTaken is set if the call to the run's engine has been taken from the engine's limit.
+	limitTaken bool
 }
 
 // modelRun serves one request to a model, with a prefill and a decode phase.
@@ -186,25 +188,31 @@
 		m.respondFailure(reasonPart, m.blame.RetryAfterMs)
 		return
 	}
-	if m.limitedSkipped && reason == reasonBusy {
+	if m.limitedSkipped && (reason == reasonBusy || reason == reasonNoCapacity) {
 		m.refuseLimited()
 		return
 	}
 	m.respondFailure(reason, capacityRetryAfter+jitter(capacityRetryAfter))
 }
 
-// place places the run at a decode engine, waiting for capacity up to queueTimeout,
-// and informs the other daemons. It returns false if no engine had capacity in time.
+// place places the run at a decode engine whose limit allows the call, waiting for capacity up to
+// queueTimeout, and informs the other daemons. It returns false if no engine had capacity in time.
 func (m *modelRun) place(queueTimeout clock.Millis) bool {
 	start := m.now()
 	ctx, cancel := context.WithTimeout(m.ctx, max(0, queueTimeout).Duration())
 	defer cancel()
 	run, ok := m.d.opts.Queue.Place(ctx, m.run, m.prefillResult != nil, m.excluded)
+	for ok && !m.d.opts.Limits.Take(run.Engine, m.now()) {
+		m.limitedSkipped = true
+		m.excluded[run.Engine] = true
+		m.d.opts.View.End(run.ID)
+		run, ok = m.d.opts.Queue.Place(ctx, m.run, m.prefillResult != nil, m.excluded)
+	}
 	m.queueTimeMs += m.now() - start
 	if !ok {
 		return false
 	}
-	m.run, m.forecastUse = run, math.Round(run.MemoryUse*100)/100
+	m.run, m.limitTaken, m.forecastUse = run, true, math.Round(run.MemoryUse*100)/100
 	m.d.opts.Peers.Broadcast(peers.Update{Runs: []capacity.Run{run}})
 	return true
 }
@@ -266,10 +274,11 @@
 			Err: errors.New("engine is no longer listed in the directory"),
 		}
 	}
-	if !m.d.opts.Limits.Take(u.ID, m.now()) {
+	if !m.limitTaken && !m.d.opts.Limits.Take(u.ID, m.now()) {
 		m.limitedSkipped = true
 		return nil, limitedError(u.ID, calls.PhaseDecode)
 	}
+	m.limitTaken = false
 	start := m.now()
 	m.decodeCalls++
 	m.stream.start(m.ctx)
