Own door: a call that was sent before is never told as held back by a limit

By reading: if one instance had lost an answer and the share of the next ran out between choosing it and sending, the caller of an idempotent call was told upstreamLimited, ran: no, though the first may have run it. The reason now applies only if nothing was sent.

Measured: TestRefusalForALimitIsTrue (services); it was green before as well, since the window is between two statements.

--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -206,7 +206,8 @@
 		out.Problem = problem.New(problem.CallerGone, "the caller disconnected before the service answered").WithRan(verdict.CombineRan(out.Attempts))
 		return out
 	}
-	if errors.Is(last, errLimited) || last == nil && s.heldBack(tree, call, excluded) {
+	notSent := verdict.CombineRan(out.Attempts) == problem.RanNo
+	if notSent && (errors.Is(last, errLimited) || last == nil && s.heldBack(tree, call, excluded)) {
 		out.Problem = s.limitedProblem(tree, call)
 		return out
 	}
--- a/hemlockd/internal/services/services_test.go
+++ b/hemlockd/internal/services/services_test.go
@@ -147,3 +147,19 @@
 		t.Errorf("%v, attempts %+v", out.Problem, out.Attempts)
 	}
 }
+
+// TestRefusalForALimitIsTrue guards a caller who is told that a call was not run since the last
+// instance's limit held it back, though an instance before may have run it.
+func TestRefusalForALimitIsTrue(t *testing.T) {
+	lost := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	s := newTestServices(t, "retryRatio = 1.0", lost, after(0))
+	now := s.env.Clock.Now()
+	s.limits.Observe(upstreamlimits.Answer{Upstream: "s1", PerSecond: 1, SentMs: now}, now)
+	if out := s.Run(t.Context(), get()); out.Problem == nil || out.Problem.Ran != problem.RanUnknown {
+		t.Errorf("%v after %+v", out.Problem, out.Attempts)
+	}
+	s.limits.Observe(upstreamlimits.Answer{Upstream: "s0", PerSecond: 1, SentMs: now}, now)
+	if out := s.Run(t.Context(), get()); out.Problem == nil || out.Problem.Reason != problem.UpstreamLimited || out.Problem.Ran != problem.RanNo || out.Problem.RetryAfterMs <= 0 {
+		t.Errorf("%v after %+v", out.Problem, out.Attempts)
+	}
+}
