--- a/hemlockd/internal/app/fleet_test.go
+++ b/hemlockd/internal/app/fleet_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,8 +37,8 @@
 	store   *fleetStore
 	daemons []*fleetDaemon
 	byHost  map[string]*fleetDaemon
-	// lossShare is the share of datagrams that are lost.
-	lossShare float64
+	// lossPercent is the share of datagrams that are lost, in percent.
+	lossPercent atomic.Int64
 }
 
 // fleetDaemon is one daemon of a fleet.
@@ -50,9 +51,9 @@
 	datagrams              chan []byte
 	calls                  chan net.Conn
 	// silent is set if connections to the daemon, which still open, bring nothing.
-	silent bool
+	silent atomic.Bool
 	// storeCut is set if the daemon does not reach the store.
-	storeCut bool
+	storeCut atomic.Bool
 }
 
 const (
@@ -154,7 +155,7 @@
 	}
 	to := d.fleet.byHost[host]
 	near, far := net.Pipe()
-	if to.silent {
+	if to.silent.Load() {
 		return near, nil
 	}
 	select {
@@ -214,7 +215,7 @@
 		return 0, err
 	}
 	to, ok := p.daemon.fleet.byHost[host]
-	if !ok || rand.Float64() < p.daemon.fleet.lossShare {
+	if !ok || rand.Int64N(100) < p.daemon.fleet.lossPercent.Load() {
 		return len(b), nil
 	}
 	datagram := append([]byte{}, b...)
@@ -271,7 +272,7 @@
 
 // reach takes the time that a call takes to reach the store, if it does.
 func (c *fleetStoreClient) reach(ctx context.Context) error {
-	if c.daemon.storeCut {
+	if c.daemon.storeCut.Load() {
 		<-ctx.Done()
 	}
 	if !clock.Sleep(ctx, 2*fleetDelay) {
--- a/hemlockd/internal/app/largechange_test.go
+++ b/hemlockd/internal/app/largechange_test.go
@@ -71,20 +71,20 @@
 	}{
 		{"one daemon with a narrow link reaches the store", narrowLinks, func(f *fleet) {
 			for _, d := range f.daemons[1:] {
-				d.storeCut = true
+				d.storeCut.Store(true)
 			}
 		}},
 		{"a fifth of the daemons is silent when called", wideAndNarrowLinks, func(f *fleet) {
 			for i, d := range f.daemons {
-				d.silent = i%5 == 0
+				d.silent.Store(i%5 == 0)
 			}
 		}},
 		{"a fifth of the daemons is silent when called, narrow links", narrowLinks, func(f *fleet) {
 			for i, d := range f.daemons {
-				d.silent = i%5 == 0
+				d.silent.Store(i%5 == 0)
 			}
 		}},
-		{"a third of the datagrams is lost", wideAndNarrowLinks, func(f *fleet) { f.lossShare = 0.33 }},
+		{"a third of the datagrams is lost", wideAndNarrowLinks, func(f *fleet) { f.lossPercent.Store(33) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			runFleet(t, largeFleet, test.mbps, func(t *testing.T, f *fleet) {
