Red: upstreams that shut down, or ask a daemon to wait, are sent more

The stand-ins learn to say so in their answers, at both doors (Server-Leaving and Upstream-Leaving, 503 with Retry-After).

--- a/standin/internal/fault/fault.go
+++ b/standin/internal/fault/fault.go
@@ -59,11 +59,19 @@
 	// NameLimit makes the upstream name PerSecond as its limit in all answers. It does not
 	// enforce it.
 	NameLimit Kind = "limit"
+	// AnnounceLeaving makes the upstream say in all answers that it shuts down.
+	AnnounceLeaving Kind = "announceLeaving"
+	// TurnAway makes the upstream refuse requests with status 503, with RetryAfter as the time to
+	// wait.
+	TurnAway Kind = "turnAway"
 )
 
 // headerLimit is the number of requests per second that an upstream takes from all daemons together.
 const headerLimit = "Upstream-Limit"
 
+// headerLeaving is "1" in all answers of an upstream that shuts down.
+const headerLeaving = "Upstream-Leaving"
+
 // Fault is a fault to put in force.
 type Fault struct {
 	// Target is the name of a stand-in, or "all" for all engines.
@@ -79,6 +87,8 @@
 	DelayMs int64 `json:"delayMs,omitempty"`
 	// PerSecond is the limit that NameLimit names, in requests per second.
 	PerSecond float64 `json:"perSecond,omitempty"`
+	// RetryAfter is the value of the header Retry-After that TurnAway sends.
+	RetryAfter string `json:"retryAfter,omitempty"`
 	// Match limits the fault to requests whose text contains it: the path, the
 	// prompt, the body or the attempt ID, depending on Kind.
 	Match string `json:"match,omitempty"`
@@ -177,7 +187,7 @@
 }
 
 // Middleware applies the faults that concern whole requests (Silent, Down, Slow,
-// DropResponse, NameLimit) to next.
+// DropResponse, NameLimit, AnnounceLeaving, TurnAway) to next.
 func (i *Injector) Middleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if i.IsConnSilent(r.Context()) {
@@ -197,6 +207,14 @@
 		if f, ok := i.Consume(NameLimit, r.URL.Path); ok {
 			w.Header().Set(headerLimit, strconv.FormatFloat(f.PerSecond, 'f', -1, 64))
 		}
+		if _, ok := i.Consume(AnnounceLeaving, r.URL.Path); ok {
+			w.Header().Set(headerLeaving, "1")
+		}
+		if f, ok := i.Consume(TurnAway, r.URL.Path); ok {
+			w.Header().Set("Retry-After", f.RetryAfter)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/standin/internal/usersplatform/admin.go
+++ b/standin/internal/usersplatform/admin.go
@@ -70,6 +70,7 @@
 //	POST /servers             start a server (ServerSpec)
 //	POST /servers/ID/fault    ServerFault
 //	POST /servers/ID/limit    name a limit in all answers (ServerLimit)
+//	POST /servers/ID/announce say something of itself in all answers (ServerAnnouncement)
 //	POST /servers/ID/drain    set the server's state to draining
 //	POST /servers/ID/unlist   remove the server's entry; it goes on serving
 //	POST /servers/ID/crash    stop the server; ?gone=1 also removes its entry
@@ -145,6 +146,11 @@
 		if decode(w, r, &l) {
 			s.setLimit(l.PerSecond)
 		}
+	case "announce":
+		var a ServerAnnouncement
+		if decode(w, r, &a) {
+			s.announce(a)
+		}
 	case "drain":
 		s.publish("draining")
 	case "unlist":
@@ -161,6 +167,15 @@
 	PerSecond float64 `json:"perSecond"`
 }
 
+// ServerAnnouncement is what a server says of itself in its answers.
+type ServerAnnouncement struct {
+	// Leaving makes all answers say that the server shuts down.
+	Leaving bool `json:"leaving"`
+	// RetryAfter makes the server refuse all requests with status 503 and these values of the header
+	// Retry-After, unless it is empty.
+	RetryAfter []string `json:"retryAfter"`
+}
+
 func decode(w http.ResponseWriter, r *http.Request, into any) bool {
 	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/standin/internal/usersplatform/server.go
+++ b/standin/internal/usersplatform/server.go
@@ -93,6 +93,7 @@
 	running        map[*Arrival]bool
 	fault          ServerFault
 	limit          string // the rate that answers name as the server's limit; "" if none
+	announcement   ServerAnnouncement
 	handles        map[string]bool
 	activeRequests int
 	stageChanges   int64
@@ -199,6 +200,29 @@
 	return s.limit
 }
 
+// announce sets what the server says of itself in all answers from now on.
+func (s *Server) announce(a ServerAnnouncement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announcement = a
+}
+
+func (s *Server) announced() ServerAnnouncement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announcement
+}
+
+// turnAway refuses a request and tells the daemon when to come back.
+func (s *Server) turnAway(w http.ResponseWriter, r *http.Request, retryAfter []string) {
+	id := r.Header.Get("X-Attempt-Id")
+	s.platform.record(&Arrival{Attempt: id, Server: s.spec.ID, Phase: "refused", Target: r.RequestURI, AtMs: time.Now().UnixMilli()})
+	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header()["Retry-After"] = retryAfter
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // consumeFault returns the fault for the current request and clears it if it has
 // Once set.
 func (s *Server) consumeFault() ServerFault {
@@ -217,7 +241,13 @@
 	if limit := s.namedLimit(); limit != "" {
 		w.Header().Set("Server-Limit", limit)
 	}
+	a := s.announced()
+	if a.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
+	case len(a.RetryAfter) > 0:
+		s.turnAway(w, r, a.RetryAfter)
 	case r.URL.Path == "/health":
 		w.WriteHeader(http.StatusOK)
 	case r.URL.Path == "/hemlockmux/report":
