--- a/common/admission/admission.go
+++ b/common/admission/admission.go
@@ -56,8 +56,8 @@
 	Predict bool
 	// Priorities orders the queue by priority before arrival.
 	Priorities bool
-	// HeldBack, if not nil, reports whether an engine gets no new work just now because of a
-	// limit that it names.
+	// HeldBack, if not nil, reports whether an engine gets no new work just now because of
+	// what it has announced: a limit, a pause or its shutdown.
 	HeldBack func(engine string) bool
 }
 
--- a/common/admission/engine.go
+++ b/common/admission/engine.go
@@ -193,7 +193,7 @@
 	return eligible
 }
 
-// heldBack reports whether an engine gets no new work just now because of its limit.
+// heldBack reports whether an engine gets no new work just now because of what it has announced.
 func (g *Group) heldBack(e *engine) bool {
 	return g.options.HeldBack != nil && g.options.HeldBack(e.Name)
 }
--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -100,6 +100,9 @@
 // KVSource identifies a prefill result, which is held by the engine that
 // produced it.
 type KVSource struct {
+	// Upstream is the ID of the engine, and StartedMs the start of its process.
+	Upstream  string
+	StartedMs clock.Millis
 	// Address is IP:port of the engine.
 	Address string
 	// Handle is the engine's name for the result.
@@ -163,6 +166,12 @@
 	// CauseLimited means that the call was not sent because of the limit that the upstream
 	// names.
 	CauseLimited Cause = "limited"
+	// CauseLeaving means that the call was not sent because the upstream has said that it shuts
+	// down.
+	CauseLeaving Cause = "leaving"
+	// CausePaused means that the call was not sent because the upstream has told this daemon to
+	// wait.
+	CausePaused Cause = "paused"
 	// CauseTimeout means that no answer came within the time allowed.
 	CauseTimeout Cause = "silent"
 	// CauseTruncated means that a stream ended in the middle of an event.
@@ -175,6 +184,15 @@
 	CauseUpstreamError Cause = "failed"
 )
 
+// NotSent reports whether a call with this cause was never sent, or reached no upstream.
+func (c Cause) NotSent() bool {
+	switch c {
+	case CauseUnreachable, CauseLimited, CauseLeaving, CausePaused:
+		return true
+	}
+	return false
+}
+
 // Error reports that a call to an upstream brought no answer that can be
 // forwarded.
 type Error struct {
@@ -212,6 +230,14 @@
 	// LimitPerSecond is the number of requests per second that the upstream takes from all
 	// daemons together; 0 if it names no limit.
 	LimitPerSecond float64
+	// Control is set if the router itself made the call: the answer says nothing of the limit.
+	Control bool
+	// Leaving is set if the upstream says that its process shuts down.
+	Leaving bool
+	// PauseMs is the time for which the upstream wants nothing from this daemon; 0 if it names
+	// none. PauseErr reports that what it names is no usable time.
+	PauseMs  clock.Millis
+	PauseErr error
 	// TookMs is the time from the call to the answer.
 	TookMs clock.Millis
 }
--- a/common/operatorapi/operatorapi.go
+++ b/common/operatorapi/operatorapi.go
@@ -138,6 +138,8 @@
 	RefusedParts []RefusedPartView `json:"refusedParts"`
 	// Limits are the limits that upstreams name.
 	Limits []LimitView `json:"limits"`
+	// Closed are the upstreams that this daemon sends nothing because of what they have announced.
+	Closed []ClosedView `json:"closed"`
 }
 
 // RefusedPartView is a part of prompts that a daemon refuses because engines crash on it.
@@ -221,6 +223,17 @@
 	ConfirmedMs clock.Millis `json:"confirmedMs"`
 }
 
+// ClosedView is an upstream that a daemon sends nothing because of what it has announced.
+type ClosedView struct {
+	// Upstream is the upstream's ID.
+	Upstream string `json:"upstream"`
+	// Reason is "leaving" if it shuts down, and "paused" if it has told the daemon to wait.
+	Reason string `json:"reason"`
+	// SinceMs is the time since the shutdown was first heard of, and LeftMs the rest of the pause.
+	SinceMs clock.Millis `json:"sinceMs,omitempty"`
+	LeftMs  clock.Millis `json:"leftMs,omitempty"`
+}
+
 // PeerView is another daemon as seen by a daemon.
 type PeerView struct {
 	// Daemon is the name of the other daemon.
--- a/common/problem/problem.go
+++ b/common/problem/problem.go
@@ -50,6 +50,8 @@
 	NoUpstream            Reason = "noUpstream"
 	UpstreamFailed        Reason = "upstreamFailed"
 	UpstreamLimited       Reason = "upstreamLimited"
+	UpstreamsPaused       Reason = "upstreamsPaused"
+	UpstreamsLeaving      Reason = "upstreamsLeaving"
 	UpstreamSilent        Reason = "upstreamSilent"
 	CrashSuspect          Reason = "crashSuspect"
 	CrashingPart          Reason = "crashingPart"
@@ -74,6 +76,8 @@
 	PlatformUnavailable: http.StatusServiceUnavailable, OutcomeUnknown: http.StatusConflict,
 	NotReady:             http.StatusServiceUnavailable,
 	UpstreamLimited:      http.StatusServiceUnavailable,
+	UpstreamsPaused:      http.StatusServiceUnavailable,
+	UpstreamsLeaving:     http.StatusServiceUnavailable,
 	CrashingPart:         http.StatusServiceUnavailable,
 	DataCentreOutOfReach: http.StatusServiceUnavailable, CallerGone: 499,
 	DaemonLost: http.StatusBadGateway, Internal: http.StatusInternalServerError,
--- a/hemlockctl/internal/app/app.go
+++ b/hemlockctl/internal/app/app.go
@@ -135,6 +135,7 @@
 			{Name: "daemons", Usage: "list the daemons and the settings version in force in each", Action: c.daemons},
 			{Name: "upstreams", Usage: "list the upstreams as seen by the daemon", Action: c.upstreams},
 			c.partsCommand(),
+			{Name: "closed", Usage: "the upstreams that are sent nothing, because they shut down or asked this daemon to wait", Action: c.closed},
 			{Name: "limits", Usage: "the limits that upstreams name in their answers", Action: c.limits},
 			c.keysCommand(),
 			c.explainCommand(),
--- a/hemlockctl/internal/app/onplatform.go
+++ b/hemlockctl/internal/app/onplatform.go
@@ -131,6 +131,7 @@
 			fmt.Fprintf(w, "refused part\t%s\t%s\t%d engines crashed\tlast %d ms ago\n", r.Part, r.Service, len(r.Engines), r.SinceCrashMs)
 		}
 		writeLimits(w, b.Limits)
+		writeClosed(w, b.Closed)
 		for _, p := range b.Daemons {
 			fmt.Fprintf(w, "peer\t%s\t%s\t%s\tversion %d\tlast heard %d ms ago\n", p.Daemon, p.DataCentre, p.Address, p.Version, p.SinceHeardMs)
 		}
--- a/hemlockctl/internal/operator/operator.go
+++ b/hemlockctl/internal/operator/operator.go
@@ -93,6 +93,11 @@
 	return call[[]operatorapi.UpstreamStatus](ctx, c, http.MethodGet, "/v1/upstreams", nil)
 }
 
+// Closed returns the upstreams that the daemon sends nothing because of what they have announced.
+func (c *Client) Closed(ctx context.Context) ([]operatorapi.ClosedView, error) {
+	return call[[]operatorapi.ClosedView](ctx, c, http.MethodGet, "/v1/closed", nil)
+}
+
 // Limits returns the limits that upstreams name, as the daemon knows them.
 func (c *Client) Limits(ctx context.Context) ([]operatorapi.LimitView, error) {
 	return call[[]operatorapi.LimitView](ctx, c, http.MethodGet, "/v1/limits", nil)
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -35,6 +35,7 @@
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/services"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 	"hemlockmux.example/hemlockd/internal/verdicts"
 	"hemlockmux.example/hemlockd/internal/vmlist"
@@ -50,21 +51,21 @@
 
 // Daemon is a running daemon with all its parts.
 type Daemon struct {
-	env            process.Environment
-	configuration  *configuration.Configuration
-	store          *settings.Store
-	daemons        *daemons.Daemons
-	keeper         *keeper.Keeper
-	services       *services.Services
-	handOff        *handoff.Server
-	recorder       *verdicts.Recorder
-	upstreamLimits *upstreamlimits.Limits
-	operators      *operators.Operators
-	callers        *callers.Callers
-	callersPort    *port
-	operatorsPort  *port
-	failed         chan error
-	cleanup        []func() // run in reverse
+	env           process.Environment
+	configuration *configuration.Configuration
+	store         *settings.Store
+	daemons       *daemons.Daemons
+	keeper        *keeper.Keeper
+	services      *services.Services
+	handOff       *handoff.Server
+	recorder      *verdicts.Recorder
+	gate          *upstreamgate.Gate
+	operators     *operators.Operators
+	callers       *callers.Callers
+	callersPort   *port
+	operatorsPort *port
+	failed        chan error
+	cleanup       []func() // run in reverse
 }
 
 // Run runs a daemon until ctx is done or a port fails, then shuts it down
@@ -115,8 +116,8 @@
 	d.onClose(closeObjects)
 	vms, closeVMs := platform.NewVMs(cfg.VMs, cfg.PlatformToken, cfg.PlatformTimeoutMs)
 	d.onClose(closeVMs)
-	d.upstreamLimits = upstreamlimits.New(cfg.Name, env.Clock.Now(), d.sendLimitNews)
-	client, closeClient := engines.NewClient(d.upstreamLimits, env.Clock)
+	d.gate = upstreamgate.New(upstreamlimits.New(cfg.Name, env.Clock.Now(), d.sendLimitNews), d.noticeChanged)
+	client, closeClient := engines.NewClient(d.gate, env.Clock, env.Log)
 	d.onClose(closeClient)
 	handOff, closeHandOff := handoff.NewClient(cfg)
 	d.onClose(closeHandOff)
@@ -145,7 +146,7 @@
 		k.Reconcile()
 		d.checkLeavingGrace()
 	}
-	svc, closeServices := services.New(env, d.configuration, ledger, list, d.upstreamLimits)
+	svc, closeServices := services.New(env, d.configuration, ledger, list, d.gate)
 	d.onClose(closeServices)
 	d.services = svc
 	d.callers = callers.New(env, callers.Dependencies{
@@ -159,7 +160,7 @@
 		StoredUpTo: recorder.StoredUpTo, LendCapacity: d.callers.Lend, RecentSuspects: recentSuspects(env, sus), MergeSuspects: mergeSuspects(env, sus),
 		RecentParts: func() []prompts.Report { return parts.Recent(env.Clock.Now()) }, MergeParts: mergeParts(env, parts),
 		ShareLimit: d.shareLimit, MergeLimits: d.mergeLimits,
-		RecentLimits: func() []upstreamlimits.News { return d.upstreamLimits.Recent(env.Clock.Now()) },
+		RecentLimits: func() []upstreamlimits.News { return d.gate.Limits.Recent(env.Clock.Now()) },
 		DaemonDied: func(m membership.Member) {
 			k.CancelRunsOf(daemons.RunID(m))
 			recorder.DaemonDied(daemons.RunID(m), m.Name)
@@ -183,7 +184,7 @@
 	})
 	d.operators = operators.New(env, operators.Dependencies{
 		Configuration: d.configuration, Store: d.store, Objects: objects, Daemons: d.daemons,
-		Keeper: k, Services: svc, Limits: d.upstreamLimits, Parts: parts, Verdicts: recorder,
+		Keeper: k, Services: svc, Gate: d.gate, Parts: parts, Verdicts: recorder,
 	})
 	if d.operatorsPort, err = d.listen("operators", cfg.Operators, d.operators.Handler()); err != nil {
 		return err
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -26,6 +26,7 @@
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/roles"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 	"hemlockmux.example/platform"
 )
@@ -72,7 +73,7 @@
 	failed       chan error
 	retries      *retries.ServiceBudgets
 	prompts      *prompts.Evidence
-	limits       *upstreamlimits.Limits
+	gate         *upstreamgate.Gate
 	stopping     chan struct{} // closed when the shutdown begins
 	cleanup      []func()      // run in reverse
 }
@@ -135,9 +136,10 @@
 	store, closeStore := platform.NewStore(d.settings.StoreAddress)
 	d.onClose(closeStore)
 	d.store = store
-	d.limits = upstreamlimits.New(d.settings.Name, d.clk.Now(), d.sendLimitNews)
-	servers, closeServers := platform.NewServers(d.observeAnswer)
-	d.onClose(closeServers)
+	d.gate = upstreamgate.New(upstreamlimits.New(d.settings.Name, d.clk.Now(), d.sendLimitNews), d.noticeChanged)
+	client, closeClient := platform.NewServers(d.observeAnswer)
+	d.onClose(closeClient)
+	servers := upstreamgate.NewServers(client, d.gate, d.clk)
 	d.checkLimits(d.settings)
 	started := d.clk.Now()
 	view := capacity.NewView(capacity.DefaultLimits())
@@ -164,7 +166,8 @@
 		Log: d.log, Clock: d.clk, Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes, LinkMbps: d.settings.LinkMbps,
 	}, peers.Handlers{
-		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, Limits: d.limits, CapacityChanged: queue.RetrySoon,
+		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, CapacityChanged: queue.RetrySoon,
+		Gate: d.gate, Leaving: d.upstreamsLeaving,
 		Unreachable:  func(ids []string) { d.dispatcher.MarkDown(ids) }, // the dispatcher is constructed below
 		ChangingRole: func(ids []string) { d.dispatcher.MarkRoleChanging(ids) },
 		Versions:     d.directory.HearPeer,
@@ -182,7 +185,7 @@
 	d.onClose(closeVerdicts)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Log: d.log, Clock: d.clk, Directory: d.directory, Upstreams: servers, View: view, Queue: queue, Peers: d.peers,
-		Retries: d.retries, Suspects: sus, Prompts: d.prompts, Limits: d.limits, MayTryPart: d.mayTryPart, Verdicts: verdicts, Name: d.settings.Name,
+		Retries: d.retries, Suspects: sus, Prompts: d.prompts, Gate: d.gate, MayTryPart: d.mayTryPart, Verdicts: verdicts, Name: d.settings.Name,
 		ReadCall: platform.ReadCall, DataCentre: d.settings.DataCentre, Regions: d.settings.Regions,
 	})
 	roleController := roles.NewController(roles.Options{
@@ -335,7 +338,7 @@
 			Service: r.Service, Part: r.Part, Engines: r.Engines, SinceCrashMs: r.CrashAgoMs, SinceTryMs: r.TryAgoMs, SinceRefusalMs: r.SeenAgoMs,
 		})
 	}
-	s.Limits = d.limits.All(now)
+	s.Limits, s.Closed = d.gate.Limits.All(now), d.gate.All(now)
 	for _, p := range d.peers.All() {
 		s.Daemons = append(s.Daemons, operatorapi.PeerView{
 			Daemon: p.Name, DataCentre: p.DataCentre, Address: p.Address, Version: p.Version, SinceHeardMs: now - p.LastHeardMs, Leaving: p.Leaving,
--- a/hemlockd/internal/app/ownlimits.go
+++ b/hemlockd/internal/app/ownlimits.go
@@ -7,6 +7,7 @@
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/hemlockd/internal/daemons"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -14,9 +15,23 @@
 // a changed limit.
 func (d *Daemon) sendLimitNews(n upstreamlimits.News) {
 	d.env.Log.Info("an upstream has changed its limit", zap.String("upstream", n.Upstream), zap.Float64("perSecond", n.PerSecond), zap.String("source", "own call"))
+	d.tellDataCentre(daemons.LimitRequest{News: []upstreamlimits.News{n}})
+}
+
+// noticeChanged tells the other daemons of the data centre of an upstream's shutdown. A pause binds only
+// this daemon.
+func (d *Daemon) noticeChanged(n upstreamgate.Notice) {
+	logNotice(d.env.Log, n)
+	if n.Leaving {
+		d.tellDataCentre(daemons.LimitRequest{Leaving: []upstreamgate.News{{Upstream: n.Upstream, StartedMs: n.StartedMs}}})
+	}
+}
+
+// tellDataCentre sends news to the other daemons of the data centre.
+func (d *Daemon) tellDataCentre(req daemons.LimitRequest) {
 	for _, name := range d.daemons.Live(d.env.Config.DataCentre) {
 		if name != d.env.Config.Name {
-			go d.shareWith(context.Background(), name, daemons.LimitRequest{News: []upstreamlimits.News{n}})
+			go d.shareWith(context.Background(), name, req)
 		}
 	}
 }
@@ -31,23 +46,28 @@
 		return // the daemon is asked again with the next AskInterval, and the lease that is held ends
 	}
 	if req.Ask.Upstream != "" {
-		d.upstreamLimits.HandleGrant(grant, d.env.Clock.Now())
+		d.gate.Limits.HandleGrant(grant, d.env.Clock.Now())
 	}
 }
 
 // shareLimit answers a request about limits.
 func (d *Daemon) shareLimit(req daemons.LimitRequest) daemons.LimitAnswer {
 	d.mergeLimits(req.News)
+	for _, n := range req.Leaving {
+		if d.gate.Merge(n, d.env.Clock.Now()) {
+			logLeavingNews(d.env.Log, n, req.From)
+		}
+	}
 	if req.Ask.Upstream == "" {
 		return daemons.LimitAnswer{}
 	}
-	return d.upstreamLimits.HandleAsk(req.From, req.Ask, d.env.Clock.Now())
+	return d.gate.Limits.HandleAsk(req.From, req.Ask, d.env.Clock.Now())
 }
 
 // mergeLimits records what another daemon knows of limits.
 func (d *Daemon) mergeLimits(news []upstreamlimits.News) {
 	for _, n := range news {
-		if d.upstreamLimits.Merge(n, d.env.Clock.Now()) {
+		if d.gate.Limits.Merge(n, d.env.Clock.Now()) {
 			d.env.Log.Info("an upstream has changed its limit", zap.String("upstream", n.Upstream), zap.Float64("perSecond", n.PerSecond), zap.String("source", "another daemon"))
 		}
 	}
@@ -63,7 +83,7 @@
 				alive = append(alive, name)
 			}
 		}
-		for _, m := range d.upstreamLimits.Tick(alive, d.daemons.Known(dataCentre), d.env.Clock.Now()) {
+		for _, m := range d.gate.Limits.Tick(alive, d.daemons.Known(dataCentre), d.env.Clock.Now()) {
 			go d.shareWith(ctx, m.To, daemons.LimitRequest{Ask: m.Ask})
 		}
 	}
--- a/hemlockd/internal/callers/harness_test.go
+++ b/hemlockd/internal/callers/harness_test.go
@@ -34,6 +34,7 @@
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/services"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 	"hemlockmux.example/hemlockd/internal/verdicts"
 )
@@ -92,7 +93,7 @@
 	p.configuration = configuration.New(p.env)
 	p.apply(1, policy, upstreams...)
 	peers := daemons.New(p.env, p.configuration)
-	client, closeClient := engines.NewClient(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), clock.System())
+	client, closeClient := engines.NewClient(upstreamgate.New(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), clock.System(), zap.NewNop())
 	t.Cleanup(closeClient)
 	handOff, closeHandOff := handoff.NewClient(cfg)
 	t.Cleanup(closeHandOff)
@@ -103,7 +104,7 @@
 	p.configuration.OnChange = func(int64) { k.Reconcile() }
 	ledger, closeLedger := placements.New(p.env, memory.New(), func() clock.Millis { return 1 })
 	t.Cleanup(closeLedger)
-	svc, closeServices := services.New(p.env, p.configuration, ledger, noSignals{}, upstreamlimits.New("d", 0, func(upstreamlimits.News) {}))
+	svc, closeServices := services.New(p.env, p.configuration, ledger, noSignals{}, upstreamgate.New(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}))
 	t.Cleanup(closeServices)
 	store := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(store.Close)
--- a/hemlockd/internal/daemons/messages.go
+++ b/hemlockd/internal/daemons/messages.go
@@ -7,6 +7,7 @@
 	"hemlockmux.example/hemlockd/internal/limits"
 	"hemlockmux.example/hemlockd/internal/membership"
 	"hemlockmux.example/hemlockd/internal/prompts"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -107,6 +108,8 @@
 	Ask upstreamlimits.Ask `json:"ask"`
 	// News says what the sender knows of limits.
 	News []upstreamlimits.News `json:"news,omitempty"`
+	// Leaving holds upstreams that have just said that they shut down.
+	Leaving []upstreamgate.News `json:"leaving,omitempty"`
 }
 
 // LimitAnswer is the share that was asked for.
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -32,7 +32,7 @@
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/suspects"
-	"hemlockmux.example/hemlockd/internal/upstreamlimits"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 )
 
 // Upstreams sends calls to upstreams. Send, Prefill and Reserve return errors of the
@@ -96,8 +96,8 @@
 	Suspects *suspects.Suspects
 	// Prompts holds the evidence on parts of prompts that crash engines.
 	Prompts *prompts.Evidence
-	// Limits holds the limits that upstreams name.
-	Limits *upstreamlimits.Limits
+	// Gate decides whether an upstream may be called, by what it says of itself.
+	Gate *upstreamgate.Gate
 	// MayTryPart reports whether this daemon is the one that tries a blamed part again.
 	MayTryPart func(part string) bool
 	// ReadCall parses a caller's request, without its body.
@@ -185,7 +185,7 @@
 			continue
 		}
 		for _, u := range d.opts.Directory.Upstreams(name) {
-			if !d.health.usable(u) || !d.opts.Limits.HasShare(u.ID, d.opts.Clock.Now()) {
+			if !d.health.usable(u) || !d.opts.Gate.Usable(upstreamgate.TargetOf(u), d.opts.Clock.Now()) {
 				continue
 			}
 			if u.Role == routing.RolePrefill {
@@ -238,7 +238,7 @@
 		}
 		for name, service := range table.Config.Services {
 			for _, u := range d.opts.Directory.Upstreams(name) {
-				if d.health.isDown(u.ID) && d.opts.Limits.Take(u.ID, d.opts.Clock.Now()) {
+				if d.health.isDown(u.ID) && d.take(u) == upstreamgate.Open {
 					p := &probe{d: d, upstream: u, path: service.HealthPath}
 					go p.run(ctx)
 				}
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -39,7 +39,6 @@
 	reasonUnreachable = "upstreamsUnreachable"
 	reasonInternal    = "internal"
 	reasonPart        = "crashingPart"
-	reasonLimited     = "upstreamLimited"
 )
 
 const (
@@ -83,8 +82,8 @@
 	blame *prompts.Refusal
 	// tryingPart is true if the request tries a blamed part again.
 	tryingPart bool
-	// limitedSkipped is true if an upstream was skipped because of its limit.
-	limitedSkipped bool
+	// closedSkipped is true if an upstream was passed over because it may not be called now.
+	closedSkipped bool
 	// events is the number of stream events forwarded.
 	events int
 	// silentMs is the time without an event before the last stream that ended early.
--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -24,6 +24,7 @@
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -307,7 +308,7 @@
 	s.dispatcher = New(Options{
 		Log: zap.NewNop(), Clock: clk, Directory: dir, Upstreams: s.upstreams, View: view, Queue: capacity.NewQueue(clk, view, func() int { return 1 }),
 		Peers: fakePeers{}, Verdicts: s.verdicts, Retries: retries.NewServiceBudgets(bound, clk.Now()-bound.WindowMs, func() int { return 1 }),
-		Suspects: suspects.New(), Prompts: prompts.New(), Limits: upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), MayTryPart: func(string) bool { return false }, ReadCall: readCall, Name: "d", DataCentre: "a",
+		Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), MayTryPart: func(string) bool { return false }, ReadCall: readCall, Name: "d", DataCentre: "a",
 	})
 	s.dispatcher.RefreshEngines()
 	return s
--- a/hemlockd/internal/dispatch/limited_test.go
+++ b/hemlockd/internal/dispatch/limited_test.go
@@ -9,6 +9,7 @@
 
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/problem"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -16,7 +17,7 @@
 func (s *setup) nameLimit(ids ...string) {
 	now := s.dispatcher.opts.Clock.Now()
 	for _, id := range ids {
-		s.dispatcher.opts.Limits.Observe(upstreamlimits.Answer{Upstream: id, PerSecond: 1, SentMs: now}, now)
+		s.dispatcher.opts.Gate.Limits.Observe(upstreamlimits.Answer{Upstream: id, PerSecond: 1, SentMs: now}, now)
 	}
 	s.dispatcher.RefreshEngines()
 }
@@ -54,10 +55,10 @@
 				return
 			}
 			retry, err := strconv.ParseFloat(answer.Header().Get("Retry-After"), 64)
-			if answer.Code != http.StatusServiceUnavailable || v.Reason != reasonLimited || v.Ran != problem.RanNo || err != nil || retry <= 0 {
+			if answer.Code != http.StatusServiceUnavailable || v.Reason != problem.UpstreamLimited || v.Ran != problem.RanNo || err != nil || retry <= 0 {
 				t.Errorf("status %d, reason %s, ran %s, retry %v, %v", answer.Code, v.Reason, v.Ran, retry, err)
 			}
-			if !strings.Contains(answer.Body.String(), reasonLimited) || len(v.Attempts) != 0 {
+			if !strings.Contains(answer.Body.String(), string(problem.UpstreamLimited)) || len(v.Attempts) != 0 {
 				t.Errorf("answer %s, attempts %+v", answer.Body, v.Attempts)
 			}
 		})
@@ -66,7 +67,7 @@
 
 // TestCallBeyondALimitTakesNoRetry guards the retry budget: a call that was not sent is no repeat.
 func TestCallBeyondALimitTakesNoRetry(t *testing.T) {
-	failed := limitedError("d1", calls.PhaseDecode)
+	failed := upstreamgate.CallError("d1", calls.PhaseDecode, upstreamgate.Limited)
 	if failed.Outcome != calls.NotRun || failed.Cause != calls.CauseLimited {
 		t.Errorf("%+v", failed)
 	}
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -13,6 +13,7 @@
 	"hemlockmux.example/common/routing"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/peers"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 )
 
 const (
@@ -42,8 +43,8 @@
 	resultExpiresMs clock.Millis
 	// reservation is an unused reservation at the run's engine, or nil.
 	reservation *reservation
-	// limitTaken is set if the call to the run's engine has been taken from the engine's limit.
-	limitTaken bool
+	// callTaken is set if the call to the run's engine has been taken from what the engine allows.
+	callTaken bool
 }
 
 // modelRun serves one request to a model, with a prefill and a decode phase.
@@ -85,8 +86,7 @@
 	defer m.releaseAll()
 	defer func() { m.drop(m.continuation) }() // if the caller left when it had become ready
 	m.wantUpstreams()
-	if m.allLimited(routing.RoleDecode) {
-		m.refuseLimited()
+	if m.refuseClosed(routing.RoleDecode) {
 		return
 	}
 	if !m.d.opts.View.Fits(m.run) {
@@ -133,7 +133,15 @@
 		return false
 	}
 	for {
-		if !m.prefill() || m.blamed() {
+		if !m.engineOpen() && !m.placeElsewhere(m.engineClosedError()) {
+			m.giveUp(reasonBusy)
+			return false
+		}
+		prefilled := m.prefill()
+		if !prefilled && !m.blamed() && !m.engineOpen() {
+			continue
+		}
+		if !prefilled || m.blamed() {
 			m.giveUp(reasonBusy)
 			return false
 		}
@@ -188,22 +196,21 @@
 		m.respondFailure(reasonPart, m.blame.RetryAfterMs)
 		return
 	}
-	if m.limitedSkipped && (reason == reasonBusy || reason == reasonNoCapacity) {
-		m.refuseLimited()
+	unplaced := reason == reasonBusy || reason == reasonNoCapacity
+	if unplaced && m.outcome == calls.NotRun && (m.closedSkipped || m.allClosed(routing.RoleDecode)) && m.refuseClosed(routing.RoleDecode) {
 		return
 	}
 	m.respondFailure(reason, capacityRetryAfter+jitter(capacityRetryAfter))
 }
 
-// place places the run at a decode engine whose limit allows the call, waiting for capacity up to
+// place places the run at a decode engine that may be called, waiting for capacity up to
 // queueTimeout, and informs the other daemons. It returns false if no engine had capacity in time.
 func (m *modelRun) place(queueTimeout clock.Millis) bool {
 	start := m.now()
 	ctx, cancel := context.WithTimeout(m.ctx, max(0, queueTimeout).Duration())
 	defer cancel()
 	run, ok := m.d.opts.Queue.Place(ctx, m.run, m.prefillResult != nil, m.excluded)
-	for ok && !m.d.opts.Limits.Take(run.Engine, m.now()) {
-		m.limitedSkipped = true
+	for ok && !m.takeEngine(run.Engine) {
 		m.excluded[run.Engine] = true
 		m.d.opts.View.End(run.ID)
 		run, ok = m.d.opts.Queue.Place(ctx, m.run, m.prefillResult != nil, m.excluded)
@@ -212,7 +219,7 @@
 	if !ok {
 		return false
 	}
-	m.run, m.limitTaken, m.forecastUse = run, true, math.Round(run.MemoryUse*100)/100
+	m.run, m.callTaken, m.forecastUse = run, true, math.Round(run.MemoryUse*100)/100
 	m.d.opts.Peers.Broadcast(peers.Update{Runs: []capacity.Run{run}})
 	return true
 }
@@ -226,8 +233,7 @@
 		return false
 	}
 	// The next call is not a retry if this one reached no engine.
-	sent := failed.Cause != calls.CauseUnreachable && failed.Cause != calls.CauseLimited
-	if sent && !m.d.opts.Retries.Take(m.service, m.now()) {
+	if !failed.Cause.NotSent() && !m.d.opts.Retries.Take(m.service, m.now()) {
 		return false
 	}
 	return m.place(m.resultExpiresMs - resultExpiryMargin - m.now())
@@ -255,6 +261,27 @@
 	m.freeResult()
 }
 
+// takeEngine takes a call from what an engine allows. An engine that is not listed any more is left to
+// decode, which reports it.
+func (m *modelRun) takeEngine(id string) bool {
+	u, ok := m.upstream(id)
+	return !ok || m.take(u)
+}
+
+// engineOpen reports whether the run's decode engine may be called. One that is not listed any more is
+// left to decode.
+func (m *modelRun) engineOpen() bool {
+	u, ok := m.upstream(m.run.Engine)
+	return !ok || m.d.opts.Gate.CheckNotices(upstreamgate.TargetOf(u), m.now()) == upstreamgate.Open
+}
+
+// engineClosedError is the result of a decode call that is not sent.
+func (m *modelRun) engineClosedError() *calls.Error {
+	m.closedSkipped = true
+	u, _ := m.upstream(m.run.Engine)
+	return upstreamgate.CallError(m.run.Engine, calls.PhaseDecode, m.d.opts.Gate.Check(upstreamgate.TargetOf(u), m.now()))
+}
+
 // upstream returns the upstream of the run's service with the id, if it is listed.
 func (m *modelRun) upstream(id string) (routing.Upstream, bool) {
 	for _, u := range m.d.opts.Directory.Upstreams(m.service) {
@@ -274,11 +301,10 @@
 			Err: errors.New("engine is no longer listed in the directory"),
 		}
 	}
-	if !m.limitTaken && !m.d.opts.Limits.Take(u.ID, m.now()) {
-		m.limitedSkipped = true
-		return nil, limitedError(u.ID, calls.PhaseDecode)
+	if !m.callTaken && !m.take(u) {
+		return nil, m.engineClosedError()
 	}
-	m.limitTaken = false
+	m.callTaken = false
 	start := m.now()
 	m.decodeCalls++
 	m.stream.start(m.ctx)
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -61,13 +61,10 @@
 	x.wantUpstreams()
 	for len(tried) < maxUpstreamsTried && x.remainingMs() > 0 && !x.callerGone() {
 		u, ok := x.chooseUpstream(tried)
-		if !ok && reason == reasonNoUpstream && x.limitedSkipped {
-			reason = reasonLimited
-		}
 		if !ok || runs >= x.route.MaxAttempts || reached && !paid && !x.d.opts.Retries.Take(x.service, x.now()) {
 			break
 		}
-		if !x.d.opts.Limits.Take(u.ID, x.now()) {
+		if !x.take(u) {
 			paid = paid || reached // what has been taken from the budget is left for the next call
 			continue
 		}
@@ -91,9 +88,11 @@
 			reached, runs = true, runs+1
 			continue
 		}
-		switch failed.Cause {
-		case calls.CauseUnreachable:
+		switch {
+		case failed.Cause == calls.CauseUnreachable:
 			reason = reasonUnreachable
+		case failed.Cause.NotSent():
+			x.closedSkipped = true
 		default:
 			reached, reason = true, reasonBusy
 		}
@@ -108,8 +107,7 @@
 		x.deliver(fallback)
 		return
 	}
-	if reason == reasonLimited {
-		x.refuseLimited()
+	if x.outcome == calls.NotRun && (reason == reasonNoUpstream || x.allClosed("")) && x.refuseClosed("") {
 		return
 	}
 	retry := busyRetryAfter
@@ -121,7 +119,7 @@
 
 // chooseUpstream returns the untried upstream with the lowest cost: the sum of the
 // round-trip time, the load and the failure rate. It returns false if there is none. Upstreams
-// whose limit allows no call now are skipped.
+// that may not be called now are skipped.
 func (x *exchange) chooseUpstream(tried map[string]bool) (routing.Upstream, bool) {
 	var best routing.Upstream
 	bestCost, found := 0.0, false
@@ -129,8 +127,7 @@
 		if tried[u.ID] {
 			continue
 		}
-		if !x.d.opts.Limits.Ready(u.ID, x.now()) {
-			x.limitedSkipped = true
+		if !x.open(u) {
 			continue
 		}
 		inFlight, failureRate := x.d.health.stats(u.ID)
@@ -211,7 +208,7 @@
 		x.d.health.recordResult(u.ID, true)
 		return
 	}
-	if failed.Cause != calls.CauseBusy {
+	if failed.Cause != calls.CauseBusy && (failed.Cause == calls.CauseUnreachable || !failed.Cause.NotSent()) {
 		x.d.health.recordResult(u.ID, false)
 	}
 	if failed.Cause == calls.CauseUnreachable || failed.Cause == calls.CauseTargetChanged {
--- a/hemlockd/internal/dispatch/prefill.go
+++ b/hemlockd/internal/dispatch/prefill.go
@@ -48,7 +48,8 @@
 
 // prefill has a prefill engine process the prompt, unless there is a result already or
 // no prefill engine is available, in which case the decode engine does it. It tries
-// other prefill engines after failures and returns false if none succeeded.
+// other prefill engines after failures and returns false if none succeeded, or if the run's
+// decode engine may no longer be called.
 func (m *modelRun) prefill() bool {
 	if m.prefillResult != nil || m.run.Prefill == "" && m.d.opts.View.PrefillEngineCount(m.service) == 0 {
 		return true
@@ -60,19 +61,17 @@
 		}
 		id := m.run.Prefill
 		tried[id] = true
-		if !m.d.opts.Limits.Take(id, m.now()) {
-			m.limitedSkipped = true
+		u, ok := m.upstream(id)
+		if !ok || !m.take(u) {
 			m.finishPrefill(false)
 			continue
 		}
+		if !m.engineOpen() {
+			return false // the result would be for nothing
+		}
 		if m.prefillCalls > 0 && !m.d.opts.Retries.Take(m.service, m.now()) {
 			return false
 		}
-		u, ok := m.upstream(id)
-		if !ok {
-			m.finishPrefill(false)
-			continue
-		}
 		start := m.now()
 		source, err := m.sendPrefill(u)
 		failed := m.recordAttempt(u.ID, calls.PhasePrefill, start, err)
@@ -84,7 +83,7 @@
 			m.resultExpiresMs = m.now() + m.spec.PrefillResultTTLMs
 			return true
 		}
-		if failed.Cause != calls.CauseUnreachable {
+		if !failed.Cause.NotSent() {
 			m.prefillCalls++
 		}
 	}
--- a/hemlockd/internal/dispatch/reservation.go
+++ b/hemlockd/internal/dispatch/reservation.go
@@ -51,7 +51,7 @@
 // of capacity.
 func (m *modelRun) reserve() bool {
 	u, ok := m.upstream(m.run.Engine)
-	if !ok || m.spec.MaxReservationMs <= 0 || m.d.opts.Limits.Limited(u.ID, m.now()) {
+	if !ok || m.spec.MaxReservationMs <= 0 || m.d.opts.Gate.Limits.Limited(u.ID, m.now()) {
 		return true // a limited engine is spared the additional call
 	}
 	tokens := m.run.PromptTokens + reservedEvents*m.spec.EventTokens
--- a/hemlockd/internal/engines/engines.go
+++ b/hemlockd/internal/engines/engines.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	c, closeClient := engines.NewClient(limits, clk)
+//	c, closeClient := engines.NewClient(gate, clk, log)
 //	result, err := c.Prefill(ctx, engine, call)
 //	for event, err := range c.Stream(ctx, engine, call, engines.Fresh) { ... }
 //
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/tmaxmax/go-sse"
+	"go.uber.org/zap"
 
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
@@ -33,6 +34,7 @@
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/streams"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -56,9 +58,6 @@
 // prefill is no longer held.
 const statusExpired = http.StatusConflict
 
-// errLimited reports that a call was not sent because of the engine's limit.
-var errLimited = errors.New("this daemon's share of the engine's limit is used up")
-
 // Engine is the target of a call.
 type Engine struct {
 	// Name is the engine's name in the settings.
@@ -101,9 +100,9 @@
 	Expired bool
 	// Refused is true if the engine answered that it accepts no more work.
 	Refused bool
-	// Limited is true if the call was not sent because of the limit that the engine names. Refused
-	// is true as well.
-	Limited bool
+	// Closed is why the call was not sent, if that is because of what the engine has announced.
+	// Refused is true as well.
+	Closed upstreamgate.Reason
 	// Unreachable is true if no connection could be opened.
 	Unreachable bool
 	// Broken is true if the connection ended during the call.
@@ -127,8 +126,9 @@
 type Client struct {
 	control *http.Client // connections are reused
 	work    *http.Client // a new connection for each call
-	limits  *upstreamlimits.Limits
+	gate    *upstreamgate.Gate
 	clk     clock.Clock
+	log     *zap.Logger
 }
 
 // NewClient returns a client and the function that closes its connections.
@@ -136,29 +136,56 @@
 // Calls that do work use a new connection each: a pooled connection whose state a device on the
 // network path has dropped could swallow a call without an error.
 //
-// All calls that do work keep to the engines' limits. Load reports and aborts do not count.
-func NewClient(limits *upstreamlimits.Limits, clk clock.Clock) (*Client, func()) {
+// All calls that do work pass the gate. Load reports, aborts and cache events go on while an engine
+// shuts down and do not count in its limit, but wait while it is paused.
+func NewClient(gate *upstreamgate.Gate, clk clock.Clock, log *zap.Logger) (*Client, func()) {
 	dial := (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
 	control := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: process.MaxHeadBytes}
 	work := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: process.MaxHeadBytes}
-	c := &Client{control: &http.Client{Transport: control}, work: &http.Client{Transport: work}, limits: limits, clk: clk}
+	c := &Client{control: &http.Client{Transport: control}, work: &http.Client{Transport: work}, gate: gate, clk: clk, log: log}
 	return c, func() {
 		control.CloseIdleConnections()
 		work.CloseIdleConnections()
 	}
 }
 
-// HeldBack reports whether an engine's limit allows no call now. Whoever asks wants to send one.
+// HeldBack reports whether an engine takes no call now. Whoever asks wants to send one.
 func (c *Client) HeldBack(engine string) bool {
 	now := c.clk.Now()
-	c.limits.Want(engine, now)
-	return !c.limits.Ready(engine, now)
+	c.gate.Limits.Want(engine, now)
+	return c.gate.Check(upstreamgate.Target{Upstream: engine}, now) != upstreamgate.Open
+}
+
+// Paused reports whether an engine wants nothing from this daemon now.
+func (c *Client) Paused(engine string) bool {
+	return c.gate.CheckNotices(upstreamgate.Target{Upstream: engine}, c.clk.Now()) == upstreamgate.Paused
+}
+
+// Closed returns why none of the engines takes calls now, and when callers should come back. It returns
+// [upstreamgate.Open] if one does.
+func (c *Client) Closed(engines []string) (reason upstreamgate.Reason, retry clock.Millis) {
+	var targets []upstreamgate.Target
+	for _, name := range engines {
+		targets = append(targets, upstreamgate.Target{Upstream: name})
+	}
+	return c.gate.Closed(targets, c.clk.Now())
+}
+
+// closedError is the result of a call that was not sent.
+func closedError(engine string, reason upstreamgate.Reason) *CallError {
+	return &CallError{
+		Engine: engine, Result: verdict.AttemptNotRun, Refused: true, Closed: reason,
+		Err: &upstreamgate.ClosedError{Upstream: engine, Reason: reason},
+	}
 }
 
-// LimitedRetry returns when callers should come back that were refused because of an engine's limit:
-// those of all daemons are spread over the time in which there is room for them.
-func (c *Client) LimitedRetry(engine string) clock.Millis {
-	return c.limits.Retry([]string{engine}, c.clk.Now())
+// observe records what an answer says about calls to its engine.
+func (c *Client) observe(engine string, resp *http.Response) {
+	notice, err := upstreamgate.ReadNotice(engine, resp.StatusCode, resp.Header)
+	if err != nil {
+		c.log.Warn("an upstream names an unusable time to wait", zap.String("upstream", engine), zap.Error(err))
+	}
+	c.gate.Observe(notice, c.clk.Now())
 }
 
 // post sends a call that does work and returns the response if its status is 200.
@@ -174,14 +201,15 @@
 	req.Header.Set("X-Request-Id", call.AttemptID)
 	req.Header.Set("X-Correlation-Id", call.RequestID)
 	sent := c.clk.Now()
-	if !c.limits.Take(e.Name, sent) {
-		return nil, &CallError{Engine: e.Name, Result: verdict.AttemptNotRun, Refused: true, Limited: true, Err: errLimited}
+	if reason := c.gate.Take(upstreamgate.Target{Upstream: e.Name}, sent); reason != upstreamgate.Open {
+		return nil, closedError(e.Name, reason)
 	}
 	resp, err := c.work.Do(req)
 	if err != nil {
 		return nil, transportError(e, err)
 	}
-	c.limits.Observe(upstreamlimits.Answer{
+	c.observe(e.Name, resp)
+	c.gate.Limits.Observe(upstreamlimits.Answer{
 		Upstream: e.Name, PerSecond: calls.ParseLimit(resp.Header.Get(upstreamlimits.Header)), SentMs: sent,
 	}, c.clk.Now())
 	if resp.StatusCode == http.StatusOK {
@@ -320,6 +348,10 @@
 
 // controlCall makes a call on a pooled connection and decodes the response into out unless it is nil.
 func (c *Client) controlCall(ctx context.Context, e Engine, method, path string, body []byte, out any) error {
+	sent := c.clk.Now()
+	if c.Paused(e.Name) {
+		return closedError(e.Name, upstreamgate.Paused)
+	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout.Duration())
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.Address+path, bytes.NewReader(body))
@@ -333,6 +365,10 @@
 		return transportError(e, err)
 	}
 	defer resp.Body.Close()
+	c.observe(e.Name, resp)
+	if !calls.ParseLeaving(resp.Header.Values(upstreamgate.LeavingHeader)) {
+		c.gate.Reopen(e.Name, sent)
+	}
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
 		return transportError(e, err)
@@ -350,6 +386,10 @@
 // CacheEvents yields an engine's cache events until the connection ends.
 func (c *Client) CacheEvents(ctx context.Context, e Engine) iter.Seq2[completions.CacheEvents, error] {
 	return func(yield func(completions.CacheEvents, error) bool) {
+		if c.Paused(e.Name) {
+			yield(completions.CacheEvents{}, closedError(e.Name, upstreamgate.Paused))
+			return
+		}
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/kv_events", nil)
 		if err != nil {
 			yield(completions.CacheEvents{}, err)
@@ -361,6 +401,7 @@
 			return
 		}
 		defer resp.Body.Close()
+		c.observe(e.Name, resp)
 		for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxAnswerBytes}) {
 			var events completions.CacheEvents
 			if err == nil {
--- a/hemlockd/internal/engines/engines_test.go
+++ b/hemlockd/internal/engines/engines_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"go.uber.org/zap"
+
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 	"io"
 	"net"
@@ -43,7 +46,7 @@
 			closed <- struct{}{}
 		}
 	}()
-	c, closeClient := NewClient(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), clock.System())
+	c, closeClient := NewClient(upstreamgate.New(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), clock.System(), zap.NewNop())
 	defer closeClient()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
--- a/hemlockd/internal/handoff/server_test.go
+++ b/hemlockd/internal/handoff/server_test.go
@@ -22,6 +22,7 @@
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -48,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client, closeClient := engines.NewClient(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), clock.System())
+	client, closeClient := engines.NewClient(upstreamgate.New(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), clock.System(), zap.NewNop())
 	t.Cleanup(closeClient)
 	k, closeKeeper := keeper.New(env, c, client, alone{}, alone{}, suspects.New(), parts)
 	t.Cleanup(closeKeeper)
--- a/hemlockd/internal/keeper/attempts.go
+++ b/hemlockd/internal/keeper/attempts.go
@@ -12,6 +12,7 @@
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/engines"
 	"hemlockmux.example/hemlockd/internal/retries"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 )
 
 // ran reports whether an engine ran the call, judged by its problem p and its attempts.
@@ -78,8 +79,9 @@
 		return problem.New(problem.NoUpstream, "no engine is available for the %s", phase).WithRetryAfter(clock.Second)
 	}
 	var call *engines.CallError
-	if errors.As(err, &call) && call.Limited {
-		return problem.New(problem.UpstreamLimited, "the engines for the %s take no more requests now: %v", phase, err).WithRetryAfter(r.keeper.client.LimitedRetry(call.Engine))
+	if errors.As(err, &call) && call.Closed != upstreamgate.Open {
+		_, retry := r.keeper.client.Closed([]string{call.Engine})
+		return problem.New(call.Closed.ProblemReason(), "the engines for the %s take no more requests now: %v", phase, err).WithRetryAfter(retry)
 	}
 	if errors.Is(err, errStalled) {
 		return problem.New(problem.UpstreamSilent, "the %s stream stalled: no chunk arrived within the stall time-out", phase).WithRetryAfter(clock.Second)
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -13,6 +13,7 @@
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/engines"
 	"hemlockmux.example/hemlockd/internal/streams"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 )
 
 // errStalled reports that no chunk of a stream arrived within the stall time-out.
@@ -182,10 +183,10 @@
 	return errors.As(err, &call) && call.Broken
 }
 
-// isLimited reports whether the call was not sent because of the limit that the engine names.
-func isLimited(err error) bool {
+// isClosed reports whether the call was not sent because of what the engine has announced.
+func isClosed(err error) bool {
 	var call *engines.CallError
-	return errors.As(err, &call) && call.Limited
+	return errors.As(err, &call) && call.Closed != upstreamgate.Open
 }
 
 // isUnreachable reports whether no connection to the engine could be opened.
--- a/hemlockd/internal/keeper/prefill.go
+++ b/hemlockd/internal/keeper/prefill.go
@@ -60,7 +60,7 @@
 		if p := r.crashSuspectRefusal(); p != nil {
 			return completions.KVTransferParams{}, p
 		}
-		if isLimited(err) {
+		if isClosed(err) {
 			attempt-- // nothing was sent
 		} else if attempt+1 >= policy.MaxAttempts || r.call.TryingPart && r.dispatched || !k.budget.Take() {
 			break
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -224,6 +224,9 @@
 // is complete.
 func (r *Run) serve() *problem.Problem {
 	k := r.keeper
+	if p := r.closedRefusal(); p != nil {
+		return p
+	}
 	if p := r.admit(r.call.ArrivedMs); p != nil {
 		return p
 	}
--- a/hemlockd/internal/keeper/watcher.go
+++ b/hemlockd/internal/keeper/watcher.go
@@ -222,6 +222,9 @@
 
 // report reads one load report and passes it to the group's admission.
 func (w *watcher) report(ctx context.Context) {
+	if w.keeper.client.Paused(w.engine.Name) {
+		return // the engine wants nothing; what is known of it stays
+	}
 	metrics.Add("loadReports", 1)
 	held := w.reports%reportsPerHeldList == 0
 	w.reports++
--- a/hemlockd/internal/operators/operators.go
+++ b/hemlockd/internal/operators/operators.go
@@ -36,7 +36,7 @@
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/services"
-	"hemlockmux.example/hemlockd/internal/upstreamlimits"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/verdicts"
 )
 
@@ -63,8 +63,8 @@
 	Services *services.Services
 	// Parts is the evidence on parts of prompts that crash engines.
 	Parts *prompts.Evidence
-	// Limits holds the limits that upstreams name.
-	Limits *upstreamlimits.Limits
+	// Gate holds what upstreams say about calls to them.
+	Gate *upstreamgate.Gate
 	// Verdicts holds the recent verdicts of this daemon.
 	Verdicts *verdicts.Recorder
 }
@@ -99,6 +99,7 @@
 		r.Get("/upstreams", o.upstreams)
 		r.Get("/parts", o.parts)
 		r.Get("/limits", o.limits)
+		r.Get("/closed", o.closed)
 		r.Post("/parts/lift", o.liftPart)
 		r.Get("/verdicts/{id}", o.verdict)
 	})
@@ -276,7 +277,12 @@
 
 // limits lists the limits that upstreams of this data centre name, as this daemon knows them.
 func (o *Operators) limits(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, o.Limits.All(o.env.Clock.Now()))
+	writeJSON(w, http.StatusOK, o.Gate.Limits.All(o.env.Clock.Now()))
+}
+
+// closed lists the upstreams that this daemon sends nothing because of what they have announced.
+func (o *Operators) closed(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, o.Gate.All(o.env.Clock.Now()))
 }
 
 // liftPart lifts the refusal of a part of prompts at all daemons, which learn of it by gossip.
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -6,6 +6,7 @@
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -58,6 +59,8 @@
 	Parts []prompts.Report `json:"parts,omitempty"`
 	// Limits says what the sender knows of the limits that upstreams name.
 	Limits []upstreamlimits.News `json:"limits,omitempty"`
+	// LeavingUpstreams holds upstreams that have said lately that they shut down.
+	LeavingUpstreams []upstreamgate.News `json:"leavingUpstreams,omitempty"`
 	// LimitAsks asks the receiver for shares of limits, and LimitGrants gives it some.
 	LimitAsks   []upstreamlimits.Ask   `json:"limitAsks,omitempty"`
 	LimitGrants []upstreamlimits.Grant `json:"limitGrants,omitempty"`
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -35,6 +35,7 @@
 	"hemlockmux.example/hemlockd/internal/logs"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -116,8 +117,11 @@
 	Suspects *suspects.Suspects
 	// Prompts holds the evidence on parts of prompts that crash engines.
 	Prompts *prompts.Evidence
-	// Limits holds the limits that upstreams name.
-	Limits *upstreamlimits.Limits
+	// Gate holds what upstreams say of themselves.
+	Gate *upstreamgate.Gate
+	// Leaving is called with upstreams of which another daemon says that they shut down, if that was
+	// not known.
+	Leaving func(news []upstreamgate.News, from string)
 	// CapacityChanged is called when runs of other daemons may have ended.
 	CapacityChanged func()
 	// Unreachable is called with upstreams that another daemon found unreachable.
@@ -154,6 +158,8 @@
 	Parts []prompts.Report
 	// Limits holds news of limits that upstreams name.
 	Limits []upstreamlimits.News
+	// Leaving holds upstreams that have just said that they shut down.
+	Leaving []upstreamgate.News
 }
 
 // Daemon is the last known state of another daemon.
@@ -286,7 +292,7 @@
 
 // Broadcast sends an update at once to all daemons that are alive.
 func (p *Peers) Broadcast(u Update) {
-	p.send(State{Runs: u.Runs, Ended: u.Ended, Unreachable: u.Unreachable, ChangingRole: u.ChangingRole, Parts: u.Parts, Limits: u.Limits}, p.aliveAddresses())
+	p.send(State{Runs: u.Runs, Ended: u.Ended, Unreachable: u.Unreachable, ChangingRole: u.ChangingRole, Parts: u.Parts, Limits: u.Limits, LeavingUpstreams: u.Leaving}, p.aliveAddresses())
 }
 
 // AskForLimit asks another daemon for a share of an upstream's limit.
@@ -389,7 +395,7 @@
 	p.mu.Unlock()
 	p.send(State{
 		Sequence: sequence, Full: true, Runs: p.handlers.View.LocalRuns(now), Suspects: p.handlers.Suspects.Recent(now), Parts: p.handlers.Prompts.Recent(now),
-		Limits: p.handlers.Limits.Recent(now),
+		Limits: p.handlers.Gate.Limits.Recent(now), LeavingUpstreams: p.handlers.Gate.Recent(now),
 	}, p.dueAddresses(all))
 }
 
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -14,6 +14,7 @@
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -46,7 +47,7 @@
 		Address: freeAddress(t), Control: freeAddress(t), StartedMs: started, BytesPerSecond: 20000,
 	}, Handlers{
 		Version: func() int64 { return n.version.Load() }, ListVersion: func() int64 { return 0 }, FollowsStore: func() bool { return true },
-		View: n.view, Suspects: suspects.New(), Prompts: prompts.New(), Limits: upstreamlimits.New(name, 0, func(upstreamlimits.News) {}), CapacityChanged: func() {}, Versions: n.hear,
+		View: n.view, Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Versions: n.hear,
 		Unreachable: func([]string) {}, ChangingRole: func([]string) {},
 		Freshness: func() *Freshness { return &Freshness{ListAgeMs: 1} }, Confirmed: func(Freshness, int64, int64) {},
 		Snapshot: func(SnapshotRequest) (Snapshot, error) {
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -90,6 +91,7 @@
 		p.handlers.Prompts.Merge(r, now)
 	}
 	p.applyLimits(s, now)
+	p.applyLeaving(s, now)
 	if s.Freshness != nil {
 		p.handlers.Confirmed(*s.Freshness, s.Version, s.ListVersion)
 	}
@@ -100,22 +102,35 @@
 // asks for.
 func (p *Peers) applyLimits(s State, now clock.Millis) {
 	for _, n := range s.Limits {
-		if p.handlers.Limits.Merge(n, now) {
+		if p.handlers.Gate.Limits.Merge(n, now) {
 			p.options.Log.Info("an upstream has changed its limit", zap.String("upstream", n.Upstream), zap.Float64("perSecond", n.PerSecond), zap.String("source", s.Name))
 		}
 	}
 	for _, g := range s.LimitGrants {
-		p.handlers.Limits.HandleGrant(g, now)
+		p.handlers.Gate.Limits.HandleGrant(g, now)
 	}
 	var grants []upstreamlimits.Grant
 	for _, a := range s.LimitAsks {
-		grants = append(grants, p.handlers.Limits.HandleAsk(s.Name, a, now))
+		grants = append(grants, p.handlers.Gate.Limits.HandleAsk(s.Name, a, now))
 	}
 	if len(grants) > 0 {
 		p.send(State{LimitGrants: grants}, p.addressOf(s.Name))
 	}
 }
 
+// applyLeaving records the upstreams of which a message says that they shut down.
+func (p *Peers) applyLeaving(s State, now clock.Millis) {
+	var news []upstreamgate.News
+	for _, n := range s.LeavingUpstreams {
+		if p.handlers.Gate.Merge(n, now) {
+			news = append(news, n)
+		}
+	}
+	if len(news) > 0 {
+		p.handlers.Leaving(news, s.Name)
+	}
+}
+
 func (p *Peers) applyRuns(s State, now clock.Millis) {
 	if s.Full {
 		p.handlers.View.Replace(s.Name, s.Runs, now)
--- a/hemlockd/internal/services/atmostonce.go
+++ b/hemlockd/internal/services/atmostonce.go
@@ -108,7 +108,7 @@
 	defer s.dispatched.Add(-1)
 	defer close(d.done)
 	s.wantInstances(d.tree, d.call)
-	limited := false // a call was not sent because of the instance's limit
+	closed := false // a call was not sent because of what its instance has announced
 	for range d.tree.System.Policy.MaxAttempts {
 		name, ok := s.choose(s.configuration.Tree(), d.call, excluded)
 		if !ok {
@@ -126,12 +126,15 @@
 			d.out.Problem = s.outcomeUnknown(d.call, failed)
 			return
 		}
-		limited = limited || errors.Is(err, errLimited)
+		closed = closed || isClosed(err)
 		excluded[name] = true // the instance never received the call
 	}
 	s.ledger.Release(d.claim)
-	if limited || s.heldBack(d.tree, d.call, excluded) {
-		d.out.Problem = s.limitedProblem(d.tree, d.call)
+	if closed {
+		excluded = nil
+	}
+	if held := s.heldBack(d.tree, d.call, excluded); len(held) > 0 {
+		d.out.Problem = s.closedProblem(d.call, held)
 		return
 	}
 	d.out.Problem = problem.New(problem.NoUpstream, "no instance of service %q could be reached in %s", d.call.Service, s.env.Config.DataCentre).WithRetryAfter(clock.Second)
--- a/hemlockd/internal/services/health.go
+++ b/hemlockd/internal/services/health.go
@@ -8,7 +8,9 @@
 
 	"go.uber.org/zap"
 
+	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/settings"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 )
 
 // health is the state of one instance, as it is known to this daemon.
@@ -56,6 +58,10 @@
 }
 
 func (s *Services) checkInstance(ctx context.Context, name, address string) {
+	sent := s.env.Clock.Now()
+	if s.gate.CheckNotices(upstreamgate.Target{Upstream: name}, sent) == upstreamgate.Paused {
+		return // the instance wants no health checks either
+	}
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout.Duration())
 	defer cancel()
 	leaving := false
@@ -64,6 +70,10 @@
 		var resp *http.Response
 		if resp, err = s.unpooledClient.Do(req); err == nil {
 			leaving = resp.Header.Get("X-Upstream-State") == "leaving"
+			s.observe(name, resp.StatusCode, resp.Header)
+			if !calls.ParseLeaving(resp.Header.Values(upstreamgate.LeavingHeader)) {
+				s.gate.Reopen(name, sent)
+			}
 			_ = resp.Body.Close()
 		}
 	}
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	s, closeServices := services.New(env, configuration, ledger, leaving, limits)
+//	s, closeServices := services.New(env, configuration, ledger, leaving, gate)
 //	outcome := s.Run(ctx, call)
 package services
 
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
@@ -35,6 +36,7 @@
 	"hemlockmux.example/hemlockd/internal/placements"
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/retries"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -116,7 +118,7 @@
 	pooledClient   *http.Client // for the first attempt of idempotent calls
 	unpooledClient *http.Client // opens a new connection for each call
 	dispatched     atomic.Int64 // calls under a claim that have not ended
-	limits         *upstreamlimits.Limits
+	gate           *upstreamgate.Gate
 
 	mu     sync.Mutex
 	health map[string]*health
@@ -126,13 +128,13 @@
 //
 // Calls that may not be repeated use a new connection each: on a reused one, net/http itself repeats
 // a request that has an Idempotency-Key if the connection ends before the response.
-func New(env process.Environment, cfg *configuration.Configuration, ledger *placements.Ledger, leaving LeavingChecker, limits *upstreamlimits.Limits) (*Services, func()) {
+func New(env process.Environment, cfg *configuration.Configuration, ledger *placements.Ledger, leaving LeavingChecker, gate *upstreamgate.Gate) (*Services, func()) {
 	dial := (&net.Dialer{Timeout: dialTimeout.Duration()}).DialContext
 	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: process.MaxHeadBytes}
 	unpooled := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: process.MaxHeadBytes}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Services{
-		env: env, configuration: cfg, ledger: ledger, leaving: leaving, limits: limits,
+		env: env, configuration: cfg, ledger: ledger, leaving: leaving, gate: gate,
 		budget:         retries.NewBudget(settings.DefaultSystem().Policy.RetryRatio),
 		pooledClient:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
 		unpooledClient: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
@@ -207,9 +209,14 @@
 		return out
 	}
 	notSent := verdict.CombineRan(out.Attempts) == problem.RanNo
-	if notSent && (errors.Is(last, errLimited) || last == nil && s.heldBack(tree, call, excluded)) {
-		out.Problem = s.limitedProblem(tree, call)
-		return out
+	if isClosed(last) {
+		excluded = nil
+	}
+	if notSent && (last == nil || isClosed(last)) {
+		if held := s.heldBack(tree, call, excluded); len(held) > 0 {
+			out.Problem = s.closedProblem(call, held)
+			return out
+		}
 	}
 	if last == nil {
 		out.Problem = problem.New(problem.NoUpstream, "no instance of service %q is available in %s", call.Service, s.env.Config.DataCentre).WithRetryAfter(clock.Second)
@@ -257,11 +264,11 @@
 // limit allows it.
 func (s *Services) Available(tree *settings.Tree, call Call) bool {
 	_, ok := s.choose(tree, call, nil)
-	return ok || s.heldBack(tree, call, nil)
+	return ok || len(s.heldBack(tree, call, nil)) > 0
 }
 
 // choose returns the instance with the fewest calls in flight from this daemon, without instances
-// that are down, leaving or excluded and those whose limit allows no call now. The result is false
+// that are down, leaving or excluded and those that may not be called now. The result is false
 // if there is none.
 func (s *Services) choose(tree *settings.Tree, call Call, excluded map[string]bool) (string, bool) {
 	best, bestLoad := "", 0
@@ -273,7 +280,7 @@
 		if excluded[name] || h.failures >= failuresToDown || h.leaving || tree.System.Upstreams[name].Leaving || s.leaving.Leaving(name) {
 			continue
 		}
-		if !s.limits.Ready(name, now) {
+		if s.gate.Check(upstreamgate.Target{Upstream: name}, now) != upstreamgate.Open {
 			continue
 		}
 		if best == "" || h.inFlight < bestLoad {
@@ -293,45 +300,55 @@
 
 func (e *callError) Unwrap() error { return e.err }
 
-// errLimited reports that a call was not sent because of the instance's limit.
-var errLimited = errors.New("this daemon's share of the instance's limit is used up")
-
 // wantInstances counts the call in the demand for the instances that could serve it.
 func (s *Services) wantInstances(tree *settings.Tree, call Call) {
 	now := s.env.Clock.Now()
 	for _, name := range s.instances(tree, call) {
-		s.limits.Want(name, now)
+		s.gate.Limits.Want(name, now)
 	}
 }
 
-// heldBack reports whether a call that no instance is left for has one that only its limit excludes.
-func (s *Services) heldBack(tree *settings.Tree, call Call, excluded map[string]bool) bool {
+// heldBack returns the instances that only their announcements exclude from a call that no instance is
+// left for: a limit, a pause or a shutdown.
+func (s *Services) heldBack(tree *settings.Tree, call Call, excluded map[string]bool) []upstreamgate.Target {
 	names, now := s.instances(tree, call), s.env.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var held []upstreamgate.Target
 	for _, name := range names {
-		if !excluded[name] && s.limits.Limited(name, now) && s.healthLocked(name).failures < failuresToDown {
-			return true
+		t := upstreamgate.Target{Upstream: name}
+		announced := s.gate.Limits.Limited(name, now) || s.gate.CheckNotices(t, now) != upstreamgate.Open
+		if !excluded[name] && announced && s.healthLocked(name).failures < failuresToDown {
+			held = append(held, t)
 		}
 	}
-	return false
+	return held
 }
 
-// limitedProblem refuses a call because of the limits of the instances.
-func (s *Services) limitedProblem(tree *settings.Tree, call Call) *problem.Problem {
-	names, now := s.instances(tree, call), s.env.Clock.Now()
-	return problem.New(problem.UpstreamLimited, "the instances of service %q take no more calls now: %s", call.Service, s.limits.Summary(names, now)).
-		WithRetryAfter(s.limits.Retry(names, now))
+// closedProblem refuses a call because the instances held back take none now.
+func (s *Services) closedProblem(call Call, held []upstreamgate.Target) *problem.Problem {
+	now := s.env.Clock.Now()
+	reason, retry := s.gate.Closed(held, now)
+	if reason == upstreamgate.Open { // a call may be sent again by now
+		reason, retry = upstreamgate.Limited, s.gate.Limits.Retry(nil, now)
+	}
+	return problem.New(reason.ProblemReason(), "the instances of service %q take no more calls now: %s", call.Service, s.gate.Summary(held, now)).
+		WithRetryAfter(retry)
+}
+
+// isClosed reports whether a call was not sent because of what the instance has announced.
+func isClosed(err error) bool {
+	var closed *upstreamgate.ClosedError
+	return errors.As(err, &closed)
 }
 
-// callOnce makes one attempt and appends it to out. One that the instance's limit does not allow is
-// not sent.
+// callOnce makes one attempt and appends it to out. One that the instance does not allow is not sent.
 func (s *Services) callOnce(ctx context.Context, client *http.Client, name string, tree *settings.Tree, call Call, timeout clock.Millis, out *Outcome) (*placements.Answer, error) {
 	s.mu.Lock()
 	s.healthLocked(name).inFlight++
 	s.mu.Unlock()
 	started := s.env.Clock.Now()
-	answer, err := s.sendWithinLimit(ctx, client, name, tree.System.Upstreams[name].Address, call, timeout)
+	answer, err := s.sendIfOpen(ctx, client, name, tree.System.Upstreams[name].Address, call, timeout)
 	a := verdict.Attempt{Upstream: name, Phase: "call", Result: verdict.AttemptRan, StartMs: started, EndMs: s.env.Clock.Now()}
 	var failed *callError
 	if errors.As(err, &failed) {
@@ -344,22 +361,32 @@
 	return answer, err
 }
 
-// sendWithinLimit sends the call to an instance if its limit allows that, and records what its answer
-// says of the limit.
-func (s *Services) sendWithinLimit(ctx context.Context, client *http.Client, name, address string, call Call, timeout clock.Millis) (*placements.Answer, error) {
+// sendIfOpen sends the call to an instance if the gate allows that, and records what its answer says
+// about calls to it.
+func (s *Services) sendIfOpen(ctx context.Context, client *http.Client, name, address string, call Call, timeout clock.Millis) (*placements.Answer, error) {
 	sent := s.env.Clock.Now()
-	if !s.limits.Take(name, sent) {
-		return nil, &callError{result: verdict.AttemptNotRun, err: errLimited}
+	if reason := s.gate.Take(upstreamgate.Target{Upstream: name}, sent); reason != upstreamgate.Open {
+		return nil, &callError{result: verdict.AttemptNotRun, err: &upstreamgate.ClosedError{Upstream: name, Reason: reason}}
 	}
 	answer, err := s.send(ctx, client, address, call, timeout)
 	if err == nil {
-		s.limits.Observe(upstreamlimits.Answer{
+		s.observe(name, answer.Status, answer.Header)
+		s.gate.Limits.Observe(upstreamlimits.Answer{
 			Upstream: name, PerSecond: calls.ParseLimit(answer.Header.Get(upstreamlimits.Header)), SentMs: sent,
 		}, s.env.Clock.Now())
 	}
 	return answer, err
 }
 
+// observe records what an answer says about calls to its instance.
+func (s *Services) observe(name string, status int, header http.Header) {
+	notice, err := upstreamgate.ReadNotice(name, status, header)
+	if err != nil {
+		s.env.Log.Warn("an upstream names an unusable time to wait", zap.String("upstream", name), zap.Error(err))
+	}
+	s.gate.Observe(notice, s.env.Clock.Now())
+}
+
 // hopHeaders are headers that are not forwarded: they apply to one connection only or, like
 // Authorization, hold the caller's secret.
 var hopHeaders = []string{
--- a/hemlockd/internal/services/services_test.go
+++ b/hemlockd/internal/services/services_test.go
@@ -20,6 +20,7 @@
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/placements"
 	"hemlockmux.example/hemlockd/internal/process"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
 )
 
@@ -56,7 +57,7 @@
 	}
 	ledger, closeLedger := placements.New(env, memory.New(), func() clock.Millis { return 1 })
 	t.Cleanup(closeLedger)
-	s, closeServices := New(env, c, ledger, noSignals{}, upstreamlimits.New("d", 0, func(upstreamlimits.News) {}))
+	s, closeServices := New(env, c, ledger, noSignals{}, upstreamgate.New(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}))
 	t.Cleanup(closeServices)
 	return s
 }
@@ -154,11 +155,11 @@
 	lost := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 	s := newTestServices(t, "retryRatio = 1.0", lost, after(0))
 	now := s.env.Clock.Now()
-	s.limits.Observe(upstreamlimits.Answer{Upstream: "s1", PerSecond: 1, SentMs: now}, now)
+	s.gate.Limits.Observe(upstreamlimits.Answer{Upstream: "s1", PerSecond: 1, SentMs: now}, now)
 	if out := s.Run(t.Context(), get()); out.Problem == nil || out.Problem.Ran != problem.RanUnknown {
 		t.Errorf("%v after %+v", out.Problem, out.Attempts)
 	}
-	s.limits.Observe(upstreamlimits.Answer{Upstream: "s0", PerSecond: 1, SentMs: now}, now)
+	s.gate.Limits.Observe(upstreamlimits.Answer{Upstream: "s0", PerSecond: 1, SentMs: now}, now)
 	if out := s.Run(t.Context(), get()); out.Problem == nil || out.Problem.Reason != problem.UpstreamLimited || out.Problem.Ran != problem.RanNo || out.Problem.RetryAfterMs <= 0 {
 		t.Errorf("%v after %+v", out.Problem, out.Attempts)
 	}
