A slow upstream keeps its call until another has answered

Now the other upstream is asked beside the first (within MaxAttempts and the retry budget, as before), the first answer counts, and the slow one is ended then. A panic in an attempt still ends its request alone.

Ruled out: waiting for the other one's connection only (a busy one accepts it).

--- a/hemlockd/internal/dispatch/lost_answers_test.go
+++ b/hemlockd/internal/dispatch/lost_answers_test.go
@@ -326,10 +326,9 @@
 // if the first one is slow and it may.
 func TestSlowUpstreamIsLeftForAnother(t *testing.T) {
 	s := newSetup(noFaults)
-	first := true
+	var first atomic.Bool
 	s.upstreams.plain = func(ctx context.Context) (*calls.Reply, error) {
-		if first {
-			first = false
+		if first.CompareAndSwap(false, true) {
 			return slowPlain(ctx, time.Minute, "late")
 		}
 		return slowPlain(ctx, 0, "whole")
--- a/hemlockd/internal/dispatch/moveon_test.go
+++ b/hemlockd/internal/dispatch/moveon_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,9 +28,9 @@
 		}
 		return 1
 	})
-	sent := 0
+	var sent atomic.Int32
 	s.upstreams.plain = func(ctx context.Context) (*calls.Reply, error) {
-		if sent++; sent == 1 {
+		if sent.Add(1) == 1 {
 			<-late
 			time.AfterFunc(100*time.Millisecond, func() { close(goOn) })
 		}
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
-	"time"
 
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
@@ -23,9 +21,9 @@
 	// maxUpstreamsTried limits the upstreams that one call is sent to, including those
 	// that refuse it or can't be reached.
 	maxUpstreamsTried = 4
-	// attemptTimeoutFactor times the target latency is the time after which an
-	// idempotent call at one upstream is ended, if another may be tried.
-	attemptTimeoutFactor = 1.75
+	// hedgeFactor times the target latency is the time after which an idempotent call is sent
+	// to a second upstream as well, if the first has not answered.
+	hedgeFactor = 1.75
 	// failureRateCostMs is the cost of a failure rate of 1 when upstreams are compared,
 	// in ms of round-trip time.
 	failureRateCostMs = 400
@@ -51,72 +49,6 @@
 	cancel context.CancelFunc
 }
 
-// servePlain sends the call to one upstream after another, as far as it may be
-// repeated, until one brings an answer that can be forwarded.
-func (x *exchange) servePlain(ctx context.Context) {
-	tried := map[string]bool{}
-	var fallback *bufferedReply
-	runs, reached, reason := 0, false, reasonNoUpstream
-	paid := false // the next call has been taken from the retry budget
-	x.wantUpstreams()
-	for len(tried) < maxUpstreamsTried && x.remainingMs() > 0 && !x.callerGone() {
-		u, ok := x.chooseUpstream(tried)
-		if !ok || runs >= x.route.MaxAttempts || reached && !paid && !x.d.opts.Retries.Take(x.service, x.now()) {
-			break
-		}
-		if !x.take(u) {
-			paid = paid || reached // what has been taken from the budget is left for the next call
-			continue
-		}
-		tried[u.ID] = true
-		start := x.now()
-		_, others := x.chooseUpstream(tried)
-		mayMoveOn := x.route.Kind == routing.Idempotent && others && len(tried) < maxUpstreamsTried && runs+1 < x.route.MaxAttempts
-		var answer *bufferedReply
-		var err error
-		answer, paid, err = x.sendPlain(ctx, u, mayMoveOn)
-		failed := x.recordAttempt(u.ID, calls.PhaseRun, start, err)
-		if failed == nil && !(answer.reply.Status >= http.StatusInternalServerError && x.route.Repeatable()) {
-			x.deliver(answer)
-			return
-		}
-		if failed == nil {
-			if fallback != nil {
-				fallback.close()
-			}
-			fallback = answer
-			reached, runs = true, runs+1
-			continue
-		}
-		switch {
-		case failed.Cause == calls.CauseUnreachable:
-			reason = reasonUnreachable
-		case failed.Cause.NotSent():
-			x.closedSkipped = true
-		default:
-			reached, reason = true, reasonBusy
-		}
-		if failed.Outcome != calls.NotRun {
-			runs++
-		}
-		if x.outcome != calls.NotRun && !x.route.Repeatable() {
-			break
-		}
-	}
-	if fallback != nil && !x.callerGone() {
-		x.deliver(fallback)
-		return
-	}
-	if x.outcome == calls.NotRun && (reason == reasonNoUpstream || x.allClosed("")) && x.refuseClosed("") {
-		return
-	}
-	retry := busyRetryAfter
-	if reason != reasonBusy {
-		retry = unreachableRetryAfter
-	}
-	x.respondFailure(reason, retry+jitter(retry))
-}
-
 // chooseUpstream returns the untried upstream with the lowest cost: the sum of the
 // round-trip time, the load and the failure rate. It returns false if there is none. Upstreams
 // that may not be called now are skipped.
@@ -142,61 +74,6 @@
 	return best, found
 }
 
-// moveOn ends a call at a slow upstream when the next one has been taken from the retry
-// budget. Until then the call goes on: it is the only one.
-type moveOn struct {
-	x      *exchange
-	cancel context.CancelFunc
-
-	mu    sync.Mutex
-	paid  bool
-	ended bool // the call has brought an answer or has failed
-}
-
-func (m *moveOn) run() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.ended && m.x.d.opts.Retries.Take(m.x.service, m.x.now()) {
-		m.paid = true
-		m.cancel()
-	}
-}
-
-// end keeps the call from being ended from now on, and reports whether it has been.
-func (m *moveOn) end() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.ended = true
-	return m.paid
-}
-
-// sendPlain sends the call to one upstream, buffers its answer and records the result
-// for later choices. If mayMoveOn is set, the call is ended when the upstream is slow and
-// the retry budget allows another one; paid reports that it has been taken from the budget.
-func (x *exchange) sendPlain(ctx context.Context, u routing.Upstream, mayMoveOn bool) (answer *bufferedReply, paid bool, err error) {
-	defer x.d.health.beginCall(u.ID)()
-	ctx, cancel := context.WithCancel(ctx)
-	m := &moveOn{x: x, cancel: cancel}
-	attemptTimeout := clock.Millis(attemptTimeoutFactor * float64(x.route.TargetLatencyMs))
-	if mayMoveOn && attemptTimeout > 0 {
-		timer := time.AfterFunc(attemptTimeout.Duration(), m.run)
-		defer timer.Stop() // the rest of a long answer takes the time it takes
-	}
-	answer, err = x.sendAndBuffer(ctx, u)
-	if m.end() && err == nil && answer.partial {
-		// The rest of the answer went with the call.
-		_ = answer.reply.Body.Close()
-		err = &calls.Error{Upstream: u.ID, Phase: calls.PhaseRun, Cause: calls.CauseTimeout, Outcome: calls.Ran, Err: errors.New("call was ended for another upstream")}
-	}
-	if err != nil || !answer.partial {
-		cancel()
-	} else {
-		answer.cancel = cancel
-	}
-	x.recordResult(u, err)
-	return answer, err != nil && m.end(), err
-}
-
 // recordResult updates the upstream's health with the result of a call. It ignores
 // calls whose caller has gone, because they may have failed for that reason.
 func (x *exchange) recordResult(u routing.Upstream, err error) {
