Own door: a slow instance keeps its call until another has answered

The other one is now asked beside it, within MaxAttempts and the retry budget; the first answer counts.

--- a/hemlockd/internal/services/atmostonce.go
+++ b/hemlockd/internal/services/atmostonce.go
@@ -115,7 +115,8 @@
 			break
 		}
 		s.env.Invariants.Check(invariant.AtMostOnce, verdict.CombineRan(d.out.Attempts) == problem.RanNo, "requestId", d.call.RequestID)
-		answer, err := s.callOnce(context.Background(), s.unpooledClient, name, d.tree, d.call, d.service.TimeoutMs+lateAnswerTimeout, &d.out)
+		answer, a, err := s.callOnce(context.Background(), s.unpooledClient, name, d.tree, d.call, d.service.TimeoutMs+lateAnswerTimeout)
+		d.out.Attempts = append(d.out.Attempts, a)
 		if err == nil {
 			s.ledger.Finish(d.claim, answer.LimitBody(d.service.MaxAnswerBytes))
 			d.out.Answer = answer
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -14,8 +14,6 @@
 	"expvar"
 	"fmt"
 	"io"
-	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -161,88 +159,13 @@
 		return Outcome{Problem: problem.New(problem.UnknownService, "there is no service %q", call.Service)}
 	}
 	if Idempotent(call.Method, service) {
-		return s.runIdempotent(ctx, tree, service, call)
-	}
-	return s.runAtMostOnce(ctx, tree, service, call)
-}
-
-// runIdempotent runs an idempotent call, and repeats it on another instance after a failure while
-// MaxAttempts and the retry budget allow it. All attempts together take at most the service's
-// time-out.
-func (s *Services) runIdempotent(ctx context.Context, tree *settings.Tree, service settings.Service, call Call) Outcome {
-	var out Outcome
-	var last error
-	s.wantInstances(tree, call)
-	excluded := map[string]bool{}
-	s.budget.SetRatio(tree.System.Policy.RetryRatio)
-	s.budget.RecordFirstAttempt()
-	deadline := s.env.Clock.Now() + service.TimeoutMs
-	for attempt := range tree.System.Policy.MaxAttempts {
-		name, ok := s.choose(tree, call, excluded)
-		if !ok {
-			break
-		}
-		client := s.pooledClient
-		if attempt > 0 {
-			client = s.unpooledClient // the pooled connection may be dead
-		}
-		excluded[name] = true
-		final := attempt+1 >= tree.System.Policy.MaxAttempts
-		attemptCtx, left, stop := s.leaveWhenSilent(ctx, tree, service, call, maps.Clone(excluded), final)
-		answer, err := s.callOnce(attemptCtx, client, name, tree, call, deadline-s.env.Clock.Now(), &out)
-		stop()
-		if err == nil {
-			out.Answer = answer
-			return out
-		}
-		last = err
-		if ctx.Err() != nil || final || s.env.Clock.Now() >= deadline || !left.Load() && !s.budget.Take() {
-			break
-		}
-		wait := retries.Backoff(attempt, rand.New(rand.NewPCG(rand.Uint64(), 0)))
-		if !clock.Sleep(ctx, wait) {
-			break
-		}
-	}
-	if ctx.Err() != nil {
-		out.Problem = problem.New(problem.CallerGone, "the caller disconnected before the service answered").WithRan(verdict.CombineRan(out.Attempts))
-		return out
-	}
-	notSent := verdict.CombineRan(out.Attempts) == problem.RanNo
-	if isClosed(last) {
-		excluded = nil
-	}
-	if notSent && (last == nil || isClosed(last)) {
-		if held := s.heldBack(tree, call, excluded); len(held) > 0 {
-			out.Problem = s.closedProblem(call, held)
-			return out
-		}
-	}
-	if last == nil {
-		out.Problem = problem.New(problem.NoUpstream, "no instance of service %q is available in %s", call.Service, s.env.Config.DataCentre).WithRetryAfter(clock.Second)
-		return out
-	}
-	out.Problem = problem.New(problem.UpstreamFailed, "service %q did not answer: %v", call.Service, last).WithRan(verdict.CombineRan(out.Attempts)).WithRetryAfter(clock.Second)
-	return out
-}
-
-// leaveWhenSilent returns a context for one attempt. It ends after the attempt's share of the service's
-// time-out if another instance is to go on then, which sets left: the attempt is not the final one,
-// another instance is available and the retry budget grants the attempt.
-func (s *Services) leaveWhenSilent(ctx context.Context, tree *settings.Tree, service settings.Service, call Call, excluded map[string]bool, final bool) (_ context.Context, left *atomic.Bool, stop func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	left = &atomic.Bool{}
-	share := service.TimeoutMs / clock.Millis(tree.System.Policy.MaxAttempts)
-	timer := time.AfterFunc(share.Duration(), func() {
-		if _, other := s.choose(tree, call, excluded); !final && other && s.budget.Take() {
-			left.Store(true)
-			cancel()
+		r := &idempotentRun{
+			services: s, ctx: ctx, tree: tree, service: service, call: call, excluded: map[string]bool{}, running: map[string]*attempt{},
+			results: make(chan attemptResult, tree.System.Policy.MaxAttempts),
 		}
-	})
-	return ctx, left, func() {
-		timer.Stop()
-		cancel()
+		return r.serve()
 	}
+	return s.runAtMostOnce(ctx, tree, service, call)
 }
 
 // instances returns the names of the service's instances in this data centre that the team may use,
@@ -342,8 +265,8 @@
 	return errors.As(err, &closed)
 }
 
-// callOnce makes one attempt and appends it to out. One that the instance does not allow is not sent.
-func (s *Services) callOnce(ctx context.Context, client *http.Client, name string, tree *settings.Tree, call Call, timeout clock.Millis, out *Outcome) (*placements.Answer, error) {
+// callOnce makes one attempt. One that the instance does not allow is not sent.
+func (s *Services) callOnce(ctx context.Context, client *http.Client, name string, tree *settings.Tree, call Call, timeout clock.Millis) (*placements.Answer, verdict.Attempt, error) {
 	s.mu.Lock()
 	s.healthLocked(name).inFlight++
 	s.mu.Unlock()
@@ -354,11 +277,10 @@
 	if errors.As(err, &failed) {
 		a.Result, a.Cause = failed.result, failed.Error()
 	}
-	out.Attempts = append(out.Attempts, a)
 	s.mu.Lock()
 	s.healthLocked(name).inFlight--
 	s.mu.Unlock()
-	return answer, err
+	return answer, a, err
 }
 
 // sendIfOpen sends the call to an instance if the gate allows that, and records what its answer says
