Cells: daemons of a large fleet tell of runs only where they matter

Cause: each daemon told every other one about each run, and its whole state each second and a half. Each change of the list of upstreams was answered by 86,730 messages, and at the start each registration woke the feeds of all daemons.

Change: up to 100 daemons form one cell and work as before; more form one for each data centre. An update about a run goes to the cell of its engine; other cells hear the mean load of a data centre at a fixed rate. Engines of other cells come last, drawn at random, with a reservation; roles are decided within a cell; who follows the store tells its data centre more often. A daemon that has just started waits 1.5 s before it follows the store.

In virtual time 295 daemons make 1,679 calls for three topics in their first 8 s and 252 in the next; states sent by a daemon do not grow from 295 to 2,000.

--- a/hemlockd/internal/app/fleet_test.go
+++ b/hemlockd/internal/app/fleet_test.go
@@ -238,7 +238,9 @@
 
 // fleetStore is the store of a fleet. It holds one configuration and no upstreams.
 type fleetStore struct {
-	link *link
+	// calls counts the calls of all daemons.
+	calls atomic.Int64
+	link  *link
 
 	mu      sync.Mutex
 	version int64
@@ -273,6 +275,7 @@
 
 // reach takes the time that a call takes to reach the store, if it does.
 func (c *fleetStoreClient) reach(ctx context.Context) error {
+	c.store.calls.Add(1)
 	if c.daemon.storeCut.Load() {
 		<-ctx.Done()
 	}
@@ -284,6 +287,7 @@
 
 // answer brings a page to the daemon. On the wire, values are in base64.
 func (c *fleetStoreClient) answer(ctx context.Context, page directory.Page) (directory.Page, error) {
+	page.StoreMs = c.daemon.fleet.time.Clock().Now()
 	bytes := 100
 	for _, e := range page.Entries {
 		bytes += len(e.Value) * 4 / 3
@@ -384,7 +388,7 @@
 	d.directory = inforce.New(inforce.Options{
 		Log: zap.NewNop(), Clock: d.fleet.time.Clock(), Store: &fleetStoreClient{store: d.fleet.store, daemon: d},
 		Decoder:  inforce.Decoder{Config: decodeLargeConfig},
-		OnConfig: func() { d.peers.Broadcast(peers.Update{}) }, OnUpstreams: func() {}, OnDaemon: func(string, []byte) {},
+		OnConfig: func() { d.peers.Broadcast(peers.Update{DataCentres: []string{d.dataCentre}}) }, OnUpstreams: func() {}, OnDaemon: func(string, []byte) {},
 		ShouldFollowStore: func() bool { return d.peers.ShouldFollowStore() },
 		Fetch: func(ctx context.Context, control string, request peers.SnapshotRequest) (peers.Snapshot, error) {
 			return d.peers.FetchSnapshot(ctx, control, request)
@@ -398,7 +402,7 @@
 		Control: d.host + fleetControlPort, StartedMs: 1, BytesPerSecond: peers.DefaultBytesPerSecond, LinkMbps: d.link.bytesPerMs * 8 / 1000, Network: d,
 	}, peers.Handlers{
 		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view,
-		Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(d.name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Leaving: func([]upstreamgate.News, string) {}, Unreachable: func([]string) {}, ChangingRole: func([]string) {},
+		Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(d.name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Leaving: func([]upstreamgate.News, string) {}, Load: func() peers.EngineLoad { return peers.EngineLoad{} }, Unreachable: func([]string) {}, ChangingRole: func([]string) {},
 		Versions: d.directory.HearPeer, Freshness: d.directory.Freshness, Confirmed: d.directory.Confirm,
 		Snapshot: d.directory.Snapshot, Beliefs: func() operatorapi.DaemonView { return operatorapi.DaemonView{} },
 	})
@@ -407,7 +411,7 @@
 	}
 	d.peers.Start()
 	for _, other := range d.fleet.daemons {
-		d.peers.AddAddress(other.host + fleetDatagramPort)
+		d.peers.AddAddress(other.host+fleetDatagramPort, other.dataCentre)
 	}
 	stop := d.directory.Start()
 	return func() {
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"slices"
 	"strconv"
@@ -144,7 +145,7 @@
 	started := d.clk.Now()
 	view := capacity.NewView(capacity.DefaultLimits())
 	d.view = view
-	queue := capacity.NewQueue(d.clk, view, func() int { return d.peers.Count() })
+	queue := capacity.NewQueue(d.clk, view, func() int { return d.peers.CellSize() })
 	sus := suspects.New()
 	d.prompts = prompts.New()
 	sharer := newPartsSharer(d.sendParts)
@@ -167,7 +168,7 @@
 		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes, LinkMbps: d.settings.LinkMbps,
 	}, peers.Handlers{
 		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, CapacityChanged: queue.RetrySoon,
-		Gate: d.gate, Leaving: d.upstreamsLeaving,
+		Gate: d.gate, Leaving: d.upstreamsLeaving, Load: d.engineLoad,
 		Unreachable:  func(ids []string) { d.dispatcher.MarkDown(ids) }, // the dispatcher is constructed below
 		ChangingRole: func(ids []string) { d.dispatcher.MarkRoleChanging(ids) },
 		Versions:     d.directory.HearPeer,
@@ -180,7 +181,7 @@
 	d.onClose(closePeers)
 	d.retries = retries.NewServiceBudgets(retryBound(d.settings), started, d.peers.Count)
 	verdicts, closeVerdicts := archive.New(archive.Options{
-		Log: d.log, Clock: d.clk, Objects: store, Daemon: d.settings.Name, StartedMs: started,
+		Log: d.log, Clock: d.clk, Objects: store, Daemon: d.settings.Name, Daemons: d.peers.Count, StartedMs: started,
 	})
 	d.onClose(closeVerdicts)
 	d.dispatcher = dispatch.New(dispatch.Options{
@@ -215,6 +216,7 @@
 	if d.metricsPort != 0 {
 		metrics := http.NewServeMux()
 		metrics.Handle("/metrics", expvar.Handler())
+		metrics.HandleFunc("/debug/pprof/profile", pprof.Profile)
 		if _, err = d.listen("metrics", net.JoinHostPort(d.settings.IP, strconv.Itoa(d.metricsPort)), metrics); err != nil {
 			return err
 		}
@@ -249,7 +251,13 @@
 // changed. It updates the dispatcher and notifies the other daemons.
 func (d *platformDaemon) directoryChanged() {
 	d.dispatcher.RefreshEngines()
-	d.peers.Broadcast(peers.Update{})
+	d.peers.Broadcast(peers.Update{DataCentres: []string{d.settings.DataCentre}})
+}
+
+// engineLoad returns the load of this data centre's engines, to be sent to other cells.
+func (d *platformDaemon) engineLoad() peers.EngineLoad {
+	memoryUse, runs := d.view.MeanLoad(d.settings.DataCentre, d.clk.Now())
+	return peers.EngineLoad{MemoryUse: memoryUse, Runs: runs}
 }
 
 // runRefresh updates the state that depends on the time.
@@ -290,7 +298,8 @@
 	return retries.Bound{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, WindowMs: settings.RetryWindowMs}
 }
 
-// engineServices returns the engines of each service that is served by engines.
+// engineServices returns the engines of each service that is served by engines, as far as their runs
+// are known here.
 func (d *platformDaemon) engineServices() map[string][]routing.Upstream {
 	services := map[string][]routing.Upstream{}
 	table := d.directory.Table()
@@ -299,7 +308,9 @@
 	}
 	for name, s := range table.Config.Services {
 		if s.Engine != nil {
-			services[name] = d.directory.Upstreams(name)
+			services[name] = slices.DeleteFunc(slices.Clone(d.directory.Upstreams(name)), func(u routing.Upstream) bool {
+				return !d.peers.InCell(u.DataCentre)
+			})
 		}
 	}
 	return services
@@ -351,7 +362,7 @@
 func (d *platformDaemon) addSeeds(seeds []string) {
 	for _, seed := range seeds {
 		host, _, err := net.SplitHostPort(seed)
-		if err != nil || !d.peers.AddAddress(net.JoinHostPort(host, strconv.Itoa(d.settings.FirstPort))) {
+		if err != nil || !d.peers.AddAddress(net.JoinHostPort(host, strconv.Itoa(d.settings.FirstPort)), "") {
 			d.log.Warn("seed in the settings is not IP:PORT; ignoring it", zap.String("seed", seed), zap.Error(err))
 		}
 	}
@@ -366,7 +377,7 @@
 // addListed adds a daemon of the list as a peer.
 func (d *platformDaemon) addListed(name string, raw []byte) {
 	var e registration
-	if err := json.Unmarshal(raw, &e); err != nil || !d.peers.AddAddress(e.Address) {
+	if err := json.Unmarshal(raw, &e); err != nil || !d.peers.AddAddress(e.Address, e.DataCentre) {
 		d.log.Warn("invalid entry in the list of daemons; ignoring it", zap.String("peer", name), zap.Error(err))
 	}
 }
--- a/hemlockd/internal/archive/archive.go
+++ b/hemlockd/internal/archive/archive.go
@@ -26,8 +26,11 @@
 )
 
 const (
-	// storeInterval is the interval at which batches are stored.
+	// storeInterval is the shortest interval at which batches are stored.
 	storeInterval = 10 * clock.Second
+	// objectsPerSecond is the number of objects that all daemons together may store in a
+	// second; with more daemons than that allows, the interval is longer.
+	objectsPerSecond = 10
 	// storeTimeout bounds one attempt to store an object.
 	storeTimeout = 3 * clock.Second
 	// maxWaitingBytes bounds the size of the compressed batches that wait while the
@@ -56,6 +59,8 @@
 	Objects Objects
 	// Daemon is the name of the daemon.
 	Daemon string
+	// Daemons returns the number of daemons, which share the object store.
+	Daemons func() int
 	// StartedMs is the start time of the daemon, in Unix ms. It keeps the names of
 	// objects unique across restarts.
 	StartedMs clock.Millis
@@ -108,7 +113,7 @@
 
 func (a *Archive) run(ctx context.Context) {
 	defer close(a.done)
-	for clock.Sleep(ctx, storeInterval) {
+	for clock.Sleep(ctx, a.interval()) {
 		a.store(ctx)
 	}
 	lastCtx, cancel := context.WithTimeout(context.Background(), storeTimeout.Duration())
@@ -116,6 +121,11 @@
 	a.store(lastCtx)
 }
 
+// interval returns the time until the next batch is stored.
+func (a *Archive) interval() clock.Millis {
+	return max(storeInterval, clock.Millis(a.o.Daemons())*clock.Second/objectsPerSecond)
+}
+
 // closeBatchLocked compresses the open batch and appends it to the waiting ones. It drops
 // the oldest of them if they exceed maxWaitingBytes, but always keeps the newest.
 func (a *Archive) closeBatchLocked() {
--- a/hemlockd/internal/archive/archive_test.go
+++ b/hemlockd/internal/archive/archive_test.go
@@ -34,7 +34,7 @@
 // the store are stored after it.
 func TestVerdictsOutliveAnOutageOfTheStore(t *testing.T) {
 	objects := &fakeObjects{unavailable: true, objects: map[string][]byte{}}
-	a, closeArchive := New(Options{Log: zap.NewNop(), Clock: clock.System(), Objects: objects, Daemon: "d", StartedMs: 7})
+	a, closeArchive := New(Options{Log: zap.NewNop(), Clock: clock.System(), Objects: objects, Daemons: func() int { return 1 }, Daemon: "d", StartedMs: 7})
 	a.Record(verdict.Verdict{RequestID: "first", Outcome: verdict.OutcomeRefused})
 	a.store(context.Background())
 	a.Record(verdict.Verdict{RequestID: "second", Outcome: verdict.OutcomeRun})
@@ -68,7 +68,7 @@
 // outage of the store.
 func TestWaitingVerdictsAreBounded(t *testing.T) {
 	objects := &fakeObjects{unavailable: true, objects: map[string][]byte{}}
-	a, closeArchive := New(Options{Log: zap.NewNop(), Clock: clock.System(), Objects: objects, Daemon: "d"})
+	a, closeArchive := New(Options{Log: zap.NewNop(), Clock: clock.System(), Objects: objects, Daemons: func() int { return 1 }, Daemon: "d"})
 	defer closeArchive()
 	for range 3 {
 		a.mu.Lock()
--- a/hemlockd/internal/capacity/prefill.go
+++ b/hemlockd/internal/capacity/prefill.go
@@ -23,6 +23,9 @@
 	// round-trip time, which leaves capacity to daemons near the engine: they make
 	// reservations while the call is in transit.
 	backlogPerRoundTrip = 1.5
+	// foreignPrefillSpreadMs is the range of the random cost, in ms, by which daemons spread
+	// over prefill engines whose work they do not know.
+	foreignPrefillSpreadMs = 150
 	// failurePenaltyMs is added to the cost of a prefill engine at a failure rate of 1.
 	failurePenaltyMs = 1000
 )
@@ -40,6 +43,9 @@
 	RoundTripMs float64
 	// FailureRate is the fraction of recent calls to the engine that failed.
 	FailureRate float64
+	// Foreign is set if daemons whose runs are not known here give the engine work, too. It is
+	// chosen only if no other engine will do.
+	Foreign bool
 }
 
 // prefillEngine is a prefill engine with its known work.
@@ -123,17 +129,29 @@
 // delay of the prefill plus penalties. It returns nil if no engine's backlog is
 // within the limit.
 func (v *View) choosePrefillLocked(decode *engine, exclude map[string]bool, now clock.Millis) *prefillEngine {
+	if p := v.choosePrefillAmongLocked(decode, exclude, false, now); p != nil {
+		return p
+	}
+	return v.choosePrefillAmongLocked(decode, exclude, true, now)
+}
+
+// choosePrefillAmongLocked is choosePrefillLocked for the engines that have work which is not known
+// here, or for the others. Daemons that know little of the same engines spread their choices.
+func (v *View) choosePrefillAmongLocked(decode *engine, exclude map[string]bool, foreign bool, now clock.Millis) *prefillEngine {
 	var best *prefillEngine
 	bestCost := 0.0
 	for _, id := range slices.Sorted(maps.Keys(v.prefillEngines)) {
 		p := v.prefillEngines[id]
-		if p.Service != decode.Service || exclude[id] || p.backlog(now) > v.limits.MaxPrefillBacklogMs-backlogPerRoundTrip*p.RoundTripMs {
+		if p.Service != decode.Service || exclude[id] || p.Foreign != foreign || p.backlog(now) > v.limits.MaxPrefillBacklogMs-backlogPerRoundTrip*p.RoundTripMs {
 			continue
 		}
 		cost := max(p.backlog(now), p.arrivalMs()) + p.RoundTripMs/2 + failurePenaltyMs*p.FailureRate
 		if p.DataCentre != decode.DataCentre {
 			cost += farDecodePenaltyMs
 		}
+		if foreign {
+			cost += foreignPrefillSpreadMs * v.random()
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = p, cost
 		}
--- a/hemlockd/internal/capacity/run.go
+++ b/hemlockd/internal/capacity/run.go
@@ -27,6 +27,8 @@
 	GeneratedTokens int `json:"made"`
 	// Decoding says that the engine has begun to generate.
 	Decoding bool `json:"decoding,omitempty"`
+	// DataCentre is that of the decode engine. Only the daemon that places the run knows it.
+	DataCentre string `json:"-"`
 	// Service is the service whose engines the run may use. Only the daemon that places
 	// the run knows it.
 	Service string `json:"-"`
@@ -37,6 +39,9 @@
 	observedMs clock.Millis
 }
 
+// IsAt reports whether the run's decode engine is in a data centre.
+func (r Run) IsAt(dataCentre string) bool { return r.DataCentre == dataCentre }
+
 // Limits bounds how much work engines are given.
 type Limits struct {
 	// MaxMemoryUse is the fraction of a decode engine's memory that may be planned with.
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -38,6 +38,9 @@
 	// minFarShare is the minimum share of an engine's capacity that a daemon far from
 	// it may use while nearby daemons compete for the same capacity.
 	minFarShare = 0.25
+	// foreignSpread is the range of the random cost by which daemons spread over engines
+	// whose runs they do not know.
+	foreignSpread = 0.3
 	// paceWeight is the weight of a new sample in the moving average of an engine's
 	// decode time per token.
 	paceWeight = 0.2
@@ -61,11 +64,22 @@
 	// UpdateDelayMs is the delay, in ms, of updates from daemons that place runs at
 	// the engine at the same time.
 	UpdateDelayMs float64
+	// Foreign is what an engine has to do for daemons whose runs are not known here; nil if
+	// all are known. An engine with such runs is chosen only if no other has capacity.
+	Foreign *ForeignLoad
 	// Cost is added to the fraction of the memory in use when engines are compared,
 	// for example for the distance to the engine.
 	Cost float64
 }
 
+// ForeignLoad is an estimate of the runs that are not known at an engine.
+type ForeignLoad struct {
+	// Tokens is the peak memory that they will need.
+	Tokens int
+	// Runs is their number.
+	Runs int
+}
+
 // engine is a decode engine with the runs placed there.
 type engine struct {
 	Engine
@@ -111,7 +125,7 @@
 		if !usable[id] {
 			e.MemoryTokens = 0
 		}
-		if !usable[id] && e.count() == 0 {
+		if !usable[id] && e.known() == 0 {
 			delete(v.engines, id)
 		}
 	}
@@ -170,7 +184,7 @@
 	if best == nil {
 		return r, false
 	}
-	r.Engine, r.observedMs, r.Prefill = best.ID, now, ""
+	r.Engine, r.DataCentre, r.observedMs, r.Prefill = best.ID, best.DataCentre, now, ""
 	r.MemoryUse = float64(need) / float64(best.MemoryTokens)
 	if !o.SkipPrefill {
 		p := v.choosePrefillLocked(best, o.Exclude, now)
@@ -191,9 +205,19 @@
 // sufficient capacity, and the peak memory that its runs will need with this one. It
 // returns nil if there is none.
 func (v *View) chooseDecodeLocked(r Run, o PlaceOptions, now clock.Millis) (best *engine, need int) {
+	best, need = v.chooseAmongLocked(r, o, false, now)
+	if best == nil {
+		best, need = v.chooseAmongLocked(r, o, true, now)
+	}
+	return best, need
+}
+
+// chooseAmongLocked is chooseDecodeLocked for the engines that have runs which are not known here,
+// or for the others. Daemons that know little of the same engines spread their choices.
+func (v *View) chooseAmongLocked(r Run, o PlaceOptions, foreign bool, now clock.Millis) (best *engine, need int) {
 	bestCost := 0.0
 	for _, e := range v.sortedLocked() {
-		if e.Service != r.Service || o.Exclude[e.ID] || e.MemoryTokens == 0 || e.count() >= e.Slots {
+		if e.Service != r.Service || o.Exclude[e.ID] || e.MemoryTokens == 0 || (e.Foreign != nil) != foreign || e.count() >= e.Slots {
 			continue
 		}
 		n := v.peakLocked(e, &r, now)
@@ -202,6 +226,9 @@
 			continue
 		}
 		cost := float64(n)/float64(e.MemoryTokens) + e.Cost
+		if foreign {
+			cost += foreignSpread * v.random()
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost, need = e, cost, n
 		}
@@ -244,7 +271,8 @@
 	return all
 }
 
-func (e *engine) count() int {
+// known returns the number of runs at the engine that are known here.
+func (e *engine) known() int {
 	n := 0
 	for _, runs := range e.runs {
 		n += len(runs)
@@ -252,10 +280,19 @@
 	return n
 }
 
+// count returns the number of runs at the engine, those included that are not known here.
+func (e *engine) count() int {
+	n := 0
+	if e.Foreign != nil {
+		n = e.Foreign.Runs
+	}
+	return n + e.known()
+}
+
 // peakLocked predicts the peak memory, in tokens, that the engine's runs will need,
 // including extra if it is not nil.
 func (v *View) peakLocked(e *engine, extra *Run, now clock.Millis) int {
-	loads := make([]load, 0, e.count()+1)
+	loads := make([]load, 0, e.known()+1)
 	add := func(r Run) {
 		generated := r.generatedBy(now, e.msPerToken)
 		loads = append(loads, load{held: r.PromptTokens + generated + blockTokens, remaining: v.lengths.expect(r.ExpectedTokens, generated, r.MaxTokens) - generated})
@@ -268,9 +305,32 @@
 	if extra != nil {
 		add(*extra)
 	}
+	if e.Foreign != nil {
+		return e.Foreign.Tokens + peak(loads)
+	}
 	return peak(loads)
 }
 
+// MeanLoad returns the mean predicted peak memory, as a fraction of an engine's memory, and the mean
+// number of runs of a data centre's decode engines.
+func (v *View) MeanLoad(dataCentre string, now clock.Millis) (memoryUse, runs float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0.0
+	for _, e := range v.engines {
+		if e.DataCentre != dataCentre || e.MemoryTokens == 0 {
+			continue
+		}
+		n++
+		memoryUse += float64(v.peakLocked(e, nil, now)) / float64(e.MemoryTokens)
+		runs += float64(e.count())
+	}
+	if n == 0 {
+		return 1, 0
+	}
+	return memoryUse / n, runs / n
+}
+
 // Progress records how many tokens one of this daemon's runs has generated.
 func (v *View) Progress(id string, generated int, now clock.Millis) {
 	v.mu.Lock()
--- a/hemlockd/internal/directory/follower.go
+++ b/hemlockd/internal/directory/follower.go
@@ -28,7 +28,10 @@
 	daemonsWait = 10 * clock.Second
 	// standbyPause is the time between two checks of whether this daemon should
 	// follow the store.
-	standbyPause = 200 * clock.Millisecond
+	standbyPause = 400 * clock.Millisecond
+	// settleTime is the time after its start for which a daemon that has read all entries does
+	// not follow the store: it does not know yet which others do.
+	settleTime = 1500 * clock.Millisecond
 	// minBackoff is the pause after a failed call; it doubles with each further one.
 	minBackoff = 50 * clock.Millisecond
 	// maxBackoff is the longest pause after a failed call.
@@ -46,8 +49,12 @@
 }
 
 func (f *follower) run(ctx context.Context) {
-	pause := minBackoff
+	pause, settledMs := minBackoff, f.d.o.Clock.Now()+settleTime
 	for ctx.Err() == nil {
+		if f.known && f.d.o.Clock.Now() < settledMs {
+			clock.Sleep(ctx, standbyPause)
+			continue
+		}
 		if f.known && !f.d.o.ShouldFollowStore() {
 			f.known = false
 			f.setFollowing(false)
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -71,6 +71,11 @@
 	// ViewStale reports whether this daemon's state of the runs that other daemons have
 	// placed is incomplete or out of date.
 	ViewStale() bool
+	// InCell reports whether this daemon knows the runs at the engines of a data centre.
+	InCell(dataCentre string) bool
+	// LoadOf returns the load of the engines of a data centre that is not in its cell, or false
+	// if it is not known.
+	LoadOf(dataCentre string) (peers.EngineLoad, bool)
 }
 
 // Verdicts stores the outcomes of requests.
@@ -192,15 +197,20 @@
 				_, failureRate := d.health.stats(u.ID)
 				prefillers = append(prefillers, capacity.PrefillEngine{
 					ID: u.ID, Service: name, DataCentre: u.DataCentre, RoundTripMs: d.rttMs(u.DataCentre), FailureRate: failureRate,
+					Foreign: !d.opts.Peers.InCell(u.DataCentre),
 				})
 			}
 			if u.Role != routing.RoleDecode {
 				continue
 			}
+			foreign, ok := d.foreignLoad(u.DataCentre, service.Engine)
+			if !ok {
+				continue
+			}
 			engines = append(engines, capacity.Engine{
 				ID: u.ID, Service: name, DataCentre: u.DataCentre, MemoryTokens: service.Engine.KVCacheTokens, Slots: service.Engine.Slots,
 				Cost: rttCostPerMs * d.rttMs(u.DataCentre), Margin: memoryMarginPerMs * d.rttMs(u.DataCentre),
-				UpdateDelayMs: d.rttMs(u.DataCentre) / 2,
+				UpdateDelayMs: d.rttMs(u.DataCentre) / 2, Foreign: foreign,
 			})
 		}
 	}
@@ -209,6 +219,19 @@
 	d.opts.Queue.RetrySoon()
 }
 
+// foreignLoad returns what an engine of a data centre has to do for daemons whose runs are not known
+// here; nil if all are known. It returns false if that can't be estimated.
+func (d *Dispatcher) foreignLoad(dataCentre string, spec *routing.EngineSpec) (*capacity.ForeignLoad, bool) {
+	if d.opts.Peers.InCell(dataCentre) {
+		return nil, true
+	}
+	load, ok := d.opts.Peers.LoadOf(dataCentre)
+	if !ok {
+		return nil, false
+	}
+	return &capacity.ForeignLoad{Tokens: int(load.MemoryUse * float64(spec.KVCacheTokens)), Runs: int(load.Runs)}, true
+}
+
 // reportDown marks the upstream down and informs the other daemons.
 func (d *Dispatcher) reportDown(id string) {
 	if !d.health.markDown(id) {
--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -48,6 +48,9 @@
 
 func (fakePeers) Broadcast(peers.Update) {}
 func (fakePeers) ViewStale() bool        { return false }
+func (fakePeers) InCell(string) bool     { return true }
+
+func (fakePeers) LoadOf(string) (peers.EngineLoad, bool) { return peers.EngineLoad{}, false }
 
 // fakeVerdicts keeps the last verdict of each request.
 type fakeVerdicts struct {
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -220,10 +220,19 @@
 		return false
 	}
 	m.run, m.callTaken, m.forecastUse = run, true, math.Round(run.MemoryUse*100)/100
-	m.d.opts.Peers.Broadcast(peers.Update{Runs: []capacity.Run{run}})
+	m.d.opts.Peers.Broadcast(peers.Update{DataCentres: m.dataCentres(run), Runs: []capacity.Run{run}})
 	return true
 }
 
+// dataCentres returns the data centres whose cells a run concerns.
+func (m *modelRun) dataCentres(r capacity.Run) []string {
+	concerned := []string{r.DataCentre}
+	if u, ok := m.upstream(r.Prefill); ok && u.DataCentre != r.DataCentre {
+		concerned = append(concerned, u.DataCentre)
+	}
+	return concerned
+}
+
 // placeElsewhere places the run at another engine after one has not accepted it. It
 // waits for capacity until shortly before the prefill result expires.
 func (m *modelRun) placeElsewhere(failed *calls.Error) bool {
@@ -250,8 +259,9 @@
 		return
 	}
 	m.d.opts.View.End(m.run.ID)
-	m.run.Engine, m.run.Prefill = "", ""
-	m.d.opts.Peers.Broadcast(peers.Update{Ended: []string{m.run.ID}})
+	ended := peers.Update{DataCentres: m.dataCentres(m.run), Ended: []string{m.run.ID}}
+	m.run.Engine, m.run.DataCentre, m.run.Prefill = "", "", ""
+	m.d.opts.Peers.Broadcast(ended)
 	m.d.opts.Queue.Retry()
 }
 
--- a/hemlockd/internal/dispatch/prefill.go
+++ b/hemlockd/internal/dispatch/prefill.go
@@ -98,7 +98,7 @@
 		return false
 	}
 	m.run.Prefill = run.Prefill
-	m.d.opts.Peers.Broadcast(peers.Update{Runs: []capacity.Run{run}})
+	m.d.opts.Peers.Broadcast(peers.Update{DataCentres: m.dataCentres(run), Runs: []capacity.Run{run}})
 	return true
 }
 
--- a/hemlockd/internal/dispatch/reservation.go
+++ b/hemlockd/internal/dispatch/reservation.go
@@ -46,8 +46,8 @@
 	return false
 }
 
-// reserve makes a reservation at the run's engine if the engine is nearly full or the
-// state of other daemons is stale. It returns false if the engine refuses it for lack
+// reserve makes a reservation at the run's engine if the engine is nearly full, or if the
+// state of other daemons that use it is stale or not known here. It returns false if the engine refuses it for lack
 // of capacity.
 func (m *modelRun) reserve() bool {
 	u, ok := m.upstream(m.run.Engine)
@@ -55,7 +55,7 @@
 		return true // a limited engine is spared the additional call
 	}
 	tokens := m.run.PromptTokens + reservedEvents*m.spec.EventTokens
-	if m.d.opts.Peers.ViewStale() {
+	if m.d.opts.Peers.ViewStale() || !m.d.opts.Peers.InCell(u.DataCentre) {
 		// The forecast lacks the runs of other daemons, and only the engine knows its
 		// load, so memory is reserved for the whole expected output.
 		tokens = m.run.PromptTokens + min(m.run.ExpectedTokens, m.run.MaxTokens)
--- a/hemlockd/internal/peers/known.go
+++ b/hemlockd/internal/peers/known.go
@@ -21,8 +21,11 @@
 // the store and there are fewer than storeCandidates.
 func (p *Peers) ShouldFollowStore() bool {
 	followers, candidates := 0, 0
-	for _, d := range p.Alive() {
-		if d.DataCentre != p.options.DataCentre || d.Leaving || !p.isPrecededBy(d) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, limit := p.options.Clock.Now(), p.aliveTimeoutLocked(p.options.DataCentre)
+	for _, d := range p.daemons {
+		if d.DataCentre != p.options.DataCentre || d.Leaving || now-d.LastHeardMs > limit || !p.isPrecededBy(d) {
 			continue
 		}
 		candidates++
@@ -36,7 +39,7 @@
 // isPrecededBy reports whether another daemon comes first in following the store: the one with
 // the wider link, since the store sends a configuration whole; of equal ones that with the
 // lower name.
-func (p *Peers) isPrecededBy(d Daemon) bool {
+func (p *Peers) isPrecededBy(d *Daemon) bool {
 	if d.LinkMbps != p.options.LinkMbps {
 		return d.LinkMbps > p.options.LinkMbps
 	}
@@ -48,22 +51,26 @@
 const staleAfterDrop = 3 * clock.Second
 
 // ViewStale reports whether this daemon's view of what other daemons have placed at
-// engines may be stale: more than silentShareLimit of the known daemons are silent, or
-// a message was dropped lately because it exceeded the send budget.
+// engines may be stale: more than silentShareLimit of the known daemons of its cell are
+// silent, or a message was dropped lately because it exceeded the send budget.
 func (p *Peers) ViewStale() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, silent := p.options.Clock.Now(), 0
-	limit := p.aliveTimeoutLocked()
+	now, silent, members := p.options.Clock.Now(), 0, 0
 	if now-p.lastDroppedMs < staleAfterDrop {
 		return true
 	}
+	limit := p.aliveTimeoutLocked(p.options.DataCentre)
 	for _, d := range p.daemons {
+		if p.cellOfLocked(d.DataCentre) != ownCell {
+			continue
+		}
+		members++
 		if !d.Leaving && now-d.LastHeardMs > limit {
 			silent++
 		}
 	}
-	return float64(silent) > silentShareLimit*float64(len(p.daemons))
+	return float64(silent) > silentShareLimit*float64(members)
 }
 
 // All returns all known daemons except this one, by name.
@@ -83,10 +90,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
-	limit := p.aliveTimeoutLocked()
 	var alive []Daemon
 	for _, name := range slices.Sorted(maps.Keys(p.daemons)) {
-		if d := p.daemons[name]; now-d.LastHeardMs <= limit {
+		if d := p.daemons[name]; now-d.LastHeardMs <= p.aliveTimeoutLocked(d.DataCentre) {
 			alive = append(alive, *d)
 		}
 	}
@@ -97,9 +103,10 @@
 // which silent ones mean that this daemon may be cut off from the others.
 const silentShareLimit = 0.25
 
-// Count returns the number of known daemons, including this one.
+// Count returns the number of known daemons, including this one. Those that have not been heard
+// from yet count once there are more of them than of the others: just after the start.
 func (p *Peers) Count() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return 1 + len(p.daemons)
+	return 1 + max(len(p.daemons), len(p.addresses))
 }
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -66,6 +66,8 @@
 	LimitGrants []upstreamlimits.Grant `json:"limitGrants,omitempty"`
 	// Leaving reports whether the sender is shutting down.
 	Leaving bool `json:"leaving,omitempty"`
+	// Load is the load of the sender's data centre, in full states for other cells.
+	Load *EngineLoad `json:"load,omitempty"`
 	// Freshness is part of full states.
 	Freshness *Freshness `json:"fresh,omitempty"`
 }
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -5,22 +5,24 @@
 // state at intervals, which repairs the effects of lost datagrams. There is no
 // consensus: a daemon that receives nothing keeps routing by what it knows.
 //
+// Daemons that know of each other's runs form a cell: all of them while they are few,
+// and otherwise those of one data centre. Cells tell each other only how much their
+// engines have to do.
+//
 // # Usage
 //
 //	p, closePeers, err := peers.New(options, handlers)
 //	p.Start()
-//	p.AddAddress(address)
+//	p.AddAddress(address, dataCentre)
 //	p.Broadcast(peers.Update{Runs: []capacity.Run{run}})
 package peers
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"expvar"
 	"fmt"
 	"net"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -42,27 +44,11 @@
 const (
 	// fullStateInterval is the time between two rounds of full-state messages.
 	fullStateInterval = 500 * clock.Millisecond
-	// localFanout is the number of daemons of the same data centre that each round
-	// sends to, least recently sent to first.
-	localFanout = 8
-	// remoteEvery is the number of rounds of which one goes to the daemons of other
-	// data centres.
-	remoteEvery = 3
 	// addressesEvery is the number of rounds of which one carries the addresses of
 	// other daemons.
 	addressesEvery = 4
-	// minAliveTimeout is the minimum time for which a daemon counts as alive after its
-	// last message.
-	minAliveTimeout = 2500 * clock.Millisecond
-	// maxMissedStates is the number of full-state messages that a daemon may miss
-	// before it counts as silent, where rounds reach each daemon too rarely for
-	// minAliveTimeout.
-	maxMissedStates = 3
-	// forgetAfter is how long a silent daemon is still sent messages.
+	// forgetAfter is the shortest time for which a silent daemon is still sent messages.
 	forgetAfter = clock.Minute
-	// silentSendInterval is the time between two messages to an address from which
-	// nothing has been received lately.
-	silentSendInterval = 2 * clock.Second
 	// runRetention is how long the runs of a silent daemon still count as load.
 	runRetention = 6 * clock.Second
 	// restartSilence is the minimum silence between two processes of one daemon. It
@@ -122,6 +108,8 @@
 	// Leaving is called with upstreams of which another daemon says that they shut down, if that was
 	// not known.
 	Leaving func(news []upstreamgate.News, from string)
+	// Load returns the load of this data centre's engines, to be sent to other cells.
+	Load func() EngineLoad
 	// CapacityChanged is called when runs of other daemons may have ended.
 	CapacityChanged func()
 	// Unreachable is called with upstreams that another daemon found unreachable.
@@ -146,6 +134,8 @@
 
 // Update is a change that is broadcast at once.
 type Update struct {
+	// DataCentres are those whose cells the update concerns; nil: all daemons.
+	DataCentres []string
 	// Runs holds runs that this daemon has placed or changed.
 	Runs []capacity.Run
 	// Ended holds the IDs of this daemon's runs that have ended.
@@ -181,6 +171,7 @@
 	// LinkMbps is the rate of its link, in Mbit/s; 0 if it is not known.
 	LinkMbps         float64 `json:"linkMbps"`
 	startedMs        int64
+	hasRuns          bool // runs of it are in the view
 	lastSequence     int64
 	lastFullSequence int64 // of the last full-state message
 }
@@ -206,14 +197,10 @@
 	lastDroppedMs clock.Millis
 	// addresses holds the known datagram addresses, by IP:port.
 	addresses map[string]*peerAddress
-}
-
-type peerAddress struct {
-	udp         *net.UDPAddr
-	lastHeardMs clock.Millis // time of the last message, or of adding before the first
-	lastSentMs  clock.Millis
-	heard       bool
-	local       bool // in this daemon's data centre
+	// fleet is what this daemon knew of the others' number in the last round.
+	fleet fleet
+	// loads holds the loads of other data centres' engines.
+	loads map[string]toldLoad
 }
 
 // New opens the ports for other daemons. The returned function closes them and
@@ -236,7 +223,7 @@
 		options: o, handlers: h, conn: conn, listener: listener, ctx: ctx, lastDroppedMs: -staleAfterDrop,
 		serving: newServing(o.LinkMbps), callLog: logs.CallLogger{Log: o.Log, Metrics: metrics},
 		budget:  rate.NewLimiter(rate.Limit(o.BytesPerSecond), o.BytesPerSecond),
-		daemons: map[string]*Daemon{}, addresses: map[string]*peerAddress{},
+		daemons: map[string]*Daemon{}, addresses: map[string]*peerAddress{}, loads: map[string]toldLoad{},
 	}
 	return p, func() {
 		cancel()
@@ -254,34 +241,6 @@
 	p.running.Go(p.runServe)
 }
 
-// AddAddress adds the datagram address of a daemon that may be running. It ignores
-// known addresses and this daemon's own. It reports whether the address is valid: an IPv4
-// address with a port.
-func (p *Peers) AddAddress(at string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.addressLocked(at) != nil || at == p.options.Address
-}
-
-// addressLocked returns the address for datagrams with the given IP:port, and adds it if it
-// is not known. It returns nil for this daemon's own address and for an invalid one.
-func (p *Peers) addressLocked(at string) *peerAddress {
-	if a, ok := p.addresses[at]; ok {
-		return a
-	}
-	address, err := netip.ParseAddrPort(at)
-	if err != nil || !address.Addr().Is4() || address.Port() == 0 {
-		metrics.Add("badAddresses", 1)
-		return nil
-	}
-	if at == p.options.Address {
-		return nil
-	}
-	a := &peerAddress{udp: net.UDPAddrFromAddrPort(address), lastHeardMs: p.options.Clock.Now()}
-	p.addresses[at] = a
-	return a
-}
-
 // Leave notifies the other daemons that this one is shutting down.
 func (p *Peers) Leave() {
 	p.mu.Lock()
@@ -290,9 +249,9 @@
 	p.sendFullState(true)
 }
 
-// Broadcast sends an update at once to all daemons that are alive.
+// Broadcast sends an update at once to the daemons that are alive in the cells that it concerns.
 func (p *Peers) Broadcast(u Update) {
-	p.send(State{Runs: u.Runs, Ended: u.Ended, Unreachable: u.Unreachable, ChangingRole: u.ChangingRole, Parts: u.Parts, Limits: u.Limits, LeavingUpstreams: u.Leaving}, p.aliveAddresses())
+	p.send(State{Runs: u.Runs, Ended: u.Ended, Unreachable: u.Unreachable, ChangingRole: u.ChangingRole, Parts: u.Parts, Limits: u.Limits, LeavingUpstreams: u.Leaving}, p.aliveAddresses(u.DataCentres))
 }
 
 // AskForLimit asks another daemon for a share of an upstream's limit.
@@ -300,83 +259,6 @@
 	p.send(State{LimitAsks: []upstreamlimits.Ask{m.Ask}}, p.addressOf(m.To))
 }
 
-// addressOf returns the address of a daemon, or none if it is not known.
-func (p *Peers) addressOf(name string) []*net.UDPAddr {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	d, ok := p.daemons[name]
-	if !ok {
-		return nil
-	}
-	if a, ok := p.addresses[d.Address]; ok {
-		return []*net.UDPAddr{a.udp}
-	}
-	return nil
-}
-
-func (p *Peers) aliveAddresses() []*net.UDPAddr {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.options.Clock.Now()
-	limit := p.aliveTimeoutLocked()
-	var to []*net.UDPAddr
-	for _, a := range p.addresses {
-		if a.heard && now-a.lastHeardMs <= limit {
-			to = append(to, a.udp)
-		}
-	}
-	return to
-}
-
-// dueAddresses returns the addresses to send the full state to in this round, or all
-// known addresses if all is set. It drops addresses that have been silent for longer
-// than forgetAfter.
-func (p *Peers) dueAddresses(all bool) []*net.UDPAddr {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.options.Clock.Now()
-	limit := p.aliveTimeoutLocked()
-	var to []*net.UDPAddr
-	var local []*peerAddress
-	for at, a := range p.addresses {
-		silent := !a.heard || now-a.lastHeardMs > limit
-		if silent && now-a.lastHeardMs > forgetAfter {
-			delete(p.addresses, at)
-			continue
-		}
-		if silent && !all && a.lastSentMs != 0 && now-a.lastSentMs < silentSendInterval {
-			continue
-		}
-		if !silent && !all && a.local {
-			local = append(local, a)
-			continue
-		}
-		if !silent && !all && p.rounds%remoteEvery != 0 {
-			continue
-		}
-		a.lastSentMs = now
-		to = append(to, a.udp)
-	}
-	slices.SortFunc(local, func(a, b *peerAddress) int { return cmp.Compare(a.lastSentMs, b.lastSentMs) })
-	for _, a := range local[:min(localFanout, len(local))] {
-		a.lastSentMs = now
-		to = append(to, a.udp)
-	}
-	return to
-}
-
-// aliveTimeoutLocked returns how long a daemon counts as alive after its last message.
-func (p *Peers) aliveTimeoutLocked() clock.Millis {
-	local := 0
-	for _, d := range p.daemons {
-		if d.DataCentre == p.options.DataCentre {
-			local++
-		}
-	}
-	rounds := clock.Millis((local + localFanout - 1) / localFanout)
-	return max(minAliveTimeout, maxMissedStates*rounds*fullStateInterval)
-}
-
 func (p *Peers) runSendFullState() {
 	for clock.Sleep(p.ctx, fullStateInterval) {
 		p.sendFullState(false)
@@ -392,11 +274,23 @@
 	p.sequence++
 	p.rounds++
 	sequence := p.sequence
+	p.countFleetLocked()
 	p.mu.Unlock()
-	p.send(State{
-		Sequence: sequence, Full: true, Runs: p.handlers.View.LocalRuns(now), Suspects: p.handlers.Suspects.Recent(now), Parts: p.handlers.Prompts.Recent(now),
+	runs := p.handlers.View.LocalRuns(now)
+	state := State{
+		Sequence: sequence, Full: true, Suspects: p.handlers.Suspects.Recent(now), Parts: p.handlers.Prompts.Recent(now),
 		Limits: p.handlers.Gate.Limits.Recent(now), LeavingUpstreams: p.handlers.Gate.Recent(now),
-	}, p.dueAddresses(all))
+	}
+	for cell, to := range p.dueAddresses(all) {
+		s := state
+		s.Runs = runs
+		if cell != ownCell {
+			load := p.handlers.Load()
+			s.Load = &load
+			s.Runs = slices.DeleteFunc(slices.Clone(runs), func(r capacity.Run) bool { return !r.IsAt(cell) })
+		}
+		p.send(s, to)
+	}
 }
 
 // forgetSilent drops the runs of daemons that have been silent for longer than
@@ -406,10 +300,11 @@
 	var silent []string
 	p.mu.Lock()
 	for name, d := range p.daemons {
-		if now-d.LastHeardMs > runRetention {
+		if d.hasRuns && now-d.LastHeardMs > max(runRetention, p.aliveTimeoutLocked(d.DataCentre)) {
+			d.hasRuns = false
 			silent = append(silent, name)
 		}
-		if now-d.LastHeardMs > forgetAfter {
+		if now-d.LastHeardMs > p.forgetAfterLocked(d.DataCentre) {
 			delete(p.daemons, name)
 		}
 	}
@@ -475,10 +370,9 @@
 // alive, from which a receiver that knows few daemons learns of more.
 func (p *Peers) knownAddressesLocked() []string {
 	now := p.options.Clock.Now()
-	limit := p.aliveTimeoutLocked()
 	var known []string
 	for _, d := range p.daemons {
-		if now-d.LastHeardMs <= limit && len(known) < maxAddresses {
+		if now-d.LastHeardMs <= p.aliveTimeoutLocked(d.DataCentre) && len(known) < maxAddresses {
 			known = append(known, d.Address)
 		}
 	}
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -48,7 +48,7 @@
 	}, Handlers{
 		Version: func() int64 { return n.version.Load() }, ListVersion: func() int64 { return 0 }, FollowsStore: func() bool { return true },
 		View: n.view, Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Versions: n.hear,
-		Unreachable: func([]string) {}, ChangingRole: func([]string) {},
+		Unreachable: func([]string) {}, ChangingRole: func([]string) {}, Leaving: func([]upstreamgate.News, string) {}, Load: func() EngineLoad { return EngineLoad{} },
 		Freshness: func() *Freshness { return &Freshness{ListAgeMs: 1} }, Confirmed: func(Freshness, int64, int64) {},
 		Snapshot: func(SnapshotRequest) (Snapshot, error) {
 			return Snapshot{Version: n.version.Load(), Content: n.content}, nil
@@ -85,7 +85,7 @@
 
 func TestPlacementsAreBroadcastAndRepaired(t *testing.T) {
 	a, b := start(t, "a", 1), start(t, "b", 1)
-	b.AddAddress(a.options.Address)
+	b.AddAddress(a.options.Address, "")
 	eventually(t, "both know each other", func() bool { return len(a.Alive()) == 1 && len(b.Alive()) == 1 })
 	run, ok := a.view.Place(capacity.Run{ID: "r", PromptTokens: 100, ExpectedTokens: 10, MaxTokens: 20}, capacity.PlaceOptions{SkipPrefill: true}, 0)
 	if !ok {
@@ -134,7 +134,7 @@
 func TestNewerConfigurationIsFetched(t *testing.T) {
 	a, b := start(t, "a", 1), start(t, "b", 1)
 	a.version.Store(7)
-	b.AddAddress(a.options.Address)
+	b.AddAddress(a.options.Address, "")
 	control := <-b.newer
 	s, err := b.FetchSnapshot(t.Context(), control, SnapshotRequest{})
 	if err != nil || s.Version != 7 || string(s.Content) != "config" {
@@ -189,7 +189,7 @@
 // centre would. The view must then count as stale, so that engines confirm placements.
 func TestUpdatesBeyondTheBudgetAreDropped(t *testing.T) {
 	a, b := start(t, "a", 1), start(t, "b", 1)
-	b.AddAddress(a.options.Address)
+	b.AddAddress(a.options.Address, "")
 	eventually(t, "both know each other", func() bool { return len(a.Alive()) == 1 })
 	before := time.Now()
 	for !a.ViewStale() && time.Since(before) < 5*time.Second {
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 
-	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
@@ -23,14 +22,15 @@
 			}
 			continue
 		}
-		var req jsonrpc2.Request
-		var s State
-		if json.Unmarshal(buffer[:n], &req) != nil || req.Method != methodState || req.Params == nil ||
-			json.Unmarshal(*req.Params, &s) != nil || s.Name == "" {
+		var message struct {
+			Method string `json:"method"`
+			Params State  `json:"params"`
+		}
+		if json.Unmarshal(buffer[:n], &message) != nil || message.Method != methodState || message.Params.Name == "" {
 			metrics.Add("unreadable", 1)
 			continue
 		}
-		p.apply(s)
+		p.apply(message.Params)
 	}
 }
 
@@ -51,7 +51,7 @@
 		metrics.Add("unreadable", 1)
 		return
 	}
-	a.heard, a.lastHeardMs, a.local = true, now, s.DataCentre == p.options.DataCentre
+	a.heard, a.lastHeardMs, a.dataCentre = true, now, s.DataCentre
 	d, known := p.daemons[s.Name]
 	restarted := known && (s.StartedMs > d.startedMs || s.StartedMs != d.startedMs && now-d.LastHeardMs > restartSilence)
 	if !known || restarted {
@@ -64,6 +64,8 @@
 		d.LastHeardMs, d.Version, d.Leaving, d.FollowsStore = now, max(d.Version, s.Version), s.Leaving, s.FollowsStore
 		d.Address, d.Control, d.DataCentre, d.LinkMbps = s.Address, s.Control, s.DataCentre, s.LinkMbps
 		d.lastSequence = max(d.lastSequence, s.Sequence)
+		d.hasRuns = d.hasRuns || len(s.Runs) > 0
+		p.hearLoadLocked(s.DataCentre, s.Load, now)
 		if s.Full && !stale {
 			d.lastFullSequence = s.Sequence
 		}
@@ -82,7 +84,7 @@
 		p.handlers.ChangingRole(s.ChangingRole)
 	}
 	for _, at := range s.Daemons {
-		p.AddAddress(at)
+		p.AddAddress(at, "")
 	}
 	for _, e := range s.Suspects {
 		p.handlers.Suspects.Merge(e, now)
