--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"net"
 	"net/http"
@@ -15,8 +14,6 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
-	"hemlockmux.example/common/directory"
-	"hemlockmux.example/common/operatorapi"
 	"hemlockmux.example/common/routing"
 	"hemlockmux.example/hemlockd/internal/archive"
 	"hemlockmux.example/hemlockd/internal/capacity"
@@ -327,80 +324,6 @@
 	return true
 }
 
-// beliefs returns this daemon's view of the system, for operators.
-func (d *platformDaemon) beliefs() operatorapi.DaemonView {
-	now := d.clk.Now()
-	s := operatorapi.DaemonView{
-		Daemon: d.settings.Name, DataCentre: d.settings.DataCentre, Version: d.directory.Version(), Ready: d.directory.Ready(),
-		OpenRequests: d.dispatcher.OpenRequests(), SinceStoreFailureMs: d.directory.SinceStoreFailure(),
-	}
-	for _, e := range d.view.Engines(now) {
-		s.Engines = append(s.Engines, operatorapi.EngineView{
-			Engine: e.ID, Runs: e.Runs, ForecastTokens: e.Peak, MemoryTokens: e.MemoryTokens, MsPerToken: e.MsPerToken,
-		})
-	}
-	for _, u := range d.directory.All() {
-		s.Upstreams = append(s.Upstreams, operatorapi.UpstreamView{
-			Upstream: u.ID, Service: u.Service, Address: u.Address, Role: string(u.Role), Leaving: u.Leaving, Down: d.dispatcher.IsDown(u.ID),
-		})
-	}
-	for _, r := range d.prompts.Blamed(now) {
-		s.RefusedParts = append(s.RefusedParts, operatorapi.RefusedPartView{
-			Service: r.Service, Part: r.Part, Engines: r.Engines, SinceCrashMs: r.CrashAgoMs, SinceTryMs: r.TryAgoMs, SinceRefusalMs: r.SeenAgoMs,
-		})
-	}
-	s.Limits, s.Closed = d.gate.Limits.All(now), d.gate.All(now)
-	for _, p := range d.peers.All() {
-		s.Daemons = append(s.Daemons, operatorapi.PeerView{
-			Daemon: p.Name, DataCentre: p.DataCentre, Address: p.Address, Version: p.Version, SinceHeardMs: now - p.LastHeardMs, Leaving: p.Leaving,
-		})
-	}
-	return s
-}
-
-// addSeeds adds the seeds of the settings as peers.
-func (d *platformDaemon) addSeeds(seeds []string) {
-	for _, seed := range seeds {
-		host, _, err := net.SplitHostPort(seed)
-		if err != nil || !d.peers.AddAddress(net.JoinHostPort(host, strconv.Itoa(d.settings.FirstPort)), "") {
-			d.log.Warn("seed in the settings is not IP:PORT; ignoring it", zap.String("seed", seed), zap.Error(err))
-		}
-	}
-}
-
-// registration is a daemon's entry in the list of daemons.
-type registration struct {
-	Address    string `json:"address"`
-	DataCentre string `json:"dataCentre"`
-}
-
-// addListed adds a daemon of the list as a peer.
-func (d *platformDaemon) addListed(name string, raw []byte) {
-	var e registration
-	if err := json.Unmarshal(raw, &e); err != nil || !d.peers.AddAddress(e.Address, e.DataCentre) {
-		d.log.Warn("invalid entry in the list of daemons; ignoring it", zap.String("peer", name), zap.Error(err))
-	}
-}
-
-// runRegistration writes this daemon's entry in the list of daemons, retrying until
-// the store accepts it.
-func (d *platformDaemon) runRegistration(ctx context.Context) {
-	raw, err := json.Marshal(registration{Address: d.datagramAddress(), DataCentre: d.settings.DataCentre})
-	if err != nil {
-		d.log.Error("this daemon's entry in the list of daemons can't be encoded", zap.Error(err))
-		return
-	}
-	for ctx.Err() == nil {
-		attemptCtx, cancel := context.WithTimeout(ctx, registrationTimeout.Duration())
-		err := d.store.Put(attemptCtx, directory.Daemons, d.settings.Name, raw)
-		cancel()
-		if err == nil {
-			return
-		}
-		clock.Sleep(ctx, registrationRetryDelay)
-	}
-}
-
 // drain takes the daemon out of service and waits for the requests in flight until
 // shortly before the kill or until hard is done.
 func (d *platformDaemon) drain(hard context.Context) {
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -15,12 +15,9 @@
 package capacity
 
 import (
-	"fmt"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 
 	"hemlockmux.example/common/clock"
@@ -159,110 +156,6 @@
 	return clock.Millis(float64(v.lengths.expect(r.ExpectedTokens, 0, r.MaxTokens)) * v.meanPaceLocked())
 }
 
-// PlaceOptions restricts and informs the choice of engines for a run.
-type PlaceOptions struct {
-	// SkipPrefill says that the run needs no prefill engine because its prompt has
-	// already been prefilled.
-	SkipPrefill bool
-	// Exclude holds the ids of engines that must not be chosen.
-	Exclude map[string]bool
-	// CompetingRuns is the estimated number of runs of other daemons that wait for
-	// a placement; 0 turns random admission off.
-	CompetingRuns float64
-	// RetryIntervalMs is the mean time, in ms, between two placement attempts of
-	// each competing run.
-	RetryIntervalMs float64
-}
-
-// Place chooses a decode engine with sufficient capacity for the run and, unless
-// SkipPrefill is set, a prefill engine with a short backlog, and reserves both. It
-// returns the run with its engines, or false if no placement is possible.
-func (v *View) Place(r Run, o PlaceOptions, now clock.Millis) (Run, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	best, need := v.chooseDecodeLocked(r, o, now)
-	if best == nil {
-		return r, false
-	}
-	r.Engine, r.DataCentre, r.observedMs, r.Prefill = best.ID, best.DataCentre, now, ""
-	r.MemoryUse = float64(need) / float64(best.MemoryTokens)
-	if !o.SkipPrefill {
-		p := v.choosePrefillLocked(best, o.Exclude, now)
-		if p == nil && v.prefillEngineCountLocked(r.Service) > 0 {
-			return r, false
-		}
-		if p != nil { // otherwise the decode engine prefills the prompt itself
-			v.reservePrefillLocked(p, r, now)
-			r.Prefill = p.ID
-		}
-	}
-	best.runs[localOwner][r.ID] = r
-	v.engineOf[r.ID] = best.ID
-	return r, true
-}
-
-// chooseDecodeLocked returns the decode engine with the lowest cost among those with
-// sufficient capacity, and the peak memory that its runs will need with this one. It
-// returns nil if there is none.
-func (v *View) chooseDecodeLocked(r Run, o PlaceOptions, now clock.Millis) (best *engine, need int) {
-	best, need = v.chooseAmongLocked(r, o, false, now)
-	if best == nil {
-		best, need = v.chooseAmongLocked(r, o, true, now)
-	}
-	return best, need
-}
-
-// chooseAmongLocked is chooseDecodeLocked for the engines that have runs which are not known here,
-// or for the others. Daemons that know little of the same engines spread their choices.
-func (v *View) chooseAmongLocked(r Run, o PlaceOptions, foreign bool, now clock.Millis) (best *engine, need int) {
-	bestCost := 0.0
-	for _, e := range v.sortedLocked() {
-		if e.Service != r.Service || o.Exclude[e.ID] || e.MemoryTokens == 0 || (e.Foreign != nil) != foreign || e.count() >= e.Slots {
-			continue
-		}
-		n := v.peakLocked(e, &r, now)
-		free := (v.limits.MaxMemoryUse-e.Margin)*float64(e.MemoryTokens) - float64(n)
-		if free < 0 || !v.mayReserveLocked(e, o, 1+math.Floor(free/float64(r.PromptTokens+r.ExpectedTokens+1))) {
-			continue
-		}
-		cost := float64(n)/float64(e.MemoryTokens) + e.Cost
-		if foreign {
-			cost += foreignSpread * v.random()
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost, need = e, cost, n
-		}
-	}
-	return best, need
-}
-
-// mayReserveLocked decides at random whether this daemon may reserve part of an
-// engine's remaining capacity, given in runs. Other daemons try at the same time and
-// their updates are still in transit, so each daemon reserves with a probability at
-// which all of them together stay within the capacity.
-func (v *View) mayReserveLocked(e *engine, o PlaceOptions, capacity float64) bool {
-	if o.CompetingRuns == 0 {
-		return true
-	}
-	// staleness is the fraction of competing attempts that are not reported yet.
-	staleness := min(1, e.UpdateDelayMs/o.RetryIntervalMs)
-	unseen, share := o.CompetingRuns*staleness, capacity*max(minFarShare, 1-staleness)
-	return unseen <= share || v.random()*unseen < share
-}
-
-// Fits reports whether any engine of the run's service is large enough to hold the
-// run's prompt while nothing else runs there.
-func (v *View) Fits(r Run) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, e := range v.engines {
-		if e.Service == r.Service && r.PromptTokens < e.MemoryTokens {
-			return true
-		}
-	}
-	return false
-}
-
 func (v *View) sortedLocked() []*engine {
 	all := make([]*engine, 0, len(v.engines))
 	for _, id := range slices.Sorted(maps.Keys(v.engines)) {
@@ -311,26 +204,6 @@
 	return peak(loads)
 }
 
-// MeanLoad returns the mean predicted peak memory, as a fraction of an engine's memory, and the mean
-// number of runs of a data centre's decode engines.
-func (v *View) MeanLoad(dataCentre string, now clock.Millis) (memoryUse, runs float64) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	n := 0.0
-	for _, e := range v.engines {
-		if e.DataCentre != dataCentre || e.MemoryTokens == 0 {
-			continue
-		}
-		n++
-		memoryUse += float64(v.peakLocked(e, nil, now)) / float64(e.MemoryTokens)
-		runs += float64(e.count())
-	}
-	if n == 0 {
-		return 1, 0
-	}
-	return memoryUse / n, runs / n
-}
-
 // Progress records how many tokens one of this daemon's runs has generated.
 func (v *View) Progress(id string, generated int, now clock.Millis) {
 	v.mu.Lock()
@@ -441,56 +314,3 @@
 		}
 	}
 }
-
-// MemoryUse returns, by engine id, the predicted peak memory of each decode engine
-// as a fraction of its memory.
-func (v *View) MemoryUse(now clock.Millis) map[string]float64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	use := map[string]float64{}
-	for id, e := range v.engines {
-		if e.MemoryTokens > 0 {
-			use[id] = float64(v.peakLocked(e, nil, now)) / float64(e.MemoryTokens)
-		}
-	}
-	return use
-}
-
-// Summary describes the state behind a failed placement: the runs and predicted
-// peak memory of each decode engine and the backlog of each prefill engine.
-func (v *View) Summary(now clock.Millis) string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var b strings.Builder
-	for _, e := range v.sortedLocked() {
-		if e.MemoryTokens > 0 {
-			fmt.Fprintf(&b, "%s: %d runs, %d %% memory; ", e.ID, e.count(), 100*v.peakLocked(e, nil, now)/e.MemoryTokens)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(v.prefillEngines)) {
-		fmt.Fprintf(&b, "%s: backlog %.0f ms; ", id, v.prefillEngines[id].backlog(now))
-	}
-	return strings.TrimSuffix(b.String(), "; ")
-}
-
-// Status is the state of one decode engine.
-type Status struct {
-	Engine
-	// Runs is the number of runs of all daemons at the engine.
-	Runs int
-	// Peak is the predicted peak memory in tokens.
-	Peak int
-	// MsPerToken is the moving average of the decode time per token.
-	MsPerToken float64
-}
-
-// Engines returns the state of every known decode engine.
-func (v *View) Engines(now clock.Millis) []Status {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var all []Status
-	for _, e := range v.sortedLocked() {
-		all = append(all, Status{Engine: e.Engine, Runs: e.count(), Peak: v.peakLocked(e, nil, now), MsPerToken: e.msPerToken})
-	}
-	return all
-}
--- /dev/null
+++ b/standin/internal/usersplatform/streams.go
@@ -0,0 +1,89 @@
+package usersplatform
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+func (s *Server) consumeHandle(handle string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ok := s.handles[handle]
+	delete(s.handles, handle)
+	return ok
+}
+
+func (s *Server) servePlain(w http.ResponseWriter, body []byte, fault ServerFault) {
+	time.Sleep(plainCallDuration)
+	if fault.DropResponses {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Server-Seal", "seal-"+s.spec.ID)
+	_, _ = fmt.Fprintf(w, "answer of %d bytes asked", len(body))
+}
+
+func (s *Server) prefill(w http.ResponseWriter) {
+	time.Sleep(prefillDuration)
+	var random [8]byte
+	_, _ = rand.Read(random[:]) // crypto/rand.Read never fails.
+	handle := hex.EncodeToString(random[:])
+	s.mu.Lock()
+	s.handles[handle] = true
+	s.mu.Unlock()
+	time.AfterFunc(handleTTL, func() { s.consumeHandle(handle) })
+	reply(w, http.StatusOK, map[string]any{"KvHandle": handle, "Tokens": 100, "Version": 1})
+}
+
+// fetchPrefillResult fetches a prefill result from the server that holds it. A result
+// can be fetched once; false means that it was fetched before or has expired.
+func (s *Server) fetchPrefillResult(source string) bool {
+	address, handle, ok := strings.Cut(source, "/")
+	if !ok {
+		return false
+	}
+	from := s.platform.serverAt(address)
+	return from != nil && from.consumeHandle(handle)
+}
+
+// stream sends one event for each tokensPerEvent output tokens, up to the number of
+// output tokens that X-Token-Count requests, starting after Last-Event-Id.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault ServerFault) {
+	_, out, _ := strings.Cut(r.Header.Get("X-Token-Count"), ",")
+	tokens, _ := strconv.Atoi(out)
+	first := 0
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = after
+	}
+	w.Header().Set("X-Server-Seal", "seal-"+s.spec.ID)
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w).Flush
+	for i := first + 1; i <= tokens/tokensPerEvent; i++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-s.done:
+			panic(http.ErrAbortHandler)
+		case <-time.After(eventInterval):
+		}
+		if fault.ResetAfterEvents > 0 && i-first > fault.ResetAfterEvents {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", i) // in the middle of an event
+			_ = flush()
+			panic(http.ErrAbortHandler)
+		}
+		if fault.EndAfterEvents > 0 && i-first > fault.EndAfterEvents {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i); err != nil {
+			return
+		}
+		if flush() != nil {
+			return
+		}
+	}
+}
