--- a/hemlockd/internal/app/fleet_test.go
+++ b/hemlockd/internal/app/fleet_test.go
@@ -402,7 +402,7 @@
 		Control: d.host + fleetControlPort, StartedMs: 1, BytesPerSecond: peers.DefaultBytesPerSecond, LinkMbps: d.link.bytesPerMs * 8 / 1000, Network: d,
 	}, peers.Handlers{
 		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view,
-		Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(d.name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Leaving: func([]upstreamgate.News, string) {}, Load: func() peers.EngineLoad { return peers.EngineLoad{} }, Unreachable: func([]string) {}, ChangingRole: func([]string) {},
+		Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(d.name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Leaving: func([]upstreamgate.Target, string) {}, Load: func() peers.EngineLoad { return peers.EngineLoad{} }, Unreachable: func([]string) {}, ChangingRole: func([]string) {},
 		Versions: d.directory.HearPeer, Freshness: d.directory.Freshness, Confirmed: d.directory.Confirm,
 		Snapshot: d.directory.Snapshot, Beliefs: func() operatorapi.DaemonView { return operatorapi.DaemonView{} },
 	})
--- a/hemlockd/internal/app/limits.go
+++ b/hemlockd/internal/app/limits.go
@@ -40,7 +40,7 @@
 func (d *platformDaemon) noticeChanged(n upstreamgate.Notice) {
 	logNotice(d.log, n)
 	if n.Leaving {
-		d.peers.Broadcast(peers.Update{Leaving: []upstreamgate.News{{Upstream: n.Upstream, StartedMs: n.StartedMs}}})
+		d.peers.Broadcast(peers.Update{Leaving: []upstreamgate.Target{n.Target}})
 	}
 	d.dispatcher.RefreshEngines()
 }
@@ -52,13 +52,13 @@
 }
 
 // logLeavingNews logs what an upstream has told another daemon of its shutdown.
-func logLeavingNews(log *zap.Logger, n upstreamgate.News, from string) {
+func logLeavingNews(log *zap.Logger, n upstreamgate.Target, from string) {
 	log.Info("an upstream has announced that it takes no calls", zap.String("upstream", n.Upstream), zap.Bool("leaving", true),
 		zap.Int64("startedMs", int64(n.StartedMs)), zap.String("source", from))
 }
 
 // upstreamsLeaving takes upstreams out of use that have told another daemon that they shut down.
-func (d *platformDaemon) upstreamsLeaving(news []upstreamgate.News, from string) {
+func (d *platformDaemon) upstreamsLeaving(news []upstreamgate.Target, from string) {
 	for _, n := range news {
 		logLeavingNews(d.log, n, from)
 	}
--- a/hemlockd/internal/app/ownlimits.go
+++ b/hemlockd/internal/app/ownlimits.go
@@ -23,7 +23,7 @@
 func (d *Daemon) noticeChanged(n upstreamgate.Notice) {
 	logNotice(d.env.Log, n)
 	if n.Leaving {
-		d.tellDataCentre(daemons.LimitRequest{Leaving: []upstreamgate.News{{Upstream: n.Upstream, StartedMs: n.StartedMs}}})
+		d.tellDataCentre(daemons.LimitRequest{Leaving: []upstreamgate.Target{n.Target}})
 	}
 }
 
--- a/hemlockd/internal/daemons/messages.go
+++ b/hemlockd/internal/daemons/messages.go
@@ -109,7 +109,7 @@
 	// News says what the sender knows of limits.
 	News []upstreamlimits.News `json:"news,omitempty"`
 	// Leaving holds upstreams that have just said that they shut down.
-	Leaving []upstreamgate.News `json:"leaving,omitempty"`
+	Leaving []upstreamgate.Target `json:"leaving,omitempty"`
 }
 
 // LimitAnswer is the share that was asked for.
--- a/hemlockd/internal/peers/cell_test.go
+++ b/hemlockd/internal/peers/cell_test.go
@@ -76,7 +76,7 @@
 		View: view, Suspects: suspects.New(), Prompts: prompts.New(),
 		Gate:            upstreamgate.New(upstreamlimits.New("d0", 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}),
 		CapacityChanged: func() {}, Versions: func(string, int64, int64, bool) {}, Unreachable: func([]string) {}, ChangingRole: func([]string) {},
-		Leaving: func([]upstreamgate.News, string) {}, Load: func() EngineLoad { return EngineLoad{MemoryUse: 0.4, Runs: 3} },
+		Leaving: func([]upstreamgate.Target, string) {}, Load: func() EngineLoad { return EngineLoad{MemoryUse: 0.4, Runs: 3} },
 		Freshness: func() *Freshness { return &Freshness{} }, Confirmed: func(Freshness, int64, int64) {},
 	})
 	if err != nil {
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -60,7 +60,7 @@
 	// Limits says what the sender knows of the limits that upstreams name.
 	Limits []upstreamlimits.News `json:"limits,omitempty"`
 	// LeavingUpstreams holds upstreams that have said lately that they shut down.
-	LeavingUpstreams []upstreamgate.News `json:"leavingUpstreams,omitempty"`
+	LeavingUpstreams []upstreamgate.Target `json:"leavingUpstreams,omitempty"`
 	// LimitAsks asks the receiver for shares of limits, and LimitGrants gives it some.
 	LimitAsks   []upstreamlimits.Ask   `json:"limitAsks,omitempty"`
 	LimitGrants []upstreamlimits.Grant `json:"limitGrants,omitempty"`
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -107,7 +107,7 @@
 	Gate *upstreamgate.Gate
 	// Leaving is called with upstreams of which another daemon says that they shut down, if that was
 	// not known.
-	Leaving func(news []upstreamgate.News, from string)
+	Leaving func(news []upstreamgate.Target, from string)
 	// Load returns the load of this data centre's engines, to be sent to other cells.
 	Load func() EngineLoad
 	// CapacityChanged is called when runs of other daemons may have ended.
@@ -149,7 +149,7 @@
 	// Limits holds news of limits that upstreams name.
 	Limits []upstreamlimits.News
 	// Leaving holds upstreams that have just said that they shut down.
-	Leaving []upstreamgate.News
+	Leaving []upstreamgate.Target
 }
 
 // Daemon is the last known state of another daemon.
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -48,7 +48,7 @@
 	}, Handlers{
 		Version: func() int64 { return n.version.Load() }, ListVersion: func() int64 { return 0 }, FollowsStore: func() bool { return true },
 		View: n.view, Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Versions: n.hear,
-		Unreachable: func([]string) {}, ChangingRole: func([]string) {}, Leaving: func([]upstreamgate.News, string) {}, Load: func() EngineLoad { return EngineLoad{} },
+		Unreachable: func([]string) {}, ChangingRole: func([]string) {}, Leaving: func([]upstreamgate.Target, string) {}, Load: func() EngineLoad { return EngineLoad{} },
 		Freshness: func() *Freshness { return &Freshness{ListAgeMs: 1} }, Confirmed: func(Freshness, int64, int64) {},
 		Snapshot: func(SnapshotRequest) (Snapshot, error) {
 			return Snapshot{Version: n.version.Load(), Content: n.content}, nil
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -122,7 +122,7 @@
 
 // applyLeaving records the upstreams of which a message says that they shut down.
 func (p *Peers) applyLeaving(s State, now clock.Millis) {
-	var news []upstreamgate.News
+	var news []upstreamgate.Target
 	for _, n := range s.LeavingUpstreams {
 		if p.handlers.Gate.Merge(n, now) {
 			news = append(news, n)
--- a/hemlockd/internal/upstreamgate/gate.go
+++ b/hemlockd/internal/upstreamgate/gate.go
@@ -75,12 +75,12 @@
 // ProblemReason returns the reason that callers are told.
 func (r Reason) ProblemReason() problem.Reason { return problemReasons[r] }
 
-// Target is one process of an upstream.
+// Target is one process of an upstream. Daemons tell each other which of them shut down.
 type Target struct {
 	// Upstream is the upstream's ID.
-	Upstream string
+	Upstream string `json:"upstream"`
 	// StartedMs is the start of its process (Unix ms); 0 where the platform does not tell it.
-	StartedMs clock.Millis
+	StartedMs clock.Millis `json:"startedMs"`
 }
 
 // TargetOf returns the process that is listed for an upstream.
--- a/hemlockd/internal/upstreamgate/gate_test.go
+++ b/hemlockd/internal/upstreamgate/gate_test.go
@@ -151,7 +151,7 @@
 		t.Errorf("changes %+v, news %v", changes, g.Recent(now))
 	}
 	other := newGate(func(Notice) { t.Error("news was reported as an own observation") })
-	if !other.Merge(News{"a", 3}, now) || other.Merge(News{"a", 3}, now) || other.Merge(News{"a", 2}, now) {
+	if !other.Merge(Target{"a", 3}, now) || other.Merge(Target{"a", 3}, now) || other.Merge(Target{"a", 2}, now) {
 		t.Error("news is a change just once")
 	}
 	if other.Check(Target{Upstream: "a", StartedMs: 3}, now) != Leaving {
--- a/hemlockd/internal/upstreamgate/notices.go
+++ b/hemlockd/internal/upstreamgate/notices.go
@@ -30,13 +30,6 @@
 	PauseMs clock.Millis
 }
 
-// News tells other daemons that a process shuts down.
-type News struct {
-	// Upstream is the upstream's ID, and StartedMs the start of its process.
-	Upstream  string       `json:"upstream"`
-	StartedMs clock.Millis `json:"startedMs"`
-}
-
 // notices holds what upstreams have announced.
 type notices struct {
 	onChange func(Notice)
@@ -72,9 +65,10 @@
 	}
 }
 
-// Merge records what another daemon says of a shutdown. It reports whether that was not known before.
-func (g *Gate) Merge(n News, now clock.Millis) bool {
-	return g.notices.add(Notice{Target: Target{Upstream: n.Upstream, StartedMs: n.StartedMs}, Leaving: true}, now)
+// Merge records that a process shuts down, as another daemon says. It reports whether that was not
+// known before.
+func (g *Gate) Merge(leaving Target, now clock.Millis) bool {
+	return g.notices.add(Notice{Target: leaving, Leaving: true}, now)
 }
 
 // Reopen records that a process which does not shut down has answered a health check. It is used where
@@ -173,18 +167,18 @@
 	return max(0, u.pausedUntilMs-now)
 }
 
-// Recent returns the shutdowns heard of lately, for other daemons.
-func (g *Gate) Recent(now clock.Millis) []News {
+// Recent returns the processes whose shutdown was heard of lately, for other daemons.
+func (g *Gate) Recent(now clock.Millis) []Target {
 	s := &g.notices
 	if s.count.Load() == 0 {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var all []News
+	var all []Target
 	for _, id := range slices.Sorted(maps.Keys(s.upstreams)) {
 		if u := s.upstreams[id]; u.leaving && now-u.leavingMs <= leavingNewsSpan {
-			all = append(all, News{Upstream: id, StartedMs: u.startedMs})
+			all = append(all, Target{Upstream: id, StartedMs: u.startedMs})
 		}
 	}
 	return all
