--- a/hemlockd/internal/peers/cell.go
+++ b/hemlockd/internal/peers/cell.go
@@ -16,6 +16,8 @@
 	// before it counts as silent, where rounds reach each daemon too rarely for
 	// minAliveTimeout.
 	maxMissedStates = 3
+	// maxSilent is the maximum number of silent daemons in one message.
+	maxSilent = 16
 	// loadLifetime is how long another cell's load counts after it was told.
 	loadLifetime = 5 * clock.Second
 )
@@ -88,6 +90,32 @@
 	return max(minAliveTimeout, maxMissedStates*rounds*fullStateInterval)
 }
 
+// silentNeighbours returns some daemons of this data centre that have fallen silent. Other cells hear
+// from each daemon too rarely to find out soon.
+func (p *Peers) silentNeighbours() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, limit := p.options.Clock.Now(), p.aliveTimeoutLocked(p.options.DataCentre)
+	var silent []string
+	for name, d := range p.daemons {
+		if d.DataCentre == p.options.DataCentre && now-d.LastHeardMs > limit && len(silent) < maxSilent {
+			silent = append(silent, name)
+		}
+	}
+	return silent
+}
+
+// markSilentLocked records what a daemon of another cell says of its neighbours. A daemon that was heard
+// from since counts as alive.
+func (p *Peers) markSilentLocked(s State, now clock.Millis) {
+	for _, name := range s.Silent {
+		d, ok := p.daemons[name]
+		if ok && d.DataCentre == s.DataCentre && p.cellOfLocked(d.DataCentre) != ownCell && now-d.LastHeardMs > minAliveTimeout {
+			d.silent = true
+		}
+	}
+}
+
 // forgetAfterLocked returns how long a silent daemon of a data centre is still sent messages.
 func (p *Peers) forgetAfterLocked(dataCentre string) clock.Millis {
 	return max(forgetAfter, 2*p.aliveTimeoutLocked(dataCentre))
--- a/hemlockd/internal/peers/cell_test.go
+++ b/hemlockd/internal/peers/cell_test.go
@@ -166,6 +166,45 @@
 	}
 }
 
+// TestDeathInAnotherCellIsToldByItsNeighbours guards shares of limits that a dead daemon should grant: other
+// cells hear from each daemon so rarely that they would take it for alive for minutes.
+func TestDeathInAnotherCellIsToldByItsNeighbours(t *testing.T) {
+	m := joinFleet(t, 295)
+	dead, neighbour := m.others[1], m.others[7] // both of data centre c
+	has := func() bool {
+		for _, d := range m.Alive() {
+			if d.Name == dead.Name {
+				return true
+			}
+		}
+		return false
+	}
+	tell := func() {
+		neighbour.Sequence++
+		neighbour.Silent = []string{dead.Name, "unknown", m.others[0].Name}
+		m.apply(neighbour)
+	}
+	tell()
+	if !has() {
+		t.Error("a daemon that was just heard from counts as dead")
+	}
+	m.time.Advance(minAliveTimeout + 1)
+	if tell(); has() {
+		t.Error("a daemon that its neighbours do not hear counts as alive")
+	}
+	if len(m.Alive()) != len(m.others)-1 {
+		t.Errorf("%d of %d are alive: a daemon speaks for its own data centre only", len(m.Alive()), len(m.others))
+	}
+	dead.Sequence++
+	if m.apply(dead); !has() {
+		t.Error("a daemon that speaks again counts as dead")
+	}
+	m.time.Advance(m.aliveTimeoutLocked("a") + 1)
+	if n := len(m.silentNeighbours()); n != maxSilent {
+		t.Errorf("%d silent neighbours are told of, want %d", n, maxSilent)
+	}
+}
+
 // TestFarDaemonsThatSpeakRarelyAreAlive lets each daemon of a large fleet speak as often as it does in turn.
 func TestFarDaemonsThatSpeakRarelyAreAlive(t *testing.T) {
 	const size = 295
--- a/hemlockd/internal/peers/known.go
+++ b/hemlockd/internal/peers/known.go
@@ -92,7 +92,7 @@
 	now := p.options.Clock.Now()
 	var alive []Daemon
 	for _, name := range slices.Sorted(maps.Keys(p.daemons)) {
-		if d := p.daemons[name]; now-d.LastHeardMs <= p.aliveTimeoutLocked(d.DataCentre) {
+		if d := p.daemons[name]; !d.silent && now-d.LastHeardMs <= p.aliveTimeoutLocked(d.DataCentre) {
 			alive = append(alive, *d)
 		}
 	}
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -66,6 +66,9 @@
 	LimitGrants []upstreamlimits.Grant `json:"limitGrants,omitempty"`
 	// Leaving reports whether the sender is shutting down.
 	Leaving bool `json:"leaving,omitempty"`
+	// Silent holds daemons of the sender's data centre that have fallen silent, in full states for
+	// other cells.
+	Silent []string `json:"silent,omitempty"`
 	// Load is the load of the sender's data centre, in full states for other cells.
 	Load *EngineLoad `json:"load,omitempty"`
 	// Freshness is part of full states.
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -172,6 +172,7 @@
 	LinkMbps         float64 `json:"linkMbps"`
 	startedMs        int64
 	hasRuns          bool // runs of it are in the view
+	silent           bool // daemons of its data centre do not hear it
 	lastSequence     int64
 	lastFullSequence int64 // of the last full-state message
 }
@@ -286,7 +287,7 @@
 		s.Runs = runs
 		if cell != ownCell {
 			load := p.handlers.Load()
-			s.Load = &load
+			s.Load, s.Silent = &load, p.silentNeighbours()
 			s.Runs = slices.DeleteFunc(slices.Clone(runs), func(r capacity.Run) bool { return !r.IsAt(cell) })
 		}
 		p.send(s, to)
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -61,6 +61,7 @@
 	}
 	stale := s.StartedMs < d.startedMs || s.Sequence < d.lastFullSequence || s.Full && s.Sequence < d.lastSequence
 	if s.StartedMs == d.startedMs {
+		d.silent = false
 		d.LastHeardMs, d.Version, d.Leaving, d.FollowsStore = now, max(d.Version, s.Version), s.Leaving, s.FollowsStore
 		d.Address, d.Control, d.DataCentre, d.LinkMbps = s.Address, s.Control, s.DataCentre, s.LinkMbps
 		d.lastSequence = max(d.lastSequence, s.Sequence)
@@ -70,6 +71,7 @@
 			d.lastFullSequence = s.Sequence
 		}
 	}
+	p.markSilentLocked(s, now)
 	p.mu.Unlock()
 	if !known {
 		p.options.Log.Info("first message received from another daemon", zap.String("peer", s.Name), zap.String("address", s.Address))
