Runs of a daemon that its neighbours call silent are dropped at once

A dead daemon of another cell would otherwise count as load at the engines where it had placed runs for 93 s at 295 daemons. The test of its death checks it (red before).

--- a/hemlockd/internal/peers/cell_test.go
+++ b/hemlockd/internal/peers/cell_test.go
@@ -184,6 +184,7 @@
 		neighbour.Silent = []string{dead.Name, "unknown", m.others[0].Name}
 		m.apply(neighbour)
 	}
+	m.daemons[dead.Name].hasRuns = true
 	tell()
 	if !has() {
 		t.Error("a daemon that was just heard from counts as dead")
@@ -192,6 +193,9 @@
 	if tell(); has() {
 		t.Error("a daemon that its neighbours do not hear counts as alive")
 	}
+	if m.forgetSilent(); m.daemons[dead.Name].hasRuns {
+		t.Error("runs of a dead daemon still count as load")
+	}
 	if len(m.Alive()) != len(m.others)-1 {
 		t.Errorf("%d of %d are alive: a daemon speaks for its own data centre only", len(m.Alive()), len(m.others))
 	}
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -295,13 +295,13 @@
 }
 
 // forgetSilent drops the runs of daemons that have been silent for longer than
-// runRetention, and the daemons themselves after forgetAfter.
+// runRetention, or as long as others like them may be, and the daemons themselves after forgetAfter.
 func (p *Peers) forgetSilent() {
 	now := p.options.Clock.Now()
 	var silent []string
 	p.mu.Lock()
 	for name, d := range p.daemons {
-		if d.hasRuns && now-d.LastHeardMs > max(runRetention, p.aliveTimeoutLocked(d.DataCentre)) {
+		if d.hasRuns && (d.silent || now-d.LastHeardMs > max(runRetention, p.aliveTimeoutLocked(d.DataCentre))) {
 			d.hasRuns = false
 			silent = append(silent, name)
 		}
