A call that is not sent names the reason for which it was not taken

Found by reading the diff: the reason was asked again after the take, when a share of a limit may be there already; the attempt then had no cause, and the next engine took a retry from the budget. The take returns its reason now.

--- a/hemlockd/internal/dispatch/closed.go
+++ b/hemlockd/internal/dispatch/closed.go
@@ -13,12 +13,10 @@
 }
 
 // take is [Dispatcher.take]. It records that an upstream was passed over.
-func (x *exchange) take(u routing.Upstream) bool {
-	if x.d.take(u) == upstreamgate.Open {
-		return true
-	}
-	x.closedSkipped = true
-	return false
+func (x *exchange) take(u routing.Upstream) upstreamgate.Reason {
+	reason := x.d.take(u)
+	x.closedSkipped = x.closedSkipped || reason != upstreamgate.Open
+	return reason
 }
 
 // open reports whether a call may be sent to an upstream now, and records if it is passed over.
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -133,12 +133,15 @@
 		return false
 	}
 	for {
-		if !m.engineOpen() && !m.placeElsewhere(m.engineClosedError()) {
-			m.giveUp(reasonBusy)
-			return false
+		if reason := m.engineClosed(); reason != upstreamgate.Open {
+			m.closedSkipped = true
+			if !m.placeElsewhere(upstreamgate.CallError(m.run.Engine, calls.PhaseDecode, reason)) {
+				m.giveUp(reasonBusy)
+				return false
+			}
 		}
 		prefilled := m.prefill()
-		if !prefilled && !m.blamed() && !m.engineOpen() {
+		if !prefilled && !m.blamed() && m.engineClosed() != upstreamgate.Open {
 			continue
 		}
 		if !prefilled || m.blamed() {
@@ -275,21 +278,17 @@
 // decode, which reports it.
 func (m *modelRun) takeEngine(id string) bool {
 	u, ok := m.upstream(id)
-	return !ok || m.take(u)
+	return !ok || m.take(u) == upstreamgate.Open
 }
 
-// engineOpen reports whether the run's decode engine may be called. One that is not listed any more is
-// left to decode.
-func (m *modelRun) engineOpen() bool {
+// engineClosed returns why the run's decode engine may not be called because of what it has announced,
+// or [upstreamgate.Open]. One that is not listed any more is left to decode.
+func (m *modelRun) engineClosed() upstreamgate.Reason {
 	u, ok := m.upstream(m.run.Engine)
-	return !ok || m.d.opts.Gate.CheckNotices(upstreamgate.TargetOf(u), m.now()) == upstreamgate.Open
-}
-
-// engineClosedError is the result of a decode call that is not sent.
-func (m *modelRun) engineClosedError() *calls.Error {
-	m.closedSkipped = true
-	u, _ := m.upstream(m.run.Engine)
-	return upstreamgate.CallError(m.run.Engine, calls.PhaseDecode, m.d.opts.Gate.Check(upstreamgate.TargetOf(u), m.now()))
+	if !ok {
+		return upstreamgate.Open
+	}
+	return m.d.opts.Gate.CheckNotices(upstreamgate.TargetOf(u), m.now())
 }
 
 // upstream returns the upstream of the run's service with the id, if it is listed.
@@ -311,8 +310,10 @@
 			Err: errors.New("engine is no longer listed in the directory"),
 		}
 	}
-	if !m.callTaken && !m.take(u) {
-		return nil, m.engineClosedError()
+	if !m.callTaken {
+		if reason := m.take(u); reason != upstreamgate.Open {
+			return nil, upstreamgate.CallError(u.ID, calls.PhaseDecode, reason)
+		}
 	}
 	m.callTaken = false
 	start := m.now()
--- a/hemlockd/internal/dispatch/plainrun.go
+++ b/hemlockd/internal/dispatch/plainrun.go
@@ -9,6 +9,7 @@
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/routing"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 )
 
 // errOvertaken reports that a call was ended because another upstream has answered it.
@@ -124,7 +125,7 @@
 			return false
 		}
 		paid = true // whichever upstream takes the call
-		if !r.take(u) {
+		if r.take(u) != upstreamgate.Open {
 			continue
 		}
 		r.tried[u.ID] = true
--- a/hemlockd/internal/dispatch/prefill.go
+++ b/hemlockd/internal/dispatch/prefill.go
@@ -8,6 +8,7 @@
 	"hemlockmux.example/common/routing"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/peers"
+	"hemlockmux.example/hemlockd/internal/upstreamgate"
 )
 
 const (
@@ -62,11 +63,11 @@
 		id := m.run.Prefill
 		tried[id] = true
 		u, ok := m.upstream(id)
-		if !ok || !m.take(u) {
+		if !ok || m.take(u) != upstreamgate.Open {
 			m.finishPrefill(false)
 			continue
 		}
-		if !m.engineOpen() {
+		if m.engineClosed() != upstreamgate.Open {
 			return false // the result would be for nothing
 		}
 		if m.prefillCalls > 0 && !m.d.opts.Retries.Take(m.service, m.now()) {
