--- a/hemlockd/internal/directory/follower.go
+++ b/hemlockd/internal/directory/follower.go
@@ -29,9 +29,6 @@
 	// standbyPause is the time between two checks of whether this daemon should
 	// follow the store.
 	standbyPause = 400 * clock.Millisecond
-	// settleTime is the time after its start for which a daemon that has read all entries does
-	// not follow the store: it does not know yet which others do.
-	settleTime = 1500 * clock.Millisecond
 	// minBackoff is the pause after a failed call; it doubles with each further one.
 	minBackoff = 50 * clock.Millisecond
 	// maxBackoff is the longest pause after a failed call.
@@ -49,17 +46,18 @@
 }
 
 func (f *follower) run(ctx context.Context) {
-	pause, settledMs := minBackoff, f.d.o.Clock.Now()+settleTime
+	pause := minBackoff
 	for ctx.Err() == nil {
-		if f.known && f.d.o.Clock.Now() < settledMs {
-			clock.Sleep(ctx, standbyPause)
+		standby := !f.d.o.ShouldFollowStore()
+		if f.known && standby && !f.d.Ready() { // other topics are still being read
+			clock.Sleep(ctx, minBackoff)
 			continue
 		}
-		if f.known && !f.d.o.ShouldFollowStore() {
+		if f.known && standby {
 			f.known = false
 			f.setFollowing(false)
 		}
-		if !f.known && f.d.Ready() && !f.d.o.ShouldFollowStore() {
+		if !f.known && f.d.Ready() && standby {
 			clock.Sleep(ctx, standbyPause)
 			continue
 		}
--- a/hemlockd/internal/peers/known.go
+++ b/hemlockd/internal/peers/known.go
@@ -14,6 +14,9 @@
 	// storeCandidates is the maximum number of daemons of a data centre that try to
 	// follow the store while it is unreachable.
 	storeCandidates = 6
+	// settleTime is the time after its start for which a daemon of a large fleet does not follow
+	// the store once it has read all entries: it does not know yet which others do.
+	settleTime = 1500 * clock.Millisecond
 )
 
 // ShouldFollowStore reports whether this daemon should follow the store. It should if,
@@ -24,6 +27,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, limit := p.options.Clock.Now(), p.aliveTimeoutLocked(p.options.DataCentre)
+	if len(p.addresses) >= maxCell && now < p.createdMs+settleTime {
+		return false
+	}
 	for _, d := range p.daemons {
 		if d.DataCentre != p.options.DataCentre || d.Leaving || now-d.LastHeardMs > limit || !p.isPrecededBy(d) {
 			continue
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -196,6 +196,7 @@
 	daemons  map[string]*Daemon // by name
 	// lastDroppedMs is when a message was last dropped for lack of send budget.
 	lastDroppedMs clock.Millis
+	createdMs     clock.Millis
 	// addresses holds the known datagram addresses, by IP:port.
 	addresses map[string]*peerAddress
 	// fleet is what this daemon knew of the others' number in the last round.
@@ -221,7 +222,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{
-		options: o, handlers: h, conn: conn, listener: listener, ctx: ctx, lastDroppedMs: -staleAfterDrop,
+		options: o, handlers: h, conn: conn, listener: listener, ctx: ctx, lastDroppedMs: -staleAfterDrop, createdMs: o.Clock.Now(),
 		serving: newServing(o.LinkMbps), callLog: logs.CallLogger{Log: o.Log, Metrics: metrics},
 		budget:  rate.NewLimiter(rate.Limit(o.BytesPerSecond), o.BytesPerSecond),
 		daemons: map[string]*Daemon{}, addresses: map[string]*peerAddress{}, loads: map[string]toldLoad{},
