--- a/hemlockd/e2e/usersplatform_notices_test.go
+++ b/hemlockd/e2e/usersplatform_notices_test.go
@@ -15,6 +15,20 @@
 	p.callAdmin(http.MethodPost, "/servers/"+server+"/announce", announcement)
 }
 
+// earnRetries sends calls of both kinds, so that the retry budget of a daemon that has just started allows
+// some repeats.
+func (p *usersPlatform) earnRetries(d *platformDaemon) {
+	var sending sync.WaitGroup
+	for i := range 40 {
+		sending.Go(func() {
+			p.send(d, fmt.Sprintf("earn-%d", i), "/order/x", "an order", nil)
+			p.stream(d, fmt.Sprintf("earn-%d-stream", i), "resumable", 1)
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	sending.Wait()
+}
+
 // serverArrivals returns the arrivals at a server from a moment on.
 func (p *usersPlatform) serverArrivals(server string, from time.Time) []arrival {
 	p.t.Helper()
@@ -87,6 +101,7 @@
 func TestPlatformServerThatTurnsAwayGetsNothingForAWhile(t *testing.T) {
 	const pause = 3 * time.Second
 	p := deployUsersPlatform(t, 1)
+	p.earnRetries(p.daemons[0])
 	paused := []string{"i-desk1", "i-dec1", "i-pre1"}
 	for _, server := range paused {
 		p.announce(server, map[string]any{"retryAfter": []string{"3"}})
@@ -133,7 +148,9 @@
 	for _, server := range []string{"i-desk1", "i-desk2"} {
 		p.announce(server, map[string]any{"retryAfter": []string{"20"}})
 	}
-	p.send(p.daemons[0], "first", "/order/x", "an order", nil)
+	for i := range 4 { // each server is asked once; a daemon that has just started has no budget for retries yet
+		p.send(p.daemons[0], fmt.Sprintf("first-%d", i), "/order/x", "an order", nil)
+	}
 	started := time.Now()
 	a := p.send(p.daemons[0], "second", "/order/x", "an order", nil)
 	if a.status != http.StatusServiceUnavailable || problemReason(a.body) != "upstreamsPaused" || time.Since(started) > 500*time.Millisecond {
