--- a/hemlockd/internal/upstreamgate/gate.go
+++ b/hemlockd/internal/upstreamgate/gate.go
@@ -49,9 +49,6 @@
 	Limited = Reason(calls.CauseLimited)
 )
 
-// Reasons lists all reasons for which calls are not sent.
-var Reasons = []Reason{Leaving, Paused, Limited}
-
 // LeavingHeader is "1" in the answers of an upstream of the own interface that shuts down.
 const LeavingHeader = "Upstream-Leaving"
 
