Log pages of the store that are not applied, and positions that it lacks

Change: a line for each such page of the store and one for each position that the store lacks. No change of decisions.

--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -228,8 +228,12 @@
 func (d *Directory) applyUpstreams(page directory.Page, full bool, source string) bool {
 	now := d.o.Clock.Now()
 	d.mu.Lock()
-	if d.upstreamsLoaded.Load() && page.Version <= d.listVersion.Load() {
+	if inForce := d.listVersion.Load(); d.upstreamsLoaded.Load() && page.Version <= inForce {
 		d.mu.Unlock()
+		if page.Version < inForce && source == storeSource {
+			d.o.Log.Warn("the store's list of upstreams is older than the one in force; ignoring it",
+				zap.Int64("listVersion", page.Version), zap.Int64("inForce", inForce), zap.Bool("full", full), zap.Int("entries", len(page.Entries)))
+		}
 		return false
 	}
 	keep := d.freshness.mayLackEntries(now)
--- a/hemlockd/internal/directory/follower.go
+++ b/hemlockd/internal/directory/follower.go
@@ -96,6 +96,7 @@
 	var lost *directory.HistoryLostError
 	if errors.As(err, &lost) {
 		f.known = false
+		f.d.o.Log.Info("the store lacks the changes after a version; reading all entries", zap.String("topic", string(f.topic)), zap.Int64("after", f.version))
 		return nil
 	}
 	if err != nil {
