Red tests of a store that comes back from an older copy; the stand-in learns it

Change: the users' platform's stand-in copies and restores its store, names the era, and has the operator and the servers write again.

--- a/standin/internal/usersplatform/admin.go
+++ b/standin/internal/usersplatform/admin.go
@@ -78,6 +78,8 @@
 //	POST /store/addresses     open one more address of the store ([StoreAddress]), so
 //	                          that a fault can strike some daemons only
 //	POST /store/forget        drop the store's change history
+//	POST /store/copy          copy the store's content
+//	POST /store/restore       restore the store from the copy (StoreRestore)
 //	PUT  /crash-parts         the parts of prompts that crash decode engines (CrashParts)
 //	GET  /runs                all requests that reached servers ([]Arrival)
 //	GET  /crashes             all crashes by parts of prompts, in order ([]Crash)
@@ -116,6 +118,13 @@
 		reply(w, http.StatusOK, StoreAddress{Store: address})
 	})
 	r.Post("/store/forget", func(http.ResponseWriter, *http.Request) { p.store.CompactHistory() })
+	r.Post("/store/copy", func(http.ResponseWriter, *http.Request) { p.store.Copy() })
+	r.Post("/store/restore", func(w http.ResponseWriter, r *http.Request) {
+		var o StoreRestore
+		if decode(w, r, &o) {
+			p.restoreStore(w, o)
+		}
+	})
 	r.Get("/runs", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, http.StatusOK, p.runs())
 	})
@@ -154,7 +163,7 @@
 	case "drain":
 		s.publish("draining")
 	case "unlist":
-		s.platform.store.Set("servers", s.spec.ID, nil)
+		s.unlist()
 	case "crash":
 		s.crash(r.FormValue("gone") != "")
 	}
--- a/standin/internal/usersplatform/server.go
+++ b/standin/internal/usersplatform/server.go
@@ -96,6 +96,8 @@
 	handles        map[string]bool
 	activeRequests int
 	stageChanges   int64
+	state          string // in the server's entry; "" once the server has removed it
+	sequence       int64  // of the last entry
 }
 
 const (
@@ -136,11 +138,13 @@
 // publish writes the server's entry, with the given state, to the store.
 func (s *Server) publish(state string) {
 	s.mu.Lock()
-	stage := s.spec.Stage
+	s.state = state
+	s.sequence++
+	stage, sequence := s.spec.Stage, s.sequence
 	s.mu.Unlock()
 	entry := map[string]any{
 		"Service": s.spec.Service, "Address": s.address, "Zone": s.spec.Zone, "Version": "v1",
-		"Slots": max(1, s.spec.Slots), "State": state, "ColdLeftMs": 0, "Sequence": 1, "born": s.bornMs,
+		"Slots": max(1, s.spec.Slots), "State": state, "ColdLeftMs": 0, "Sequence": sequence, "born": s.bornMs,
 	}
 	if stage != "" {
 		entry["Stage"] = stage
@@ -152,6 +156,21 @@
 	}
 }
 
+// unlist removes the server's entry from the store.
+func (s *Server) unlist() {
+	s.mu.Lock()
+	s.state = ""
+	s.mu.Unlock()
+	s.platform.store.Set("servers", s.spec.ID, nil)
+}
+
+// currentState returns the state in the server's entry, or "" once it has been removed.
+func (s *Server) currentState() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
+}
+
 // crash closes the server and all its connections. Its entry stays in the store
 // unless gone is set.
 func (s *Server) crash(gone bool) {
--- a/standin/internal/usersplatform/store.go
+++ b/standin/internal/usersplatform/store.go
@@ -52,6 +52,8 @@
 	changed          chan struct{} // closed at the next change
 	started          time.Time
 	fault            StoreFault
+	era              int64      // rises with each restore
+	copied           *storeCopy // nil until a copy is made
 }
 
 // StoreFault describes how the store fails.
@@ -75,7 +77,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[rowID]Row{}, objects: map[string][]byte{}, changed: make(chan struct{}), started: time.Now()}
+	return &Store{rows: map[rowID]Row{}, objects: map[string][]byte{}, changed: make(chan struct{}), started: time.Now(), era: firstEra}
 }
 
 // SetFault replaces the fault in force.
@@ -135,6 +137,7 @@
 			return
 		}
 	}
+	s.tellEra(w)
 	switch path := r.URL.Path; {
 	case path == "/hemlockmux/rows-get":
 		s.get(w, r)
@@ -178,9 +181,16 @@
 	after, _ := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.FormValue("WaitMs"))
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		if after < s.compactedVersion {
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after < s.compactedVersion || after > s.version {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
