--- a/common/directory/directory.go
+++ b/common/directory/directory.go
@@ -1,12 +1,12 @@
 // Package directory defines the interface of the store from which the router reads its
 // routes, its upstreams and the other daemons. The store holds versioned tables: the router
-// reads all entries of a table once and then follows its changes from that version on.
+// reads all entries of a table once and then follows its changes from that [Revision] on.
 //
 // # Usage
 //
 //	page, err := store.Read(ctx, directory.Upstreams)
 //	for {
-//		page, err = store.Follow(ctx, directory.Upstreams, page.Version, wait)
+//		page, err = store.Follow(ctx, directory.Upstreams, page.Revision, wait)
 //		var lost *directory.HistoryLostError
 //		if errors.As(err, &lost) { ... read all entries again ... }
 //	}
@@ -38,8 +38,8 @@
 type Entry struct {
 	Key   string
 	Value []byte
-	// Version is the version of the last change of the entry.
-	Version int64
+	// Revision is that of the last change of the entry.
+	Revision Revision
 	// Removed reports whether the change removed the entry.
 	Removed bool
 }
@@ -47,8 +47,8 @@
 // Page holds all entries of a topic, or its changes after a version.
 type Page struct {
 	Entries []Entry
-	// Version is the newest version that the page includes.
-	Version int64
+	// Revision is the newest one that the page includes.
+	Revision Revision
 	// StoreMs is the time at which the store made the answer, by its steady clock, which
 	// does not count from a known moment; 0 if it does not say.
 	StoreMs clock.Millis
@@ -60,31 +60,32 @@
 	// Read returns all entries of a topic. It opens a connection of its own, so that one
 	// that has fallen silent can't hold it up.
 	Read(ctx context.Context, topic Topic) (Page, error)
-	// Follow waits up to wait for changes after a version and returns them. The page
+	// Follow waits up to wait for changes after a revision and returns them. The page
 	// has no entries if nothing has changed. It returns a *HistoryLostError if the
-	// changes after the version are no longer available.
-	Follow(ctx context.Context, topic Topic, after int64, wait clock.Millis) (Page, error)
-	// Changes returns the changes after a version at once, as Follow does. It opens a
+	// changes after the revision are not available, also since the store is in another era.
+	Follow(ctx context.Context, topic Topic, after Revision, wait clock.Millis) (Page, error)
+	// Changes returns the changes after a revision at once, as Follow does. It opens a
 	// connection of its own, as Read does.
-	Changes(ctx context.Context, topic Topic, after int64) (Page, error)
+	Changes(ctx context.Context, topic Topic, after Revision) (Page, error)
 	// Put writes one entry. Only the router's own topics can be written.
 	Put(ctx context.Context, topic Topic, key string, value []byte) error
 	// CompareAndSwap writes one entry if it still has the expected version (0 if it must
-	// not exist) and returns its new version, or a *ConflictError.
-	CompareAndSwap(ctx context.Context, topic Topic, key string, value []byte, expected int64) (int64, error)
+	// not exist) and returns its new revision, or a *ConflictError. The store does not check the
+	// era: if the revision is of another one, the entry that was replaced may have been another.
+	CompareAndSwap(ctx context.Context, topic Topic, key string, value []byte, expected Revision) (Revision, error)
 }
 
-// HistoryLostError reports that the changes after a version are no longer available.
+// HistoryLostError reports that the changes after a revision are not available.
 type HistoryLostError struct {
 	// Topic is the topic that was followed.
 	Topic Topic
-	// After is the version after which changes were requested.
-	After int64
+	// After is the revision after which changes were requested.
+	After Revision
 }
 
 // Error implements error.
 func (e *HistoryLostError) Error() string {
-	return fmt.Sprintf("store: topic %s: changes after version %d are no longer available", e.Topic, e.After)
+	return fmt.Sprintf("store: topic %s: changes after revision %v are not available", e.Topic, e.After)
 }
 
 // ConflictError reports that an entry does not have the expected version.
@@ -95,7 +96,7 @@
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("store: entry %s does not have the expected version: current version is %d", e.Current.Key, e.Current.Version)
+	return fmt.Sprintf("store: entry %s does not have the expected version: its revision is %v", e.Current.Key, e.Current.Revision)
 }
 
 // StatusError reports that the store answered a call with an error status.
--- a/common/routing/routing.go
+++ b/common/routing/routing.go
@@ -131,7 +131,10 @@
 // Config is one version of a deployment's configuration.
 type Config struct {
 	Version int64
-	Routes  []Route
+	// Era is the last era of the store in which a configuration came into force although its
+	// version was not higher; 0 if that never happened. It goes before the version.
+	Era    int64
+	Routes []Route
 	// Services holds the services by name.
 	Services map[string]Service
 	Limits   Limits
--- a/hemlockd/internal/app/beliefs.go
+++ b/hemlockd/internal/app/beliefs.go
@@ -29,7 +29,7 @@
 	s.Limits, s.Closed = d.gate.Limits.All(now), d.gate.All(now)
 	for _, p := range d.peers.All() {
 		s.Daemons = append(s.Daemons, operatorapi.PeerView{
-			Daemon: p.Name, DataCentre: p.DataCentre, Address: p.Address, Version: p.Version, SinceHeardMs: now - p.LastHeardMs, Leaving: p.Leaving,
+			Daemon: p.Name, DataCentre: p.DataCentre, Address: p.Address, Version: p.Config.Version, SinceHeardMs: now - p.LastHeardMs, Leaving: p.Leaving,
 		})
 	}
 	return s
--- a/hemlockd/internal/app/fleet_test.go
+++ b/hemlockd/internal/app/fleet_test.go
@@ -259,10 +259,10 @@
 }
 
 // pageLocked returns the entries of a topic that changed after a version.
-func (s *fleetStore) pageLocked(topic directory.Topic, after int64) directory.Page {
-	page := directory.Page{Version: s.version}
-	if topic == directory.Routes && s.version > after {
-		page.Entries = []directory.Entry{{Key: "config", Value: s.config, Version: s.version}}
+func (s *fleetStore) pageLocked(topic directory.Topic, after directory.Revision) directory.Page {
+	page := directory.Page{Revision: directory.Revision{Version: s.version}}
+	if topic == directory.Routes && after.Version < s.version {
+		page.Entries = []directory.Entry{{Key: "config", Value: s.config, Revision: page.Revision}}
 	}
 	return page
 }
@@ -304,13 +304,13 @@
 		return directory.Page{}, err
 	}
 	c.store.mu.Lock()
-	page := c.store.pageLocked(topic, 0)
+	page := c.store.pageLocked(topic, directory.Revision{})
 	c.store.mu.Unlock()
 	return c.answer(ctx, page)
 }
 
 // Follow implements [directory.Store].
-func (c *fleetStoreClient) Follow(ctx context.Context, topic directory.Topic, after int64, wait clock.Millis) (directory.Page, error) {
+func (c *fleetStoreClient) Follow(ctx context.Context, topic directory.Topic, after directory.Revision, wait clock.Millis) (directory.Page, error) {
 	if err := c.reach(ctx); err != nil {
 		return directory.Page{}, err
 	}
@@ -334,7 +334,7 @@
 }
 
 // Changes implements [directory.Store].
-func (c *fleetStoreClient) Changes(ctx context.Context, topic directory.Topic, after int64) (directory.Page, error) {
+func (c *fleetStoreClient) Changes(ctx context.Context, topic directory.Topic, after directory.Revision) (directory.Page, error) {
 	return c.Follow(ctx, topic, after, 0)
 }
 
@@ -342,8 +342,8 @@
 func (c *fleetStoreClient) Put(context.Context, directory.Topic, string, []byte) error { return nil }
 
 // CompareAndSwap implements [directory.Store].
-func (c *fleetStoreClient) CompareAndSwap(context.Context, directory.Topic, string, []byte, int64) (int64, error) {
-	return 0, nil
+func (c *fleetStoreClient) CompareAndSwap(context.Context, directory.Topic, string, []byte, directory.Revision) (directory.Revision, error) {
+	return directory.Revision{}, nil
 }
 
 // runFleet runs a test with daemons of which each has a link of the rate (in Mbit/s) that
@@ -401,9 +401,9 @@
 		Log: zap.NewNop(), Clock: d.fleet.time.Clock(), Name: d.name, DataCentre: d.dataCentre, Address: d.host + fleetDatagramPort,
 		Control: d.host + fleetControlPort, StartedMs: 1, BytesPerSecond: peers.DefaultBytesPerSecond, LinkMbps: d.link.bytesPerMs * 8 / 1000, Network: d,
 	}, peers.Handlers{
-		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view,
+		Config: d.directory.ConfigRevision, List: d.directory.ListRevision, FollowsStore: d.directory.FollowsStore, View: view,
 		Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(d.name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Leaving: func([]upstreamgate.Target, string) {}, Load: func() peers.EngineLoad { return peers.EngineLoad{} }, Unreachable: func([]string) {}, ChangingRole: func([]string) {},
-		Versions: d.directory.HearPeer, Freshness: d.directory.Freshness, Confirmed: d.directory.Confirm,
+		Revisions: d.directory.HearPeer, Freshness: d.directory.Freshness, Confirmed: d.directory.Confirm,
 		Snapshot: d.directory.Snapshot, Beliefs: func() operatorapi.DaemonView { return operatorapi.DaemonView{} },
 	})
 	if err != nil {
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -164,11 +164,11 @@
 		Log: d.log, Clock: d.clk, Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes, LinkMbps: d.settings.LinkMbps,
 	}, peers.Handlers{
-		Version: d.directory.Version, ListVersion: d.directory.ListVersion, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, CapacityChanged: queue.RetrySoon,
+		Config: d.directory.ConfigRevision, List: d.directory.ListRevision, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, CapacityChanged: queue.RetrySoon,
 		Gate: d.gate, Leaving: d.upstreamsLeaving, Load: d.engineLoad,
 		Unreachable:  func(ids []string) { d.dispatcher.MarkDown(ids) }, // the dispatcher is constructed below
 		ChangingRole: func(ids []string) { d.dispatcher.MarkRoleChanging(ids) },
-		Versions:     d.directory.HearPeer,
+		Revisions:    d.directory.HearPeer,
 		Freshness:    d.directory.Freshness, Confirmed: d.directory.Confirm,
 		Snapshot: d.directory.Snapshot, Beliefs: d.beliefs,
 	})
@@ -260,7 +260,7 @@
 // runRefresh updates the state that depends on the time.
 func (d *platformDaemon) runRefresh(ctx context.Context) {
 	for clock.Sleep(ctx, refreshInterval) {
-		d.directory.ExpireUpstreams()
+		d.directory.Settle()
 		d.dispatcher.RefreshEngines()
 	}
 }
--- a/hemlockd/internal/directory/check.go
+++ b/hemlockd/internal/directory/check.go
@@ -186,18 +186,21 @@
 	if err != nil {
 		return err
 	}
-	at := c.d.storeAnswered(page, called)
+	at, err := c.d.storeAnswered(page, called)
+	if err != nil {
+		return err
+	}
 	if full || len(page.Entries) > 0 {
 		c.apply(page, full)
 	}
-	c.d.confirm(c.topic, at, page.Version)
+	c.d.confirm(c.topic, at, page.Revision)
 	return nil
 }
 
 // read reads the topic from the store: the configuration, which may be large, only if it has
 // changed since it was last confirmed.
 func (c *checker) read(ctx context.Context) (page directory.Page, full bool, err error) {
-	if after := c.d.storeVersion(c.topic); c.topic == directory.Routes && after > 0 {
+	if after := c.d.storeRevision(c.topic); c.topic == directory.Routes && after.Version > 0 {
 		page, err = c.d.o.Store.Changes(ctx, c.topic, after)
 		var lost *directory.HistoryLostError
 		if !errors.As(err, &lost) {
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -6,6 +6,10 @@
 // therefore knows how old its state is: the time since the store, or another daemon of the
 // same versions, last confirmed it. Above an age it reads the store itself.
 //
+// The store may come back from an older copy, see [directory.Revision]. What it says then is newer
+// than anything before, but until what it lost is written again it lacks entries, and lists upstreams
+// that have left; restored.go says what holds meanwhile.
+//
 // # Usage
 //
 //	d := directory.New(options)
@@ -55,6 +59,8 @@
 	ShouldFollowStore func() bool
 	// Fetch fetches the snapshot of the daemon at a control address.
 	Fetch func(ctx context.Context, control string, request peers.SnapshotRequest) (peers.Snapshot, error)
+	// OnRestored is called when the store has come back from an older copy; nil: nothing is.
+	OnRestored func()
 	// OnDaemon is called with each entry of the list of daemons.
 	OnDaemon func(name string, raw []byte)
 	// LinkMbps is the rate of this VM's link, in Mbit/s; 0: peers.DefaultLinkMbps.
@@ -70,14 +76,17 @@
 	table           atomic.Pointer[routing.Table]
 	published       atomic.Pointer[map[string][]routing.Upstream] // by service
 	upstreamsLoaded atomic.Bool                                   // the full list was applied once
-	// listVersion is the store's version of the list of upstreams.
-	listVersion atomic.Int64
+	// list is the store's revision of the list of upstreams.
+	list atomic.Pointer[directory.Revision]
 	// following is set while this daemon receives changes from the store itself.
 	following atomic.Bool
 	mu        sync.Mutex // serializes changes
 	upstreams *upstreamList
 	freshness *freshness
-	limits    Limits
+	history   history
+	// pending is a configuration with a lower number than the one in force, or nil.
+	pending *pendingConfig
+	limits  Limits
 	// storeClock converts the times in the store's answers.
 	storeClock storeClock
 	// receivingMs is, by topic, when a part of the feed's answer last came that is still on
@@ -96,8 +105,9 @@
 // New returns an empty directory.
 func New(o Options) *Directory {
 	d := &Directory{o: o, upstreams: newUpstreamList(), freshness: newFreshness(), receivingMs: map[directory.Topic]clock.Millis{}, lastFailureMs: -1}
-	d.configFetcher = newFetcher(d, directory.Routes, d.Version)
-	d.listFetcher = newFetcher(d, directory.Upstreams, d.ListVersion)
+	d.list.Store(&directory.Revision{})
+	d.configFetcher = newFetcher(d, directory.Routes, d.ConfigRevision)
+	d.listFetcher = newFetcher(d, directory.Upstreams, d.ListRevision)
 	d.SetLimits(o.Limits)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.published.Store(&map[string][]routing.Upstream{})
@@ -158,23 +168,32 @@
 	return (*d.published.Load())[service]
 }
 
-// ExpireUpstreams drops removed upstreams that have been kept because of an outage of the
-// store once the grace period after it has ended, or once it turns out that there was no
-// outage, and calls OnUpstreams if there were any.
-func (d *Directory) ExpireUpstreams() {
+// Settle ends what holds for a while after the store was away or has been restored. It drops
+// removed upstreams that have been kept once the grace period has ended, or once it turns out that
+// there was no outage; it uses those that the restored store goes on to list, and puts a lower
+// configuration into force that still stands there.
+func (d *Directory) Settle() {
+	now := d.o.Clock.Now()
 	d.mu.Lock()
 	var expired []string
-	if !d.freshness.mayLackEntries(d.o.Clock.Now()) {
+	if !d.freshness.mayLackEntries(now) {
 		expired = d.upstreams.dropRemoved()
 	}
-	if len(expired) > 0 {
+	listed := d.upstreams.settle(now, revivalGraceBeats*d.limits.OutageMs)
+	if len(expired)+len(listed) > 0 {
 		d.publishLocked()
 	}
 	d.mu.Unlock()
 	if len(expired) > 0 {
 		d.o.Log.Info("removed upstreams are no longer kept", zap.Strings("upstreams", expired))
+	}
+	if len(listed) > 0 {
+		d.o.Log.Info("upstreams that had left are still listed after the restore; using them", zap.Strings("upstreams", listed))
+	}
+	if len(expired)+len(listed) > 0 {
 		d.o.OnUpstreams()
 	}
+	d.settleConfig(now)
 }
 
 func (d *Directory) publishLocked() {
@@ -182,8 +201,17 @@
 	d.published.Store(&byService)
 }
 
-// ListVersion returns the store's version of the list of upstreams in force.
-func (d *Directory) ListVersion() int64 { return d.listVersion.Load() }
+// ConfigRevision returns the revision of the configuration in force: the operator's number, and the
+// last era, if any, in which a lower number than the one in force was taken.
+func (d *Directory) ConfigRevision() directory.Revision {
+	if t := d.table.Load(); t != nil {
+		return directory.Revision{Era: t.Config.Era, Version: t.Config.Version}
+	}
+	return directory.Revision{}
+}
+
+// ListRevision returns the store's revision of the list of upstreams in force.
+func (d *Directory) ListRevision() directory.Revision { return *d.list.Load() }
 
 // FollowsStore reports whether this daemon receives changes of the list of upstreams
 // from the store itself.
@@ -192,33 +220,36 @@
 func (d *Directory) applyRoutes(page directory.Page, _ bool) {
 	for _, e := range page.Entries {
 		if !e.Removed {
-			d.applyConfig(e.Value, storeSource)
+			d.applyStoredConfig(e)
 		}
 	}
 }
 
-// applyConfig puts a configuration into force if it is newer than the one in force. It returns
-// its version, or 0 if it cannot be decoded.
-func (d *Directory) applyConfig(raw []byte, source string) int64 {
+// applyConfig puts a configuration into force if it is newer than the one in force, given the era
+// of its revision (see ConfigRevision). It returns the revision, or zero if it cannot be decoded.
+func (d *Directory) applyConfig(raw []byte, era int64, source string) directory.Revision {
 	cfg, err := d.o.Decoder.Config(raw)
 	if err != nil {
 		d.o.Log.Error("cannot decode the configuration; keeping the one in force", zap.String("source", source), zap.Error(err))
-		return 0
+		return directory.Revision{}
 	}
+	cfg.Era = era
+	revision := directory.Revision{Era: cfg.Era, Version: cfg.Version}
 	d.mu.Lock()
-	old := d.Version()
-	newer := cfg.Version > old
+	old := d.ConfigRevision()
+	newer := old.Before(revision)
 	if newer {
 		d.table.Store(routing.NewTable(cfg))
+		d.pending = nil
 	}
 	d.mu.Unlock()
 	if !newer {
-		return cfg.Version
+		return revision
 	}
-	d.o.Log.Info("configuration is in force", zap.Int64("version", cfg.Version), zap.Int64("before", old),
+	d.o.Log.Info("configuration is in force", zap.Int64("version", cfg.Version), zap.Int64("before", old.Version), zap.Int64("era", era),
 		zap.String("source", source), zap.Int("routes", len(cfg.Routes)), zap.Int("bytes", len(raw)))
 	d.o.OnConfig()
-	return cfg.Version
+	return revision
 }
 
 // applyUpstreams applies a page of the list of upstreams unless the list in force is as
@@ -228,19 +259,21 @@
 func (d *Directory) applyUpstreams(page directory.Page, full bool, source string) bool {
 	now := d.o.Clock.Now()
 	d.mu.Lock()
-	if inForce := d.listVersion.Load(); d.upstreamsLoaded.Load() && page.Version <= inForce {
+	before := d.ListRevision()
+	restored := d.upstreamsLoaded.Load() && page.Revision.Era > before.Era
+	if d.upstreamsLoaded.Load() && !before.Before(page.Revision) || restored && !full {
 		d.mu.Unlock()
-		if page.Version < inForce && source == storeSource {
-			d.o.Log.Warn("the store's list of upstreams is older than the one in force; ignoring it",
-				zap.Int64("listVersion", page.Version), zap.Int64("inForce", inForce), zap.Bool("full", full), zap.Int("entries", len(page.Entries)))
+		if page.Revision.Era != before.Era && source == storeSource {
+			d.o.Log.Warn("a page of the list of upstreams is of another era than the one in force; ignoring it",
+				zap.Stringer("list", page.Revision), zap.Stringer("inForce", before), zap.Bool("full", full), zap.Int("entries", len(page.Entries)))
 		}
 		return false
 	}
 	keep := d.freshness.mayLackEntries(now)
-	before := d.listVersion.Swap(page.Version)
-	log := d.o.Log.With(zap.String("source", source), zap.Int64("listVersion", page.Version), zap.Int64("listBefore", before))
+	d.list.Store(&page.Revision)
+	log := d.o.Log.With(zap.String("source", source), zap.Stringer("list", page.Revision), zap.Stringer("listBefore", before))
 	for _, e := range page.Entries {
-		if !full && e.Version != 0 && e.Version <= before {
+		if !full && e.Revision.Version != 0 && !before.Before(e.Revision) {
 			continue // the list in force, which another daemon sent, includes the change
 		}
 		if e.Removed {
@@ -254,6 +287,11 @@
 			d.upstreams.remove(e.Key, keep, now)
 			continue
 		}
+		if restored && d.upstreams.revives(u) {
+			d.upstreams.putUnsure(u, e.Value, now)
+			log.Info("the restored store lists an upstream that had left; not using it yet", zap.String("upstream", u.ID))
+			continue
+		}
 		if d.upstreams.outdated(u) {
 			log.Info("entry of an upstream is older than the one in force; ignoring it", zap.String("upstream", u.ID),
 				zap.Int64("sequence", u.Sequence), zap.Bool("leaving", u.Leaving))
@@ -285,13 +323,13 @@
 	}
 }
 
-// HearPeer records the versions that the daemon at a control address has in force; local is set
+// HearPeer records the revisions that the daemon at a control address has in force; local is set
 // if it is in this daemon's data centre. Newer ones are fetched in the background. Lists of
 // upstreams are fetched within a data centre only.
-func (d *Directory) HearPeer(control string, version, listVersion int64, local bool) {
-	d.configFetcher.heard(control, version, local)
+func (d *Directory) HearPeer(control string, config, list directory.Revision, local bool) {
+	d.configFetcher.heard(control, config, local)
 	if local {
-		d.listFetcher.heard(control, listVersion, local)
+		d.listFetcher.heard(control, list, local)
 	}
 }
 
--- a/hemlockd/internal/directory/directory_test.go
+++ b/hemlockd/internal/directory/directory_test.go
@@ -33,14 +33,14 @@
 	if f.down {
 		return directory.Page{}, &directory.StatusError{Call: "read", Status: 503}
 	}
-	page := directory.Page{Version: f.version}
+	page := directory.Page{Revision: revision(f.version)}
 	for key, value := range f.entries[topic] {
-		page.Entries = append(page.Entries, directory.Entry{Key: key, Value: value, Version: f.version})
+		page.Entries = append(page.Entries, directory.Entry{Key: key, Value: value, Revision: revision(f.version)})
 	}
 	return page, nil
 }
 
-func (f *fakeStore) Follow(_ context.Context, topic directory.Topic, after int64, _ clock.Millis) (directory.Page, error) {
+func (f *fakeStore) Follow(_ context.Context, topic directory.Topic, after directory.Revision, _ clock.Millis) (directory.Page, error) {
 	time.Sleep(2 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -51,17 +51,17 @@
 		f.lost = false
 		return directory.Page{}, &directory.HistoryLostError{Topic: topic, After: after}
 	}
-	return directory.Page{Version: after}, nil
+	return directory.Page{Revision: after}, nil
 }
 
-func (f *fakeStore) Changes(ctx context.Context, topic directory.Topic, after int64) (directory.Page, error) {
+func (f *fakeStore) Changes(ctx context.Context, topic directory.Topic, after directory.Revision) (directory.Page, error) {
 	return f.Follow(ctx, topic, after, 0)
 }
 
 func (f *fakeStore) Put(context.Context, directory.Topic, string, []byte) error { return nil }
 
-func (f *fakeStore) CompareAndSwap(context.Context, directory.Topic, string, []byte, int64) (int64, error) {
-	return 0, nil
+func (f *fakeStore) CompareAndSwap(context.Context, directory.Topic, string, []byte, directory.Revision) (directory.Revision, error) {
+	return directory.Revision{}, nil
 }
 
 func newTestDirectory(store directory.Store) *Directory {
@@ -81,6 +81,9 @@
 	return d
 }
 
+// revision returns a revision of a store that names no era.
+func revision(version int64) directory.Revision { return directory.Revision{Version: version} }
+
 func (d *Directory) has(id string) bool {
 	for _, u := range d.Upstreams("s") {
 		if u.ID == id {
@@ -99,13 +102,13 @@
 // reported its removal. The upstream then got work for seconds.
 func TestOlderListRevivesNothing(t *testing.T) {
 	d := newTestDirectory(&fakeStore{})
-	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true, storeSource)
-	d.applyUpstreams(directory.Page{Version: 95, Entries: []directory.Entry{entry("a", true)}}, false, storeSource)
-	d.applyUpstreams(directory.Page{Version: 91, Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true, storeSource)
+	d.applyUpstreams(directory.Page{Revision: revision(90), Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true, storeSource)
+	d.applyUpstreams(directory.Page{Revision: revision(95), Entries: []directory.Entry{entry("a", true)}}, false, storeSource)
+	d.applyUpstreams(directory.Page{Revision: revision(91), Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true, storeSource)
 	if d.has("a") || !d.has("b") {
 		t.Errorf("in use: a, which has left, %t, want false; b %t, want true", d.has("a"), d.has("b"))
 	}
-	d.applyUpstreams(directory.Page{Version: 92, Entries: []directory.Entry{entry("a", false)}}, false, storeSource)
+	d.applyUpstreams(directory.Page{Revision: revision(92), Entries: []directory.Entry{entry("a", false)}}, false, storeSource)
 	if d.has("a") {
 		t.Error("an older change brought back an upstream that has left")
 	}
@@ -114,7 +117,7 @@
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	d := newTestDirectory(&fakeStore{})
 	for _, version := range []string{"3", "7", "5", "x", "7"} {
-		d.applyConfig([]byte(version), "test")
+		d.applyConfig([]byte(version), 0, "test")
 	}
 	if d.Version() != 7 {
 		t.Errorf("version %d in force, want 7", d.Version())
@@ -143,15 +146,15 @@
 
 func TestSnapshotOmitsWhatTheCallerHas(t *testing.T) {
 	d := newTestDirectory(&fakeStore{})
-	d.applyConfig([]byte("7"), "test")
-	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false)}}, true, storeSource)
+	d.applyConfig([]byte("7"), 0, "test")
+	d.applyUpstreams(directory.Page{Revision: revision(90), Entries: []directory.Entry{entry("a", false)}}, true, storeSource)
 	for topic, version := range map[directory.Topic]int64{directory.Routes: 7, directory.Upstreams: 90} {
-		s, err := d.Snapshot(peers.SnapshotRequest{Topic: topic, HaveVersion: version - 1})
-		if err != nil || s.Version != version || len(s.Content) == 0 {
+		s, err := d.Snapshot(peers.SnapshotRequest{Topic: topic, Have: revision(version - 1)})
+		if err != nil || s.Revision.Version != version || len(s.Content) == 0 {
 			t.Errorf("%s: %+v, %v", topic, s, err)
 		}
-		s, err = d.Snapshot(peers.SnapshotRequest{Topic: topic, HaveVersion: version})
-		if err != nil || s.Version != version || s.Content != nil {
+		s, err = d.Snapshot(peers.SnapshotRequest{Topic: topic, Have: revision(version)})
+		if err != nil || s.Revision.Version != version || s.Content != nil {
 			t.Errorf("%s: %+v, %v", topic, s, err)
 		}
 	}
@@ -160,8 +163,8 @@
 // TestSnapshotIsAppliedAsItWas checks both topics on their way through compression.
 func TestSnapshotIsAppliedAsItWas(t *testing.T) {
 	from, to := newTestDirectory(&fakeStore{}), newTestDirectory(&fakeStore{})
-	from.applyConfig([]byte("7"), "test")
-	from.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true, storeSource)
+	from.applyConfig([]byte("7"), 0, "test")
+	from.applyUpstreams(directory.Page{Revision: revision(90), Entries: []directory.Entry{entry("a", false), entry("b", false)}}, true, storeSource)
 	for _, topic := range []directory.Topic{directory.Routes, directory.Upstreams} {
 		s, err := from.Snapshot(peers.SnapshotRequest{Topic: topic})
 		if err != nil {
@@ -171,8 +174,8 @@
 			t.Fatal(err)
 		}
 	}
-	if to.Version() != 7 || string(to.Table().Config.Raw) != "7" || to.ListVersion() != 90 || !to.has("a") || !to.has("b") {
-		t.Errorf("version %d, list version %d, upstreams %v", to.Version(), to.ListVersion(), to.All())
+	if to.Version() != 7 || string(to.Table().Config.Raw) != "7" || to.ListRevision().Version != 90 || !to.has("a") || !to.has("b") {
+		t.Errorf("version %d, list %v, upstreams %v", to.Version(), to.ListRevision(), to.All())
 	}
 }
 
@@ -190,13 +193,13 @@
 	} {
 		for _, topic := range []directory.Topic{directory.Routes, directory.Upstreams} {
 			d := newTestDirectory(&fakeStore{})
-			d.applyConfig([]byte("7"), "test")
-			err := d.applySnapshot(topic, peers.Snapshot{Version: 8, Content: content}, "peer")
-			if d.Version() != 7 || d.ListVersion() != 0 || name != "no version" && err == nil {
-				t.Errorf("%s, %s: version %d, list version %d, error %v", name, topic, d.Version(), d.ListVersion(), err)
+			d.applyConfig([]byte("7"), 0, "test")
+			err := d.applySnapshot(topic, peers.Snapshot{Revision: revision(8), Content: content}, "peer")
+			if d.Version() != 7 || d.ListRevision().Version != 0 || name != "no version" && err == nil {
+				t.Errorf("%s, %s: version %d, list %v, error %v", name, topic, d.Version(), d.ListRevision(), err)
 			}
-			if s, _ := d.Snapshot(peers.SnapshotRequest{Topic: directory.Routes}); s.Version != 7 {
-				t.Errorf("%s, %s: passed on as version %d", name, topic, s.Version)
+			if s, _ := d.Snapshot(peers.SnapshotRequest{Topic: directory.Routes}); s.Revision.Version != 7 {
+				t.Errorf("%s, %s: passed on as revision %v", name, topic, s.Revision)
 			}
 		}
 	}
--- a/hemlockd/internal/directory/fetcher.go
+++ b/hemlockd/internal/directory/fetcher.go
@@ -34,7 +34,7 @@
 
 // source is another daemon that has a newer version of a topic.
 type source struct {
-	version int64
+	revision directory.Revision
 	// local is set if it is in this daemon's data centre.
 	local bool
 	// firstMs is when its newer version was first heard of, and heardMs when it was last.
@@ -51,8 +51,8 @@
 type fetcher struct {
 	d     *Directory
 	topic directory.Topic
-	// version returns the version in force here.
-	version func() int64
+	// inForce returns the revision in force here.
+	inForce func() directory.Revision
 	wake    chan struct{}
 
 	mu      sync.Mutex
@@ -62,13 +62,13 @@
 	startedMs clock.Millis
 }
 
-func newFetcher(d *Directory, topic directory.Topic, version func() int64) *fetcher {
-	return &fetcher{d: d, topic: topic, version: version, wake: make(chan struct{}, 1), sources: map[string]*source{}}
+func newFetcher(d *Directory, topic directory.Topic, inForce func() directory.Revision) *fetcher {
+	return &fetcher{d: d, topic: topic, inForce: inForce, wake: make(chan struct{}, 1), sources: map[string]*source{}}
 }
 
-// heard records that the daemon at a control address has a version.
-func (f *fetcher) heard(control string, version int64, local bool) {
-	if version <= f.version() {
+// heard records that the daemon at a control address has a revision.
+func (f *fetcher) heard(control string, revision directory.Revision, local bool) {
+	if !f.inForce().Before(revision) {
 		return
 	}
 	now := f.d.o.Clock.Now()
@@ -81,7 +81,10 @@
 		}
 		f.sources[control] = s
 	}
-	s.version, s.local, s.heardMs = max(s.version, version), local, now
+	if s.revision.Before(revision) {
+		s.revision = revision
+	}
+	s.local, s.heardMs = local, now
 	f.mu.Unlock()
 	f.signal()
 }
@@ -122,7 +125,7 @@
 
 // start begins a fetch if one is due, and reports whether it did.
 func (f *fetcher) start(ctx context.Context) bool {
-	now, have := f.d.o.Clock.Now(), f.version()
+	now, have := f.d.o.Clock.Now(), f.inForce()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pruneLocked(have, now)
@@ -142,9 +145,9 @@
 
 // pruneLocked forgets the daemons that have nothing newer and those that have not said so
 // lately.
-func (f *fetcher) pruneLocked(have int64, now clock.Millis) {
+func (f *fetcher) pruneLocked(have directory.Revision, now clock.Millis) {
 	for control, s := range f.sources {
-		if !s.asked && (s.version <= have || now-s.heardMs > sourceLifetime) {
+		if !s.asked && (!have.Before(s.revision) || now-s.heardMs > sourceLifetime) {
 			delete(f.sources, control)
 		}
 	}
@@ -174,8 +177,8 @@
 }
 
 // runFetch fetches the snapshot of a daemon and applies it.
-func (f *fetcher) runFetch(ctx context.Context, control string, s *source, have int64) {
-	snapshot, err := f.d.o.Fetch(ctx, control, peers.SnapshotRequest{Topic: f.topic, HaveVersion: have})
+func (f *fetcher) runFetch(ctx context.Context, control string, s *source, have directory.Revision) {
+	snapshot, err := f.d.o.Fetch(ctx, control, peers.SnapshotRequest{Topic: f.topic, Have: have})
 	if err == nil && len(snapshot.Content) == 0 {
 		err = errNothingNewer
 	}
--- a/hemlockd/internal/directory/fetcher_test.go
+++ b/hemlockd/internal/directory/fetcher_test.go
@@ -34,10 +34,10 @@
 	case 'e':
 		return peers.Snapshot{}, &peers.FetchError{Control: control, Err: context.DeadlineExceeded}
 	case 'n':
-		return peers.Snapshot{Version: 7}, nil
+		return peers.Snapshot{Revision: revision(7)}, nil
 	}
 	content, err := compress([]byte("8"))
-	return peers.Snapshot{Version: 8, Content: content}, err
+	return peers.Snapshot{Revision: revision(8), Content: content}, err
 }
 
 // TestNewerConfigurationIsFetchedFromWhoeverCanServe guards against one daemon that holds up the
@@ -64,16 +64,16 @@
 				others := &fakePeers{}
 				d := newTestDirectory(&fakeStore{down: true})
 				d.o.Fetch = others.fetch
-				d.applyConfig([]byte("7"), "test")
+				d.applyConfig([]byte("7"), 0, "test")
 				ctx, cancel := context.WithCancel(t.Context())
 				go d.configFetcher.run(ctx)
 				started := time.Now()
 				local, remote, _ := strings.Cut(test.sources, "|")
 				for _, control := range strings.Fields(local) {
-					d.HearPeer(control, 8, 0, true)
+					d.HearPeer(control, revision(8), revision(0), true)
 				}
 				for _, control := range strings.Fields(remote) {
-					d.HearPeer(control, 8, 0, false)
+					d.HearPeer(control, revision(8), revision(0), false)
 				}
 				for d.Version() < 8 && time.Since(started) < time.Minute {
 					time.Sleep(time.Millisecond)
@@ -94,19 +94,19 @@
 func TestListsAreFetchedBesideALargeConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newTestDirectory(&fakeStore{down: true})
-		d.applyConfig([]byte("7"), "test")
+		d.applyConfig([]byte("7"), 0, "test")
 		d.o.Fetch = func(ctx context.Context, _ string, request peers.SnapshotRequest) (peers.Snapshot, error) {
 			if request.Topic == directory.Routes {
 				clock.Sleep(ctx, clock.Minute)
 				return peers.Snapshot{}, ctx.Err()
 			}
 			content, err := compress([]byte(`{"a":"cmVhZHk="}`))
-			return peers.Snapshot{Version: 90, Content: content}, err
+			return peers.Snapshot{Revision: revision(90), Content: content}, err
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go d.configFetcher.run(ctx)
 		go d.listFetcher.run(ctx)
-		d.HearPeer("g", 8, 90, true)
+		d.HearPeer("g", revision(8), revision(90), true)
 		time.Sleep(100 * time.Millisecond)
 		if !d.has("a") {
 			t.Error("the list was not fetched within 100 ms")
@@ -120,12 +120,12 @@
 // encoded anew.
 func TestSnapshotsAreCompressedOnce(t *testing.T) {
 	d := newTestDirectory(&fakeStore{})
-	d.applyConfig([]byte("7"), "test")
+	d.applyConfig([]byte("7"), 0, "test")
 	first, err := d.Snapshot(peers.SnapshotRequest{Topic: directory.Routes})
 	if err != nil {
 		t.Fatal(err)
 	}
-	second, err := d.Snapshot(peers.SnapshotRequest{Topic: directory.Routes, HaveVersion: 3})
+	second, err := d.Snapshot(peers.SnapshotRequest{Topic: directory.Routes, Have: revision(3)})
 	if err != nil || &first.Content[0] != &second.Content[0] {
 		t.Errorf("the second daemon got another copy, %v", err)
 	}
--- a/hemlockd/internal/directory/follower.go
+++ b/hemlockd/internal/directory/follower.go
@@ -40,9 +40,9 @@
 	storeReporter
 	wait clock.Millis
 	// apply applies a page; full reports whether it holds all entries of the topic.
-	apply   func(page directory.Page, full bool)
-	version int64 // of the last page
-	known   bool  // all entries have been read; changes after version are next
+	apply    func(page directory.Page, full bool)
+	position directory.Revision // of the last page
+	known    bool               // all entries have been read; changes after position are next
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -83,31 +83,38 @@
 		if err != nil {
 			return err
 		}
-		f.version, f.known = page.Version, true
-		at := f.d.storeAnswered(page, called)
+		at, err := f.d.storeAnswered(page, called)
+		if err != nil {
+			return err
+		}
+		f.position, f.known = page.Revision, true
 		f.apply(page, true)
-		f.d.confirm(f.topic, at, page.Version)
+		f.d.confirm(f.topic, at, page.Revision)
 		return nil
 	}
 	ctx, cancel := bound(ctx, f.wait+answerMargin, func() { f.d.recordReceiving(f.topic) })
 	defer cancel()
 	defer f.d.endReceiving(f.topic)
-	page, err := f.d.o.Store.Follow(ctx, f.topic, f.version, f.wait)
+	page, err := f.d.o.Store.Follow(ctx, f.topic, f.position, f.wait)
 	var lost *directory.HistoryLostError
 	if errors.As(err, &lost) {
 		f.known = false
-		f.d.o.Log.Info("the store lacks the changes after a version; reading all entries", zap.String("topic", string(f.topic)), zap.Int64("after", f.version))
+		f.d.o.Log.Info("the store lacks the changes after a revision; reading all entries", zap.String("topic", string(f.topic)), zap.Stringer("after", f.position))
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	f.version = page.Version
-	at := f.d.storeAnswered(page, called)
+	at, err := f.d.storeAnswered(page, called)
+	if err != nil {
+		f.known = false
+		return err
+	}
+	f.position = page.Revision
 	if len(page.Entries) > 0 {
 		f.apply(page, false)
 	}
-	f.d.confirm(f.topic, at, page.Version)
+	f.d.confirm(f.topic, at, page.Revision)
 	return nil
 }
 
--- a/hemlockd/internal/directory/freshness.go
+++ b/hemlockd/internal/directory/freshness.go
@@ -22,9 +22,9 @@
 	// confirmedMs is, by topic, the latest time at which the entries in force were known
 	// to be the store's.
 	confirmedMs map[directory.Topic]clock.Millis
-	// storeVersion is, by topic, the store's version of that time, or 0: what has changed
+	// storeRevision is, by topic, the store's revision of that time, or zero: what has changed
 	// there since has a higher one.
-	storeVersion map[directory.Topic]int64
+	storeRevision map[directory.Topic]directory.Revision
 	// answeredMs is the latest time at which the store is known to have answered a daemon,
 	// once hasAnswered is set.
 	answeredMs  clock.Millis
@@ -39,16 +39,24 @@
 }
 
 func newFreshness() *freshness {
-	return &freshness{confirmedMs: map[directory.Topic]clock.Millis{}, storeVersion: map[directory.Topic]int64{}, outageMs: DefaultLimits().OutageMs, reachableSinceMs: math.MinInt32}
+	return &freshness{confirmedMs: map[directory.Topic]clock.Millis{}, storeRevision: map[directory.Topic]directory.Revision{}, outageMs: DefaultLimits().OutageMs, reachableSinceMs: math.MinInt32}
 }
 
 // confirm records that the entries in force of a topic were the store's at a time, when the
-// store's version was the given one (0 if that is not known).
-func (f *freshness) confirm(topic directory.Topic, at clock.Millis, storeVersion int64) {
+// store's revision was the given one (zero if that is not known).
+func (f *freshness) confirm(topic directory.Topic, at clock.Millis, storeRevision directory.Revision) {
 	if before, known := f.confirmedMs[topic]; !known || at > before {
 		f.confirmedMs[topic] = at
 	}
-	f.storeVersion[topic] = max(f.storeVersion[topic], storeVersion)
+	if f.storeRevision[topic].Before(storeRevision) {
+		f.storeRevision[topic] = storeRevision
+	}
+}
+
+// restored records that the store came back from an older copy by the given time: it may lack entries, as
+// after an outage.
+func (f *freshness) restored(at clock.Millis) {
+	f.reachableSinceMs = max(f.reachableSinceMs, at)
 }
 
 // answered records that the store answered a daemon at a time.
--- a/hemlockd/internal/directory/freshness_test.go
+++ b/hemlockd/internal/directory/freshness_test.go
@@ -70,17 +70,17 @@
 	d := newTestDirectory(&fakeStore{})
 	d.o.Clock = now.Clock()
 	d.storeAnswered(directory.Page{}, now.Clock().Now())
-	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false)}}, true, storeSource)
+	d.applyUpstreams(directory.Page{Revision: revision(90), Entries: []directory.Entry{entry("a", false)}}, true, storeSource)
 	now.Advance(10 * clock.Second)
 	d.storeAnswered(directory.Page{}, now.Clock().Now()) // the end of an outage
-	d.applyUpstreams(directory.Page{Version: 95, Entries: []directory.Entry{entry("a", true)}}, false, storeSource)
+	d.applyUpstreams(directory.Page{Revision: revision(95), Entries: []directory.Entry{entry("a", true)}}, false, storeSource)
 	if !d.has("a") {
 		t.Error("not kept although an outage may have removed its entry")
 	}
 	for range 30 {
 		now.Advance(100)
 		d.recordStoreFailure()
-		d.ExpireUpstreams()
+		d.Settle()
 	}
 	if d.has("a") {
 		t.Error("still in use 3 s after its entry was removed")
@@ -95,7 +95,7 @@
 	now := clock.NewManual(clock.Minute)
 	cut, sound := newTestDirectory(&fakeStore{}), newTestDirectory(&fakeStore{})
 	cut.o.Clock, sound.o.Clock = now.Clock(), now.Clock()
-	list := directory.Page{Version: 90, Entries: []directory.Entry{entry("b", false)}}
+	list := directory.Page{Revision: revision(90), Entries: []directory.Entry{entry("b", false)}}
 	for _, d := range []*Directory{cut, sound} {
 		d.storeAnswered(directory.Page{}, now.Clock().Now())
 		d.applyUpstreams(list, true, storeSource)
@@ -104,9 +104,9 @@
 		now.Advance(clock.Second)
 		sound.storeAnswered(directory.Page{}, now.Clock().Now())
 	}
-	sound.applyUpstreams(directory.Page{Version: 95, Entries: []directory.Entry{entry("b", false)}}, true, storeSource)
+	sound.applyUpstreams(directory.Page{Revision: revision(95), Entries: []directory.Entry{entry("b", false)}}, true, storeSource)
 	cut.storeAnswered(directory.Page{}, now.Clock().Now())
-	cut.applyUpstreams(directory.Page{Version: 99, Entries: []directory.Entry{entry("a", false), entry("a", true)}}, false, storeSource)
+	cut.applyUpstreams(directory.Page{Revision: revision(99), Entries: []directory.Entry{entry("a", false), entry("a", true)}}, false, storeSource)
 	if !cut.has("a") {
 		t.Error("not kept although nothing is known of other daemons")
 	}
@@ -120,10 +120,10 @@
 	if sound.has("a") || !sound.has("b") {
 		t.Errorf("in use: a, which has left, %t, want false; b %t, want true", sound.has("a"), sound.has("b"))
 	}
-	sound.confirm(directory.Routes, now.Clock().Now(), 0)
-	sound.confirm(directory.Upstreams, now.Clock().Now(), 0)
-	cut.Confirm(*sound.Freshness(), 0, 95)
-	cut.ExpireUpstreams()
+	sound.confirm(directory.Routes, now.Clock().Now(), revision(0))
+	sound.confirm(directory.Upstreams, now.Clock().Now(), revision(0))
+	cut.Confirm(*sound.Freshness(), revision(0), revision(95))
+	cut.Settle()
 	if cut.has("a") {
 		t.Error("still kept although the store was reachable all the while")
 	}
@@ -136,24 +136,24 @@
 	now := clock.NewManual(clock.Minute)
 	d := newTestDirectory(&fakeStore{})
 	d.o.Clock = now.Clock()
-	d.applyConfig([]byte("7"), "test")
-	d.applyUpstreams(directory.Page{Version: 90, Entries: []directory.Entry{entry("a", false)}}, true, storeSource)
+	d.applyConfig([]byte("7"), 0, "test")
+	d.applyUpstreams(directory.Page{Revision: revision(90), Entries: []directory.Entry{entry("a", false)}}, true, storeSource)
 	ages := func() (config, list clock.Millis) {
 		if f := d.Freshness(); f != nil {
 			return f.ConfigAgeMs, f.ListAgeMs
 		}
 		return -1, -1
 	}
-	d.Confirm(peers.Freshness{ConfigAgeMs: 100, ListAgeMs: 200}, 8, 91)
+	d.Confirm(peers.Freshness{ConfigAgeMs: 100, ListAgeMs: 200}, revision(8), revision(91))
 	if config, list := ages(); config != -1 || list != -1 {
 		t.Errorf("newer versions elsewhere give ages of %d and %d ms, want none", config, list)
 	}
-	d.Confirm(peers.Freshness{ConfigAgeMs: 100, ListAgeMs: 200}, 7, 89)
+	d.Confirm(peers.Freshness{ConfigAgeMs: 100, ListAgeMs: 200}, revision(7), revision(89))
 	if config, list := ages(); config != 100 || list != 200 {
 		t.Errorf("ages %d and %d ms, want 100 and 200", config, list)
 	}
 	now.Advance(clock.Second)
-	d.Confirm(peers.Freshness{ConfigAgeMs: 5000, ListAgeMs: -5000}, 7, 90)
+	d.Confirm(peers.Freshness{ConfigAgeMs: 5000, ListAgeMs: -5000}, revision(7), revision(90))
 	if config, list := ages(); config != 1100 || list != 0 {
 		t.Errorf("ages %d and %d ms, want 1100, which is known, and 0", config, list)
 	}
@@ -163,10 +163,10 @@
 // from the store after another daemon has sent a newer list.
 func TestChangesThatTheListIncludesAreNotAppliedAgain(t *testing.T) {
 	d := newTestDirectory(&fakeStore{})
-	d.applyUpstreams(directory.Page{Version: 95, Entries: []directory.Entry{entry("b", false)}}, true, "another daemon")
+	d.applyUpstreams(directory.Page{Revision: revision(95), Entries: []directory.Entry{entry("b", false)}}, true, "another daemon")
 	added, changed := entry("a", false), entry("c", false)
-	added.Version, changed.Version = 91, 97
-	d.applyUpstreams(directory.Page{Version: 99, Entries: []directory.Entry{added, changed}}, false, storeSource)
+	added.Revision, changed.Revision = revision(91), revision(97)
+	d.applyUpstreams(directory.Page{Revision: revision(99), Entries: []directory.Entry{added, changed}}, false, storeSource)
 	if d.has("a") || !d.has("b") || !d.has("c") {
 		t.Errorf("in use: a, which has left since, %t, want false; b %t and c %t, want true", d.has("a"), d.has("b"), d.has("c"))
 	}
@@ -196,14 +196,14 @@
 	fresh := newTestDirectory(&fakeStore{})
 	fresh.o.Clock = now.Clock()
 	fresh.storeAnswered(directory.Page{}, now.Clock().Now())
-	fresh.confirm(directory.Routes, now.Clock().Now(), 0)
-	fresh.confirm(directory.Upstreams, now.Clock().Now(), 0)
+	fresh.confirm(directory.Routes, now.Clock().Now(), revision(0))
+	fresh.confirm(directory.Upstreams, now.Clock().Now(), revision(0))
 	old := newTestDirectory(&fakeStore{})
 	old.o.Clock = now.Clock()
 	old.freshness = steady(clock.Second, 50*clock.Second)
 	old.storeAnswered(directory.Page{}, now.Clock().Now())
 	now.Advance(100)
-	old.Confirm(*fresh.Freshness(), 0, 0)
+	old.Confirm(*fresh.Freshness(), revision(0), revision(0))
 	if !old.freshness.mayLackEntries(now.Clock().Now()) {
 		t.Error("a daemon that has just started denied the outage before its start")
 	}
--- a/hemlockd/internal/directory/leaving_test.go
+++ b/hemlockd/internal/directory/leaving_test.go
@@ -22,6 +22,9 @@
 	rows        map[string]directory.Entry
 	history     []directory.Entry
 	version     int64
+	era         int64
+	config      string // the configuration; "1" if empty
+	configAt    int64  // the version of its row
 	changed     chan struct{}
 	silenced    chan struct{} // closed when the calls that wait lose their connections
 	unreachable bool
@@ -44,7 +47,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	e := directory.Entry{Key: id, Value: []byte("ready"), Version: s.version, Removed: removed}
+	e := directory.Entry{Key: id, Value: []byte("ready"), Revision: s.revisionLocked(), Removed: removed}
 	s.history = append(s.history, e)
 	s.rows[id] = e
 	if removed {
@@ -54,6 +57,43 @@
 	s.changed = make(chan struct{})
 }
 
+// revisionLocked returns the store's revision.
+func (s *feedStore) revisionLocked() directory.Revision {
+	return directory.Revision{Era: s.era, Version: s.version}
+}
+
+// setConfig writes a configuration.
+func (s *feedStore) setConfig(config string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.config, s.configAt = config, s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// configLocked returns the row of the configuration.
+func (s *feedStore) configLocked() directory.Entry {
+	value := s.config
+	if value == "" {
+		value = "1"
+	}
+	return directory.Entry{Key: "config", Value: []byte(value), Revision: directory.Revision{Era: s.era, Version: s.configAt}}
+}
+
+// restore brings the store back from an older copy, at a version and with the rows of some
+// upstreams and a configuration. Calls that wait get no answer.
+func (s *feedStore) restore(version int64, config string, ids ...string) {
+	s.silence()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era, s.version, s.history, s.rows = s.era+1, version, nil, map[string]directory.Entry{}
+	s.config, s.configAt = config, version
+	for _, id := range ids {
+		s.rows[id] = directory.Entry{Key: id, Value: []byte("ready"), Revision: s.revisionLocked()}
+	}
+}
+
 // silence makes the connections of all waiting calls fall silent for good.
 func (s *feedStore) silence() {
 	s.mu.Lock()
@@ -81,11 +121,11 @@
 	if s.unreachable {
 		return directory.Page{}, &directory.StatusError{Call: "read", Status: 503}
 	}
-	page := directory.Page{Version: s.version}
+	page := directory.Page{Revision: s.revisionLocked()}
 	switch topic {
 	case directory.Routes:
 		s.configReads++
-		page.Entries = []directory.Entry{{Key: "config", Value: []byte("1")}}
+		page.Entries = []directory.Entry{s.configLocked()}
 	case directory.Upstreams:
 		for _, e := range s.rows {
 			page.Entries = append(page.Entries, e)
@@ -94,7 +134,7 @@
 	return page, nil
 }
 
-func (s *feedStore) Follow(ctx context.Context, topic directory.Topic, after int64, wait clock.Millis) (directory.Page, error) {
+func (s *feedStore) Follow(ctx context.Context, topic directory.Topic, after directory.Revision, wait clock.Millis) (directory.Page, error) {
 	timer := time.NewTimer(wait.Duration())
 	defer timer.Stop()
 	s.mu.Lock()
@@ -102,16 +142,23 @@
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		page, changed, unreachable := directory.Page{Version: s.version}, s.changed, s.unreachable
+		page, changed, unreachable := directory.Page{Revision: s.revisionLocked()}, s.changed, s.unreachable
 		for _, e := range s.history {
-			if topic == directory.Upstreams && e.Version > after {
+			if topic == directory.Upstreams && after.Before(e.Revision) {
 				page.Entries = append(page.Entries, e)
 			}
 		}
+		if topic == directory.Routes && after.Version < s.configAt {
+			page.Entries = append(page.Entries, s.configLocked())
+		}
+		lost := after.Era != s.era || after.Version > s.version
 		s.mu.Unlock()
 		if unreachable {
 			return directory.Page{}, &directory.StatusError{Call: "follow", Status: 503}
 		}
+		if lost {
+			return directory.Page{}, &directory.HistoryLostError{Topic: topic, After: after}
+		}
 		if len(page.Entries) > 0 {
 			return page, nil
 		}
@@ -128,7 +175,7 @@
 	}
 }
 
-func (s *feedStore) Changes(ctx context.Context, topic directory.Topic, after int64) (directory.Page, error) {
+func (s *feedStore) Changes(ctx context.Context, topic directory.Topic, after directory.Revision) (directory.Page, error) {
 	s.mu.Lock()
 	s.changeCalls++
 	lost := s.historyLost
@@ -141,8 +188,8 @@
 
 func (s *feedStore) Put(context.Context, directory.Topic, string, []byte) error { return nil }
 
-func (s *feedStore) CompareAndSwap(context.Context, directory.Topic, string, []byte, int64) (int64, error) {
-	return 0, nil
+func (s *feedStore) CompareAndSwap(context.Context, directory.Topic, string, []byte, directory.Revision) (directory.Revision, error) {
+	return directory.Revision{}, nil
 }
 
 // bubble is a directory that runs in virtual time.
@@ -185,7 +232,7 @@
 	const refresh = 50 * clock.Millisecond
 	for ; span > 0; span -= refresh {
 		time.Sleep(min(span, refresh).Duration())
-		b.ExpireUpstreams()
+		b.Settle()
 		synctest.Wait()
 	}
 }
--- a/hemlockd/internal/directory/snapshots.go
+++ b/hemlockd/internal/directory/snapshots.go
@@ -21,16 +21,16 @@
 // snapshotCache keeps the content of the newest snapshot of a topic, compressed once for all
 // daemons that ask. It is safe for concurrent use.
 type snapshotCache struct {
-	mu      sync.Mutex
-	version int64
-	content []byte
+	mu       sync.Mutex
+	revision directory.Revision
+	content  []byte
 }
 
-// get returns the content of a version, which raw returns decompressed.
-func (c *snapshotCache) get(version int64, raw func() ([]byte, error)) ([]byte, error) {
+// get returns the content of a revision, which raw returns decompressed.
+func (c *snapshotCache) get(revision directory.Revision, raw func() ([]byte, error)) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.version == version && c.content != nil {
+	if c.revision == revision && c.content != nil {
 		return c.content, nil
 	}
 	data, err := raw()
@@ -41,18 +41,18 @@
 	if err != nil {
 		return nil, err
 	}
-	if version > c.version {
-		c.version, c.content = version, content
+	if c.revision.Before(revision) {
+		c.revision, c.content = revision, content
 	}
 	return content, nil
 }
 
-// put keeps the content of a version that another daemon has compressed.
-func (c *snapshotCache) put(version int64, content []byte) {
+// put keeps the content of a revision that another daemon has compressed.
+func (c *snapshotCache) put(revision directory.Revision, content []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version > c.version {
-		c.version, c.content = version, content
+	if c.revision.Before(revision) {
+		c.revision, c.content = revision, content
 	}
 }
 
@@ -87,34 +87,36 @@
 }
 
 // Snapshot returns the configuration or the list of upstreams in force, without its content
-// if the caller's version is as new.
+// if the caller's revision is as new.
 func (d *Directory) Snapshot(request peers.SnapshotRequest) (peers.Snapshot, error) {
 	if request.Topic == directory.Routes {
-		return d.configSnapshot(request.HaveVersion)
+		return d.configSnapshot(request.Have)
 	}
-	return d.listSnapshot(request.HaveVersion)
+	return d.listSnapshot(request.Have)
 }
 
-func (d *Directory) configSnapshot(have int64) (peers.Snapshot, error) {
-	table := d.table.Load()
-	if table == nil || table.Config.Version <= have {
-		return peers.Snapshot{Version: d.Version()}, nil
+func (d *Directory) configSnapshot(have directory.Revision) (peers.Snapshot, error) {
+	d.mu.Lock()
+	table, revision := d.table.Load(), d.ConfigRevision()
+	d.mu.Unlock()
+	if table == nil || !have.Before(revision) {
+		return peers.Snapshot{Revision: revision}, nil
 	}
-	content, err := d.configCache.get(table.Config.Version, func() ([]byte, error) { return table.Config.Raw, nil })
-	return peers.Snapshot{Version: table.Config.Version, Content: content}, err
+	content, err := d.configCache.get(revision, func() ([]byte, error) { return table.Config.Raw, nil })
+	return peers.Snapshot{Revision: revision, Content: content}, err
 }
 
-func (d *Directory) listSnapshot(have int64) (peers.Snapshot, error) {
+func (d *Directory) listSnapshot(have directory.Revision) (peers.Snapshot, error) {
 	d.mu.Lock()
-	version, loaded := d.listVersion.Load(), d.upstreamsLoaded.Load()
-	if !loaded || version <= have {
+	revision, loaded := d.ListRevision(), d.upstreamsLoaded.Load()
+	if !loaded || !have.Before(revision) {
 		d.mu.Unlock()
-		return peers.Snapshot{Version: version}, nil
+		return peers.Snapshot{Revision: revision}, nil
 	}
 	entries := d.upstreams.listed()
 	d.mu.Unlock()
-	content, err := d.listCache.get(version, func() ([]byte, error) { return json.Marshal(entries) })
-	return peers.Snapshot{Version: version, Content: content}, err
+	content, err := d.listCache.get(revision, func() ([]byte, error) { return json.Marshal(entries) })
+	return peers.Snapshot{Revision: revision, Content: content}, err
 }
 
 // applySnapshot applies the snapshot of a topic from the daemon at the given control address.
@@ -127,8 +129,8 @@
 		return err
 	}
 	if topic == directory.Routes {
-		if version := d.applyConfig(data, control); version == s.Version {
-			d.configCache.put(version, s.Content)
+		if revision := d.applyConfig(data, s.Revision.Era, control); revision == s.Revision {
+			d.configCache.put(revision, s.Content)
 		}
 		return nil
 	}
@@ -136,10 +138,11 @@
 	if err := json.Unmarshal(data, &entries); err != nil {
 		return fmt.Errorf("decode a list of upstreams: %w", err)
 	}
-	page := directory.Page{Version: s.Version}
+	page := directory.Page{Revision: s.Revision}
 	for id, raw := range entries {
 		page.Entries = append(page.Entries, directory.Entry{Key: id, Value: raw})
 	}
+	d.hearEra(s.Revision.Era)
 	d.applyUpstreams(page, true, control)
 	return nil
 }
--- a/hemlockd/internal/directory/storehealth.go
+++ b/hemlockd/internal/directory/storehealth.go
@@ -47,28 +47,39 @@
 }
 
 // storeAnswered records an answer of the store to a call that began at called, and returns
-// when the answer was made.
-func (d *Directory) storeAnswered(page directory.Page, called clock.Millis) clock.Millis {
+// when the answer was made. It fails if the store is known to have come back from an older copy
+// since.
+func (d *Directory) storeAnswered(page directory.Page, called clock.Millis) (clock.Millis, error) {
+	now := d.o.Clock.Now()
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	at := d.storeClock.timeOf(page.StoreMs, called, d.o.Clock.Now())
-	d.freshness.answered(at)
-	return at
+	at := d.storeClock.timeOf(page.StoreMs, called, now)
+	restored, err := d.history.answered(page.Revision, now)
+	if err == nil {
+		d.freshness.answered(at)
+	}
+	if restored {
+		d.freshness.restored(at)
+	}
+	d.mu.Unlock()
+	if restored {
+		d.announceRestored(page.Revision)
+	}
+	return at, err
 }
 
 // confirm records that the entries in force of a topic were the store's at a time, when the
-// store's version was the given one.
-func (d *Directory) confirm(topic directory.Topic, at clock.Millis, storeVersion int64) {
+// store's revision was the given one.
+func (d *Directory) confirm(topic directory.Topic, at clock.Millis, storeRevision directory.Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.freshness.confirm(topic, at, storeVersion)
+	d.freshness.confirm(topic, at, storeRevision)
 }
 
-// storeVersion returns the store's version when a topic was last confirmed, or 0.
-func (d *Directory) storeVersion(topic directory.Topic) int64 {
+// storeRevision returns the store's revision when a topic was last confirmed, or zero.
+func (d *Directory) storeRevision(topic directory.Topic) directory.Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.freshness.storeVersion[topic]
+	return d.freshness.storeRevision[topic]
 }
 
 // Freshness returns how up to date this daemon is, to be sent to other daemons, or nil if
@@ -82,29 +93,33 @@
 	if !configKnown || !listKnown {
 		return nil
 	}
-	f := &peers.Freshness{ConfigAgeMs: configAge, ListAgeMs: listAge, ConfigStoreVersion: d.freshness.storeVersion[directory.Routes]}
+	f := &peers.Freshness{ConfigAgeMs: configAge, ListAgeMs: listAge, ConfigStore: d.freshness.storeRevision[directory.Routes]}
 	if ago := now - d.freshness.surelyReachableSince(); ago < outageMemory {
 		f.OutageAgoMs = max(1, ago)
 	}
 	return f
 }
 
-// Confirm applies what another daemon, which has the given versions in force, knows of its
-// freshness.
-func (d *Directory) Confirm(f peers.Freshness, version, listVersion int64) {
+// Confirm applies what another daemon, which has the given revisions in force, knows of its
+// freshness. What it knows of an earlier era counts for nothing.
+func (d *Directory) Confirm(f peers.Freshness, config, list directory.Revision) {
+	d.hearEra(list.Era)
 	now := d.o.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if list.Era < d.history.era {
+		return
+	}
 	ago := func(age clock.Millis) clock.Millis { return now - max(0, age) }
 	reachableSince := ago(f.OutageAgoMs)
 	if f.OutageAgoMs == 0 {
 		reachableSince = ago(outageMemory)
 	}
 	d.freshness.reachableFor(reachableSince, ago(min(f.ConfigAgeMs, f.ListAgeMs)), now)
-	if version <= d.Version() {
-		d.freshness.confirm(directory.Routes, ago(f.ConfigAgeMs), f.ConfigStoreVersion)
+	if f.ConfigStore.Era == d.history.era && !d.ConfigRevision().Before(config) {
+		d.freshness.confirm(directory.Routes, ago(f.ConfigAgeMs), f.ConfigStore)
 	}
-	if listVersion <= d.listVersion.Load() {
-		d.freshness.confirm(directory.Upstreams, ago(f.ListAgeMs), 0)
+	if inForce := d.ListRevision(); inForce.Era == list.Era && !inForce.Before(list) {
+		d.freshness.confirm(directory.Upstreams, ago(f.ListAgeMs), directory.Revision{})
 	}
 }
--- a/hemlockd/internal/directory/upstreams.go
+++ b/hemlockd/internal/directory/upstreams.go
@@ -44,6 +44,9 @@
 	// removedMs is when the entry was removed, while its upstream is still used; 0
 	// otherwise.
 	removedMs clock.Millis
+	// unsureMs is since when the entry is listed although its upstream had left, while the
+	// upstream is not used for that; 0 otherwise.
+	unsureMs clock.Millis
 }
 
 func newUpstreamList() *upstreamList {
@@ -59,14 +62,18 @@
 	if l.outdated(u) {
 		return false
 	}
-	l.newest[u.ID] = orderOf(u)
 	old, ok := l.entries[u.ID]
-	l.entries[u.ID] = &listEntry{upstream: u, raw: raw}
+	unsureMs := clock.Millis(0)
+	if ok && orderOf(u) == orderOf(old.upstream) {
+		unsureMs = old.unsureMs
+	}
+	l.newest[u.ID] = orderOf(u)
+	l.entries[u.ID] = &listEntry{upstream: u, raw: raw, unsureMs: unsureMs}
 	if !ok {
 		return true
 	}
 	u.Sequence = old.upstream.Sequence
-	return old.upstream != u || old.removedMs != 0
+	return old.upstream != u || old.removedMs != 0 || old.unsureMs != unsureMs
 }
 
 // remove removes an entry. If keep is set, an upstream that has not said that it leaves
@@ -77,7 +84,7 @@
 		return
 	}
 	l.remember(id, now)
-	if e.upstream.Leaving || !keep {
+	if e.upstream.Leaving || e.unsureMs != 0 || !keep {
 		delete(l.entries, id)
 		return
 	}
@@ -134,7 +141,7 @@
 func (l *upstreamList) byService() map[string][]routing.Upstream {
 	services := map[string][]routing.Upstream{}
 	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
-		if u := l.entries[id].upstream; !u.Leaving {
+		if u := l.entries[id].upstream; !u.Leaving && l.entries[id].unsureMs == 0 {
 			services[u.Service] = append(services[u.Service], u)
 		}
 	}
--- a/hemlockd/internal/peers/cell_test.go
+++ b/hemlockd/internal/peers/cell_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/suspects"
@@ -72,12 +73,12 @@
 		Log: zap.NewNop(), Clock: m.time.Clock(), Name: "d0", DataCentre: dataCentre(0), Address: "10.0.0.0:9", Control: "10.0.0.0:8", StartedMs: 1,
 		BytesPerSecond: 1 << 30, Network: m.network,
 	}, Handlers{
-		Version: func() int64 { return 1 }, ListVersion: func() int64 { return 1 }, FollowsStore: func() bool { return false },
+		Config: func() directory.Revision { return directory.Revision{Version: 1} }, List: func() directory.Revision { return directory.Revision{Version: 1} }, FollowsStore: func() bool { return false },
 		View: view, Suspects: suspects.New(), Prompts: prompts.New(),
 		Gate:            upstreamgate.New(upstreamlimits.New("d0", 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}),
-		CapacityChanged: func() {}, Versions: func(string, int64, int64, bool) {}, Unreachable: func([]string) {}, ChangingRole: func([]string) {},
+		CapacityChanged: func() {}, Revisions: func(string, directory.Revision, directory.Revision, bool) {}, Unreachable: func([]string) {}, ChangingRole: func([]string) {},
 		Leaving: func([]upstreamgate.Target, string) {}, Load: func() EngineLoad { return EngineLoad{MemoryUse: 0.4, Runs: 3} },
-		Freshness: func() *Freshness { return &Freshness{} }, Confirmed: func(Freshness, int64, int64) {},
+		Freshness: func() *Freshness { return &Freshness{} }, Confirmed: func(Freshness, directory.Revision, directory.Revision) {},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/hemlockd/internal/peers/messages.go
+++ b/hemlockd/internal/peers/messages.go
@@ -30,10 +30,10 @@
 	Address    string `json:"address"` // IP:port for datagrams
 	Control    string `json:"control"` // IP:port for calls
 	DataCentre string `json:"dataCentre"`
-	// Version is the version of the configuration in force.
-	Version int64 `json:"version"`
-	// ListVersion is the store's version of the list of upstreams.
-	ListVersion int64 `json:"listVersion"`
+	// Config is the revision of the configuration in force.
+	Config directory.Revision `json:"version"`
+	// List is the store's revision of the list of upstreams.
+	List directory.Revision `json:"listVersion"`
 	// FollowsStore reports whether the sender receives changes from the store itself.
 	FollowsStore bool `json:"followsStore,omitempty"`
 	// LinkMbps is the rate of the sender's link, in Mbit/s; 0 if it does not know it.
@@ -80,8 +80,8 @@
 type Freshness struct {
 	// ConfigAgeMs is the time since the configuration in force was known to be the store's.
 	ConfigAgeMs clock.Millis `json:"configMs"`
-	// ConfigStoreVersion is the store's version of that time; 0 if it is not known.
-	ConfigStoreVersion int64 `json:"configStoreVersion,omitempty"`
+	// ConfigStore is the store's revision of that time; zero if it is not known.
+	ConfigStore directory.Revision `json:"configStoreVersion,omitzero"`
 	// ListAgeMs is the time since the list of upstreams was known to be the store's.
 	ListAgeMs clock.Millis `json:"listMs"`
 	// OutageAgoMs is the time since which the store is known to have answered some daemon or
@@ -94,17 +94,16 @@
 	// Topic is [directory.Routes] or [directory.Upstreams]. Each has calls of its own, so that
 	// a large configuration does not hold up news of upstreams.
 	Topic directory.Topic `json:"topic"`
-	// HaveVersion is the version that the caller has.
-	HaveVersion int64 `json:"haveVersion"`
+	// Have is the revision that the caller has.
+	Have directory.Revision `json:"haveVersion"`
 }
 
 // Snapshot holds what a daemon has in force of one topic.
 type Snapshot struct {
-	// Version is the version of the configuration, or the store's version of the list of
-	// upstreams.
-	Version int64 `json:"version"`
+	// Revision is that of the configuration, or the store's of the list of upstreams.
+	Revision directory.Revision `json:"version"`
 	// Content is compressed with gzip: the configuration in the platform's own encoding, or
 	// the list of upstreams as a JSON object of such entries by ID. It is omitted if the
-	// caller's version is as new.
+	// caller's revision is as new.
 	Content []byte `json:"content,omitempty"`
 }
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -32,6 +32,7 @@
 	"golang.org/x/time/rate"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
 	"hemlockmux.example/common/operatorapi"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/logs"
@@ -91,10 +92,10 @@
 
 // Handlers provides the state that this daemon sends and processes what it receives.
 type Handlers struct {
-	// Version returns the version of the configuration in force.
-	Version func() int64
-	// ListVersion returns the version of the list of upstreams.
-	ListVersion func() int64
+	// Config returns the revision of the configuration in force.
+	Config func() directory.Revision
+	// List returns the revision of the list of upstreams.
+	List func() directory.Revision
 	// FollowsStore reports whether this daemon receives changes from the store itself.
 	FollowsStore func() bool
 	// View holds the runs of this daemon and of the others.
@@ -117,15 +118,15 @@
 	// ChangingRole is called with engines that another daemon has ordered to change
 	// their role.
 	ChangingRole func(ids []string)
-	// Versions is called with the versions of the configuration and of the list of upstreams
+	// Revisions is called with the revisions of the configuration and of the list of upstreams
 	// that the daemon at the control address has in force; local is set if it is in the same
 	// data centre.
-	Versions func(control string, version, listVersion int64, local bool)
+	Revisions func(control string, config, list directory.Revision, local bool)
 	// Freshness returns how up to date this daemon is, or nil if it does not know.
 	Freshness func() *Freshness
-	// Confirmed is called with the freshness of another daemon and the versions of the
+	// Confirmed is called with the freshness of another daemon and the revisions of the
 	// configuration and of the list of upstreams that it has in force.
-	Confirmed func(f Freshness, version, listVersion int64)
+	Confirmed func(f Freshness, config, list directory.Revision)
 	// Snapshot answers the snapshot requests of other daemons.
 	Snapshot func(SnapshotRequest) (Snapshot, error)
 	// Beliefs answers the requests of operators for this daemon's state.
@@ -160,8 +161,8 @@
 	// Control is the IP:port for calls.
 	Control    string `json:"control"`
 	DataCentre string `json:"dataCentre"`
-	// Version is the version of the configuration in force there.
-	Version int64 `json:"version"`
+	// Config is the revision of the configuration in force there.
+	Config directory.Revision `json:"version"`
 	// LastHeardMs is the local time of its last message, in ms.
 	LastHeardMs clock.Millis `json:"heardMs"`
 	// Leaving reports whether it is shutting down.
@@ -350,7 +351,7 @@
 		s.Freshness = p.handlers.Freshness()
 	}
 	s.LinkMbps = o.LinkMbps
-	s.Version, s.ListVersion, s.FollowsStore = p.handlers.Version(), p.handlers.ListVersion(), p.handlers.FollowsStore()
+	s.Config, s.List, s.FollowsStore = p.handlers.Config(), p.handlers.List(), p.handlers.FollowsStore()
 	p.mu.Lock()
 	if s.Sequence == 0 {
 		p.sequence++
--- a/hemlockd/internal/peers/peers_test.go
+++ b/hemlockd/internal/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/directory"
 	"hemlockmux.example/common/operatorapi"
 	"hemlockmux.example/hemlockd/internal/capacity"
 	"hemlockmux.example/hemlockd/internal/prompts"
@@ -46,12 +47,12 @@
 		Log: zap.NewNop(), Clock: clock.System(), Name: name, DataCentre: "a",
 		Address: freeAddress(t), Control: freeAddress(t), StartedMs: started, BytesPerSecond: 20000,
 	}, Handlers{
-		Version: func() int64 { return n.version.Load() }, ListVersion: func() int64 { return 0 }, FollowsStore: func() bool { return true },
-		View: n.view, Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Versions: n.hear,
+		Config: n.config, List: func() directory.Revision { return directory.Revision{} }, FollowsStore: func() bool { return true },
+		View: n.view, Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New(name, 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), CapacityChanged: func() {}, Revisions: n.hear,
 		Unreachable: func([]string) {}, ChangingRole: func([]string) {}, Leaving: func([]upstreamgate.Target, string) {}, Load: func() EngineLoad { return EngineLoad{} },
-		Freshness: func() *Freshness { return &Freshness{ListAgeMs: 1} }, Confirmed: func(Freshness, int64, int64) {},
+		Freshness: func() *Freshness { return &Freshness{ListAgeMs: 1} }, Confirmed: func(Freshness, directory.Revision, directory.Revision) {},
 		Snapshot: func(SnapshotRequest) (Snapshot, error) {
-			return Snapshot{Version: n.version.Load(), Content: n.content}, nil
+			return Snapshot{Revision: n.config(), Content: n.content}, nil
 		},
 		Beliefs: func() operatorapi.DaemonView { return operatorapi.DaemonView{Daemon: name} },
 	})
@@ -65,12 +66,15 @@
 }
 
 // hear passes on the control address of a daemon with a newer configuration.
-func (n *node) hear(control string, version, _ int64, _ bool) {
-	if version > n.version.Load() {
+func (n *node) hear(control string, config, _ directory.Revision, _ bool) {
+	if n.config().Before(config) {
 		n.newer <- control
 	}
 }
 
+// config returns the revision of the configuration in force.
+func (n *node) config() directory.Revision { return directory.Revision{Version: n.version.Load()} }
+
 func eventually(t *testing.T, what string, f func() bool) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
@@ -137,7 +141,7 @@
 	b.AddAddress(a.options.Address, "")
 	control := <-b.newer
 	s, err := b.FetchSnapshot(t.Context(), control, SnapshotRequest{})
-	if err != nil || s.Version != 7 || string(s.Content) != "config" {
+	if err != nil || s.Revision.Version != 7 || string(s.Content) != "config" {
 		t.Errorf("%+v, %v", s, err)
 	}
 }
--- a/hemlockd/internal/peers/receive.go
+++ b/hemlockd/internal/peers/receive.go
@@ -62,7 +62,10 @@
 	stale := s.StartedMs < d.startedMs || s.Sequence < d.lastFullSequence || s.Full && s.Sequence < d.lastSequence
 	if s.StartedMs == d.startedMs {
 		d.silent = false
-		d.LastHeardMs, d.Version, d.Leaving, d.FollowsStore = now, max(d.Version, s.Version), s.Leaving, s.FollowsStore
+		d.LastHeardMs, d.Leaving, d.FollowsStore = now, s.Leaving, s.FollowsStore
+		if d.Config.Before(s.Config) {
+			d.Config = s.Config
+		}
 		d.Address, d.Control, d.DataCentre, d.LinkMbps = s.Address, s.Control, s.DataCentre, s.LinkMbps
 		d.lastSequence = max(d.lastSequence, s.Sequence)
 		d.hasRuns = d.hasRuns || len(s.Runs) > 0
@@ -97,9 +100,9 @@
 	p.applyLimits(s, now)
 	p.applyLeaving(s, now)
 	if s.Freshness != nil {
-		p.handlers.Confirmed(*s.Freshness, s.Version, s.ListVersion)
+		p.handlers.Confirmed(*s.Freshness, s.Config, s.List)
 	}
-	p.handlers.Versions(s.Control, s.Version, s.ListVersion, s.DataCentre == p.options.DataCentre)
+	p.handlers.Revisions(s.Control, s.Config, s.List, s.DataCentre == p.options.DataCentre)
 }
 
 // applyLimits applies what a message says of the limits that upstreams name, and answers what it
--- a/hemlockd/internal/roles/controller_test.go
+++ b/hemlockd/internal/roles/controller_test.go
@@ -64,9 +64,9 @@
 // alwaysWritesStore accepts every write.
 type alwaysWritesStore struct{ version int64 }
 
-func (s *alwaysWritesStore) CompareAndSwap(context.Context, directory.Topic, string, []byte, int64) (int64, error) {
+func (s *alwaysWritesStore) CompareAndSwap(context.Context, directory.Topic, string, []byte, directory.Revision) (directory.Revision, error) {
 	s.version++
-	return s.version, nil
+	return directory.Revision{Version: s.version}, nil
 }
 
 // runController runs a controller for the given number of samples on a manual clock.
--- a/hemlockd/internal/roles/lease.go
+++ b/hemlockd/internal/roles/lease.go
@@ -10,9 +10,9 @@
 )
 
 // Store is the part of the store that a lease needs. CompareAndSwap writes an entry if
-// its version is the expected one and returns the new version.
+// its version is the expected one and returns the new revision.
 type Store interface {
-	CompareAndSwap(ctx context.Context, topic directory.Topic, key string, value []byte, expected int64) (int64, error)
+	CompareAndSwap(ctx context.Context, topic directory.Topic, key string, value []byte, expected directory.Revision) (directory.Revision, error)
 }
 
 // Lease is the exclusive right to send orders to the engines of a data centre. It is
@@ -23,12 +23,12 @@
 	holder string
 	// separationMs is the minimum time between orders of two holders.
 	separationMs clock.Millis
-	// version is the last known version of the entry.
-	version int64
-	// observedMs is the time at which this version became known, or of the last
+	// revision is the last known revision of the entry.
+	revision directory.Revision
+	// observedMs is the time at which this revision became known, or of the last
 	// write with an unknown outcome.
 	observedMs clock.Millis
-	// held says that this daemon wrote this version.
+	// held says that this daemon wrote this revision.
 	held bool
 	// waitUntilMs is the time, after a takeover, from which orders keep the minimum
 	// separation from those of the previous holder.
@@ -60,17 +60,17 @@
 //
 // now must return a time that keeps running while the VM is suspended.
 func (l *Lease) Renew(ctx context.Context, now func() clock.Millis) (int64, error) {
-	if !l.held && l.version != 0 && now()-l.observedMs < expirySeparations*l.separationMs {
+	if !l.held && l.revision.Version != 0 && now()-l.observedMs < expirySeparations*l.separationMs {
 		return 0, nil
 	}
 	value, err := json.Marshal(entry{Holder: l.holder})
 	if err != nil {
 		return 0, err
 	}
-	version, err := l.store.CompareAndSwap(ctx, directory.Roles, l.key, value, l.version)
+	revision, err := l.store.CompareAndSwap(ctx, directory.Roles, l.key, value, l.revision)
 	var conflict *directory.ConflictError
 	if errors.As(err, &conflict) {
-		l.version, l.observedMs = conflict.Current.Version, now()
+		l.revision, l.observedMs = conflict.Current.Revision, now()
 		// An entry that an earlier process of this daemon wrote counts as its own.
 		l.held = l.namesHolder(conflict.Current.Value)
 		return 0, nil
@@ -81,13 +81,13 @@
 		l.observedMs = now()
 		return 0, err
 	}
-	takenOver := !l.held && l.version != 0
-	l.held, l.version, l.observedMs = true, version, now()
+	takenOver := !l.held && l.revision.Version != 0
+	l.held, l.revision, l.observedMs = true, revision, now()
 	if takenOver {
 		l.waitUntilMs = now() + l.separationMs + l.separationMs/expirySeparations
 	}
 	if now() < l.waitUntilMs {
 		return 0, nil
 	}
-	return version, nil
+	return revision.Version, nil
 }
--- a/hemlockd/internal/roles/lease_test.go
+++ b/hemlockd/internal/roles/lease_test.go
@@ -25,21 +25,21 @@
 	expected int64
 }
 
-func (s *fakeStore) CompareAndSwap(_ context.Context, _ directory.Topic, key string, value []byte, expected int64) (int64, error) {
+func (s *fakeStore) CompareAndSwap(_ context.Context, _ directory.Topic, key string, value []byte, expected directory.Revision) (directory.Revision, error) {
 	switch rapid.IntRange(0, 5).Draw(s.t, "fate") {
 	case 0:
-		return 0, errors.New("write lost")
+		return directory.Revision{}, errors.New("write lost")
 	case 1:
-		s.late = append(s.late, write{value, expected})
-		return 0, errors.New("write delayed")
+		s.late = append(s.late, write{value, expected.Version})
+		return directory.Revision{}, errors.New("write delayed")
 	case 2:
-		s.apply(write{value, expected})
-		return 0, errors.New("answer lost")
+		s.apply(write{value, expected.Version})
+		return directory.Revision{}, errors.New("answer lost")
 	}
-	if !s.apply(write{value, expected}) {
-		return 0, &directory.ConflictError{Current: directory.Entry{Key: key, Value: s.value, Version: s.version}}
+	if !s.apply(write{value, expected.Version}) {
+		return directory.Revision{}, &directory.ConflictError{Current: directory.Entry{Key: key, Value: s.value, Revision: directory.Revision{Version: s.version}}}
 	}
-	return s.version, nil
+	return directory.Revision{Version: s.version}, nil
 }
 
 func (s *fakeStore) apply(w write) bool {
