Red test: leases of two daemons across restores of the store

Cause: the lease compares versions of two histories, trusts an older entry that names itself, and uses the bare version as the fencing token, which goes back with the store.

--- a/hemlockd/internal/roles/lease_test.go
+++ b/hemlockd/internal/roles/lease_test.go
@@ -15,9 +15,14 @@
 // applied later if its condition still holds.
 type fakeStore struct {
 	t       *rapid.T
+	era     int64
 	version int64
 	value   []byte
-	late    []write
+	// writtenAt is the version of the value.
+	writtenAt int64
+	late      []write
+	// copied is an earlier state of the store.
+	copied *fakeStore
 }
 
 type write struct {
@@ -37,20 +42,33 @@
 		return directory.Revision{}, errors.New("answer lost")
 	}
 	if !s.apply(write{value, expected.Version}) {
-		return directory.Revision{}, &directory.ConflictError{Current: directory.Entry{Key: key, Value: s.value, Revision: directory.Revision{Version: s.version}}}
+		return directory.Revision{}, &directory.ConflictError{Current: directory.Entry{Key: key, Value: s.value, Revision: s.revision()}}
 	}
-	return directory.Revision{Version: s.version}, nil
+	return s.revision(), nil
+}
+
+// revision returns the revision of the entry.
+func (s *fakeStore) revision() directory.Revision {
+	return directory.Revision{Era: s.era, Version: s.writtenAt}
 }
 
 func (s *fakeStore) apply(w write) bool {
-	if w.expected != s.version {
+	if w.expected != s.writtenAt {
 		return false
 	}
 	s.version++
-	s.value = w.value
+	s.value, s.writtenAt = w.value, s.version
 	return true
 }
 
+// restore brings the store back from its copy.
+func (s *fakeStore) restore() {
+	if c := s.copied; c != nil {
+		s.era++
+		s.version, s.value, s.writtenAt = c.version, c.value, c.writtenAt
+	}
+}
+
 // TestOrdersOfTwoHoldersNeverComeClose checks that orders of two daemons keep the
 // minimum separation and that fencing tokens increase, while daemons pause and
 // restart and the store loses or delays writes.
@@ -58,34 +76,89 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const span = 3 * clock.Second
 		store := &fakeStore{t: t}
-		names := []string{"a", "b", "c"}
-		leases := map[string]*Lease{}
-		for _, n := range names {
-			leases[n] = NewLease(store, "dc", n, span)
-		}
+		f := newLeaseFleet(store, span)
 		lastHolder, lastAt, lastFence := "", clock.Millis(-1), int64(0)
-		now := clock.Millis(0)
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			now += clock.Millis(rapid.IntRange(1, 4000).Draw(t, "pause"))
+			f.now += clock.Millis(rapid.IntRange(1, 4000).Draw(t, "pause"))
 			if len(store.late) > 0 && rapid.Bool().Draw(t, "late write") {
 				store.apply(store.late[0])
 				store.late = store.late[1:]
 			}
-			n := rapid.SampledFrom(names).Draw(t, "daemon")
+			n := rapid.SampledFrom(f.names).Draw(t, "daemon")
 			if rapid.IntRange(0, 20).Draw(t, "restart") == 0 {
-				leases[n] = NewLease(store, "dc", n, span)
+				f.start(n)
 			}
-			fence, _ := leases[n].Renew(context.Background(), func() clock.Millis { return now })
+			fence, _ := f.leases[n].Renew(context.Background(), func() clock.Millis { return f.now })
 			if fence == 0 {
 				continue
 			}
 			if fence <= lastFence {
 				t.Fatalf("fencing token %d issued after %d", fence, lastFence)
 			}
-			if lastHolder != "" && lastHolder != n && now-lastAt < span {
-				t.Fatalf("%s may send orders %d ms after %s", n, now-lastAt, lastHolder)
+			if lastHolder != "" && lastHolder != n && f.now-lastAt < span {
+				t.Fatalf("%s may send orders %d ms after %s", n, f.now-lastAt, lastHolder)
 			}
-			lastHolder, lastAt, lastFence = n, now, fence
+			lastHolder, lastAt, lastFence = n, f.now, fence
 		}
 	})
 }
+
+// TestOrdersKeepApartAcrossRestores guards against two daemons that order at the same time, and against
+// a fencing token that is lower than an earlier one: the store came back from an older copy, whose
+// entry named an earlier holder, and gave out versions again.
+func TestOrdersKeepApartAcrossRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = 3 * clock.Second
+		store := &fakeStore{t: t, era: 1}
+		f := newLeaseFleet(store, span)
+		lastHolder, lastAt, lastFence := "", clock.Millis(-1), int64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			f.now += clock.Millis(rapid.IntRange(1, 2000).Draw(t, "pause"))
+			switch rapid.IntRange(0, 15).Draw(t, "event") {
+			case 0:
+				store.copied = &fakeStore{version: store.version, value: store.value, writtenAt: store.writtenAt}
+			case 1:
+				store.restore()
+			case 2:
+				store.version++ // another row is written
+			}
+			n := rapid.SampledFrom(f.names).Draw(t, "daemon")
+			if rapid.IntRange(0, 20).Draw(t, "restart") == 0 {
+				f.start(n)
+			}
+			fence, _ := f.leases[n].Renew(context.Background(), func() clock.Millis { return f.now })
+			if fence == 0 {
+				continue
+			}
+			if fence <= lastFence {
+				t.Fatalf("fencing token %d issued after %d", fence, lastFence)
+			}
+			if lastHolder != "" && lastHolder != n && f.now-lastAt < span {
+				t.Fatalf("%s may send orders %d ms after %s", n, f.now-lastAt, lastHolder)
+			}
+			lastHolder, lastAt, lastFence = n, f.now, fence
+		}
+	})
+}
+
+// leaseFleet is a few daemons that share a lease.
+type leaseFleet struct {
+	store  *fakeStore
+	span   clock.Millis
+	names  []string
+	now    clock.Millis
+	leases map[string]*Lease
+}
+
+func newLeaseFleet(store *fakeStore, span clock.Millis) *leaseFleet {
+	f := &leaseFleet{store: store, span: span, names: []string{"a", "b", "c"}, leases: map[string]*Lease{}}
+	for _, n := range f.names {
+		f.start(n)
+	}
+	return f
+}
+
+// start starts a daemon anew.
+func (f *leaseFleet) start(name string) {
+	f.leases[name] = NewLease(f.store, "dc", name, f.span)
+}
