Lease of role changes: no order until the store's era has been known for a while

Orders of two daemons could reach engines within the time that they must keep apart, with a fencing token that goes back. Cause: versions of two histories compared, and an older entry trusted that a restored store holds.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -188,7 +188,7 @@
 	})
 	roleController := roles.NewController(roles.Options{
 		Log: d.log, Clock: boot, Engines: servers, Name: d.settings.Name, DataCentre: d.settings.DataCentre,
-		Lease:    roles.NewLease(store, d.settings.DataCentre, d.settings.Name, d.settings.RoleLeaseMs),
+		Lease:    roles.NewLease(store, d.settings.DataCentre, d.settings.Name, d.settings.RoleLeaseMs, d.storeEra),
 		Services: d.engineServices, Responsible: d.isFirstInDataCentre,
 		PrefillWorkMs: view.PrefillWorkMs,
 		MemoryUse:     func() map[string]float64 { return view.MemoryUse(d.clk.Now()) },
@@ -257,6 +257,12 @@
 	return peers.EngineLoad{MemoryUse: memoryUse, Runs: runs}
 }
 
+// storeEra returns what is known of the store's era, for the lease.
+func (d *platformDaemon) storeEra() roles.Era {
+	number, since, known := d.directory.Era()
+	return roles.Era{Number: number, SinceMs: since, Known: known}
+}
+
 // runRefresh updates the state that depends on the time.
 func (d *platformDaemon) runRefresh(ctx context.Context) {
 	for clock.Sleep(ctx, refreshInterval) {
--- a/hemlockd/internal/directory/restored.go
+++ b/hemlockd/internal/directory/restored.go
@@ -26,8 +26,9 @@
 	// firstVersion is the lowest version seen in the era: what has a higher one was written in it.
 	firstVersion int64
 	hasVersion   bool
-	// restoredMs is when the era was first heard of, if an earlier one was known.
-	restoredMs  clock.Millis
+	// sinceMs is when the era was first heard of.
+	sinceMs clock.Millis
+	// wasRestored is set if an earlier one was known.
 	wasRestored bool
 }
 
@@ -63,10 +64,8 @@
 		return false
 	}
 	restored = h.known
-	h.era, h.known, h.hasVersion = era, true, false
-	if restored {
-		h.restoredMs, h.wasRestored = now, true
-	}
+	h.era, h.known, h.hasVersion, h.sinceMs = era, true, false, now
+	h.wasRestored = h.wasRestored || restored
 	return restored
 }
 
@@ -102,12 +101,11 @@
 	}
 }
 
-// Restored returns when this daemon learned that the store has come back from an older copy, or
-// false if it never has.
-func (d *Directory) Restored() (at clock.Millis, ok bool) {
+// Era returns the store's era and when this daemon learned of it; known is false before.
+func (d *Directory) Era() (era int64, sinceMs clock.Millis, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.history.restoredMs, d.history.wasRestored
+	return d.history.era, d.history.sinceMs, d.history.known
 }
 
 // pendingConfig is a configuration that the operator has written to the restored store with a
--- a/hemlockd/internal/directory/restored_test.go
+++ b/hemlockd/internal/directory/restored_test.go
@@ -160,7 +160,7 @@
 	if !older.has("a") {
 		t.Error("an upstream that the restored store lacks was dropped at once")
 	}
-	if _, ok := older.Restored(); !ok {
+	if era, _, _ := older.Era(); era != 2 {
 		t.Error("the first did not learn of the restore from the second")
 	}
 }
--- a/hemlockd/internal/roles/controller_test.go
+++ b/hemlockd/internal/roles/controller_test.go
@@ -75,7 +75,7 @@
 	prefillWorkMs := 0.0
 	c := NewController(Options{
 		Log: zap.NewNop(), Clock: clk.Clock(), Engines: engines, Name: "d", DataCentre: "a",
-		Lease: NewLease(&alwaysWritesStore{}, "a", "d", 3*clock.Second), Services: engines.services,
+		Lease: NewLease(&alwaysWritesStore{}, "a", "d", 3*clock.Second, func() Era { return Era{SinceMs: -clock.Minute, Known: true} }), Services: engines.services,
 		Responsible: func() bool { return true }, PrefillWorkMs: func(string) float64 { return prefillWorkMs },
 		MemoryUse: func() map[string]float64 {
 			use := map[string]float64{}
--- a/hemlockd/internal/roles/lease_test.go
+++ b/hemlockd/internal/roles/lease_test.go
@@ -126,6 +126,9 @@
 			if rapid.IntRange(0, 20).Draw(t, "restart") == 0 {
 				f.start(n)
 			}
+			if rapid.IntRange(0, 3).Draw(t, "answer about another topic") > 0 {
+				f.observe(n)
+			}
 			fence, _ := f.leases[n].Renew(context.Background(), func() clock.Millis { return f.now })
 			if fence == 0 {
 				continue
@@ -148,10 +151,12 @@
 	names  []string
 	now    clock.Millis
 	leases map[string]*Lease
+	// eras is what each daemon knows of the store's era.
+	eras map[string]Era
 }
 
 func newLeaseFleet(store *fakeStore, span clock.Millis) *leaseFleet {
-	f := &leaseFleet{store: store, span: span, names: []string{"a", "b", "c"}, leases: map[string]*Lease{}}
+	f := &leaseFleet{store: store, span: span, names: []string{"a", "b", "c"}, leases: map[string]*Lease{}, eras: map[string]Era{}}
 	for _, n := range f.names {
 		f.start(n)
 	}
@@ -160,5 +165,14 @@
 
 // start starts a daemon anew.
 func (f *leaseFleet) start(name string) {
-	f.leases[name] = NewLease(f.store, "dc", name, f.span)
+	f.eras[name] = Era{}
+	f.leases[name] = NewLease(f.store, "dc", name, f.span, func() Era { return f.eras[name] })
+	f.observe(name)
+}
+
+// observe lets a daemon learn of the store's era.
+func (f *leaseFleet) observe(name string) {
+	if e := f.eras[name]; !e.Known || e.Number < f.store.era {
+		f.eras[name] = Era{Number: f.store.era, SinceMs: f.now, Known: true}
+	}
 }
