Red test: what daemons wrote is gone after a restore of the store

Cause: entries in the list of daemons, refused parts of prompts and verdicts are written once and taken as lasting.

--- a/hemlockd/e2e/usersplatform_restored_test.go
+++ b/hemlockd/e2e/usersplatform_restored_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
+
+	"hemlockmux.example/common/verdict"
 )
 
 // copyStore copies the store's content for restoreStore.
@@ -72,3 +75,52 @@
 	})
 	p.expectNoArrivalsAfter(left.Add(drainLimit), "i-a", 2*time.Second)
 }
+
+// TestPlatformWhatDaemonsWroteIsWrittenAgainAfterARestore guards against entries of daemons and verdicts
+// that are gone for good: the store had acknowledged them and came back from an older copy.
+func TestPlatformWhatDaemonsWroteIsWrittenAgainAfterARestore(t *testing.T) {
+	p := deployUsersPlatform(t, 0)
+	p.copyStore()
+	p.addDaemon("front-a-1", "127.0.0.11", freePorts(t, 5), p.openStoreAddress())
+	p.waitReady(p.daemons[0])
+	p.eventually(5*time.Second, "the daemon has an entry", func() bool { return p.storeHolds("daemons", "front-a-1") })
+	p.send(p.daemons[0], "told", "/order/x", "an order", nil)
+	p.eventually(15*time.Second, "a verdict is stored", func() bool { return len(p.storedVerdicts()) > 0 })
+	stored := p.storedVerdicts()
+	p.restoreStore(300 * time.Millisecond)
+	p.eventually(5*time.Second, "the entry is written again", func() bool { return p.storeHolds("daemons", "front-a-1") })
+	p.eventually(15*time.Second, "the verdicts are stored again", func() bool {
+		again := p.storedVerdicts()
+		return !slices.ContainsFunc(stored, func(name string) bool { return !slices.Contains(again, name) })
+	})
+}
+
+// storeHolds reports whether the store has a row.
+func (p *usersPlatform) storeHolds(table, key string) bool {
+	p.t.Helper()
+	var page struct{ Rows []struct{ Key string } }
+	p.getJSON("http://"+p.addr.Store+"/hemlockmux/rows-get?part=&Table="+table, &page)
+	return slices.ContainsFunc(page.Rows, func(r struct{ Key string }) bool { return r.Key == key })
+}
+
+// storedVerdicts returns the names of the objects that hold verdicts.
+func (p *usersPlatform) storedVerdicts() []string {
+	p.t.Helper()
+	var page struct {
+		Names []string `json:"names"`
+	}
+	p.getJSON("http://"+p.addr.Store+"/hemlockmux/blob-list?Prefix="+verdict.BatchPrefix, &page)
+	return page.Names
+}
+
+func (p *usersPlatform) getJSON(url string, into any) {
+	p.t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := decodeJSON(resp.Body, into); err != nil {
+		p.t.Fatal(err)
+	}
+}
