What daemons wrote to the store is written again after a restore

After a restore of the store, verdicts that it had acknowledged could not be found, daemons that start later did not find those whose entries were lost, and refused parts of prompts were unknown to daemons that start later. Cause: entries, refused parts and batches of verdicts were written once and taken as lasting. Change: the directory tells of a restore.

--- a/hemlockd/internal/app/blames.go
+++ b/hemlockd/internal/app/blames.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -38,6 +39,9 @@
 	mayTryPart func(part string) bool
 	stored     map[string]storedBlame // by key
 	failed     bool                   // the last call to the store failed
+	// restored is set when the store has come back from an older copy, until what this daemon
+	// is responsible for has been stored again.
+	restored atomic.Bool
 }
 
 func newBlameStore(log *zap.Logger, clk clock.Clock, store partsTable, parts *prompts.Evidence, mayTryPart func(part string) bool) *blameStore {
@@ -136,6 +140,9 @@
 // changed.
 func (b *blameStore) update(ctx context.Context) {
 	now := b.clk.Now()
+	if b.restored.Swap(false) {
+		b.storeAgain(ctx, now)
+	}
 	refused := map[string]bool{}
 	for _, r := range b.parts.Blamed(now) {
 		key := blameKey(r)
@@ -154,6 +161,15 @@
 	}
 }
 
+// storeAgain stores again what this daemon is responsible for and the store may have lost.
+func (b *blameStore) storeAgain(ctx context.Context, now clock.Millis) {
+	for key, s := range b.stored {
+		if now-s.AtMs < blameRefresh && b.mayTryPart(s.Report.Part) && !b.put(ctx, key, s) {
+			b.restored.Store(true)
+		}
+	}
+}
+
 // logState logs that calls to the store begin to fail, or work again.
 func (b *blameStore) logState(err error) {
 	if failed := err != nil; failed != b.failed {
@@ -162,19 +178,21 @@
 	}
 }
 
-func (b *blameStore) put(ctx context.Context, key string, s storedBlame) {
+// put stores an entry and reports whether that is done.
+func (b *blameStore) put(ctx context.Context, key string, s storedBlame) bool {
 	raw, err := json.Marshal(s)
 	if err != nil {
 		b.log.Error("a refused part of prompts can't be encoded", zap.Error(err))
-		return
+		return true // not to be tried again
 	}
 	ctx, cancel := context.WithTimeout(ctx, blameCallTimeout.Duration())
 	defer cancel()
 	err = b.store.Put(ctx, directory.Parts, key, raw)
 	b.logState(err)
 	if err != nil {
-		return // tried again after blameInterval
+		return false // tried again after blameInterval
 	}
 	b.stored[key] = s
 	b.log.Info("refused part of prompts stored", zap.String("part", s.Report.Part), zap.Int("engines", len(s.Report.Engines)))
+	return true
 }
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -72,8 +72,12 @@
 	retries      *retries.ServiceBudgets
 	prompts      *prompts.Evidence
 	gate         *upstreamgate.Gate
-	stopping     chan struct{} // closed when the shutdown begins
-	cleanup      []func()      // run in reverse
+	archive      *archive.Archive
+	blames       *blameStore
+	// registerAgain has the daemon's entry in the list of daemons written again.
+	registerAgain chan struct{}
+	stopping      chan struct{} // closed when the shutdown begins
+	cleanup       []func()      // run in reverse
 }
 
 // PlatformOptions holds the options of a daemon on the users' platform.
@@ -97,7 +101,7 @@
 // The settings are reloaded after a signal and when their file changes.
 func RunOnPlatform(ctx, hard context.Context, o PlatformOptions, log *zap.Logger) error {
 	settings := o.Settings
-	d := &platformDaemon{log: log, settings: settings, metricsPort: o.MetricsPort, controlBytes: o.ControlBytesPerSecond, clk: clock.System(), failed: make(chan error, 2), stopping: make(chan struct{})}
+	d := &platformDaemon{log: log, settings: settings, metricsPort: o.MetricsPort, controlBytes: o.ControlBytesPerSecond, clk: clock.System(), failed: make(chan error, 2), registerAgain: make(chan struct{}, 1), stopping: make(chan struct{})}
 	defer d.close()
 	if err := d.wire(); err != nil {
 		return err
@@ -151,7 +155,7 @@
 	d.directory = inforce.New(inforce.Options{
 		Log: d.log, Clock: boot, Store: store,
 		Decoder:  inforce.Decoder{Config: platform.DecodeConfig, Upstream: platform.DecodeUpstream},
-		OnConfig: d.directoryChanged, OnUpstreams: d.directoryChanged, OnDaemon: d.addListed,
+		OnConfig: d.directoryChanged, OnUpstreams: d.directoryChanged, OnRestored: d.storeRestored, OnDaemon: d.addListed,
 		ShouldFollowStore: func() bool { return d.peers.ShouldFollowStore() },
 		Fetch: func(ctx context.Context, control string, request peers.SnapshotRequest) (peers.Snapshot, error) {
 			return d.peers.FetchSnapshot(ctx, control, request)
@@ -177,13 +181,15 @@
 	}
 	d.onClose(closePeers)
 	d.retries = retries.NewServiceBudgets(retryBound(d.settings), started, d.peers.Count)
-	verdicts, closeVerdicts := archive.New(archive.Options{
+	var closeVerdicts func()
+	d.archive, closeVerdicts = archive.New(archive.Options{
 		Log: d.log, Clock: d.clk, Objects: store, Daemon: d.settings.Name, Daemons: d.peers.Count, StartedMs: started,
 	})
 	d.onClose(closeVerdicts)
+	d.blames = newBlameStore(d.log, d.clk, store, d.prompts, d.mayTryPart)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Log: d.log, Clock: d.clk, Directory: d.directory, Upstreams: servers, View: view, Queue: queue, Peers: d.peers,
-		Retries: d.retries, Suspects: sus, Prompts: d.prompts, Gate: d.gate, MayTryPart: d.mayTryPart, Verdicts: verdicts, Name: d.settings.Name,
+		Retries: d.retries, Suspects: sus, Prompts: d.prompts, Gate: d.gate, MayTryPart: d.mayTryPart, Verdicts: d.archive, Name: d.settings.Name,
 		ReadCall: platform.ReadCall, DataCentre: d.settings.DataCentre, Regions: d.settings.Regions,
 	})
 	roleController := roles.NewController(roles.Options{
@@ -205,7 +211,7 @@
 	go d.runLimits(ctx)
 	go d.dispatcher.RunProbes(ctx)
 	go d.runRegistration(ctx)
-	go newBlameStore(d.log, d.clk, store, d.prompts, d.mayTryPart).run(ctx)
+	go d.blames.run(ctx)
 	go roleController.Run(ctx)
 	if d.ready, err = d.listen("ready", d.settings.Ready, http.HandlerFunc(d.serveReady)); err != nil {
 		return err
--- a/hemlockd/internal/archive/archive.go
+++ b/hemlockd/internal/archive/archive.go
@@ -36,6 +36,11 @@
 	// maxWaitingBytes bounds the size of the compressed batches that wait while the
 	// store is unavailable. The oldest are dropped and counted.
 	maxWaitingBytes = 8 << 20
+	// keptSpan is how long stored batches are kept: a store that comes back from a copy may have
+	// lost those that were stored within that time.
+	keptSpan = clock.Minute
+	// maxKeptBytes bounds the size of the kept batches.
+	maxKeptBytes = 2 << 20
 	// maxBatchBytes is the size before compression at which a batch is closed before
 	// the interval ends.
 	maxBatchBytes = 2 << 20
@@ -73,6 +78,7 @@
 	batch        bytes.Buffer // JSON lines of the open batch
 	waiting      []object     // closed batches, the oldest first
 	waitingBytes int          // total size of waiting
+	kept         []object     // stored batches, the oldest first
 	sequence     int          // number of closed batches
 	done         chan struct{}
 }
@@ -81,6 +87,8 @@
 type object struct {
 	name string
 	data []byte
+	// storedMs is when the store acknowledged it.
+	storedMs clock.Millis
 }
 
 // New starts an archive. The returned function makes a last attempt to store the
@@ -180,7 +188,38 @@
 		if len(a.waiting) > 0 && a.waiting[0].name == first.name {
 			a.waitingBytes -= len(first.data)
 			a.waiting = a.waiting[1:]
+			a.keepLocked(first)
 		}
 		a.mu.Unlock()
 	}
 }
+
+// keepLocked keeps a stored batch for Restored and drops the oldest of those that are kept.
+func (a *Archive) keepLocked(stored object) {
+	stored.storedMs = a.o.Clock.Now()
+	a.kept = append(a.kept, stored)
+	total := 0
+	for _, o := range a.kept {
+		total += len(o.data)
+	}
+	for len(a.kept) > 1 && (total > maxKeptBytes || stored.storedMs-a.kept[0].storedMs > keptSpan) {
+		total -= len(a.kept[0].data)
+		a.kept = a.kept[1:]
+	}
+}
+
+// Restored must be called when the object store has come back from an older copy. The batches that
+// it may have lost are stored again with the next ones. Their names stay, so that none is kept twice.
+func (a *Archive) Restored() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.kept) == 0 {
+		return
+	}
+	for _, o := range a.kept {
+		a.waitingBytes += len(o.data)
+	}
+	a.o.Log.Info("storing batches of verdicts again", zap.Int("batches", len(a.kept)), zap.String("first", a.kept[0].name))
+	a.waiting = append(a.kept, a.waiting...)
+	a.kept = nil
+}
--- a/hemlockd/internal/archive/archive_test.go
+++ b/hemlockd/internal/archive/archive_test.go
@@ -64,6 +64,29 @@
 	}
 }
 
+// TestVerdictsOutliveARestoreOfTheStore guards against verdicts that are gone for good: the store had
+// acknowledged them and came back from an older copy.
+func TestVerdictsOutliveARestoreOfTheStore(t *testing.T) {
+	objects := &fakeObjects{objects: map[string][]byte{}}
+	now := clock.NewManual(clock.Minute)
+	a, closeArchive := New(Options{Log: zap.NewNop(), Clock: now.Clock(), Objects: objects, Daemons: func() int { return 1 }, Daemon: "d", StartedMs: 7})
+	defer closeArchive()
+	for _, id := range []string{"old", "recent", "last"} {
+		a.Record(verdict.Verdict{RequestID: id})
+		a.store(context.Background())
+		now.Advance(keptSpan/2 + clock.Second)
+	}
+	clear(objects.objects)
+	a.Restored()
+	a.store(context.Background())
+	if _, ok := objects.objects[verdict.BatchPrefix+"d~7~3"]; !ok || len(objects.objects) != 2 {
+		t.Errorf("stored again: %d batches, want the two of the last minute", len(objects.objects))
+	}
+	if len(a.waiting) != 0 || a.waitingBytes != 0 {
+		t.Errorf("%d batches of %d bytes still wait", len(a.waiting), a.waitingBytes)
+	}
+}
+
 // TestWaitingVerdictsAreBounded checks the limit on the batches that wait during an
 // outage of the store.
 func TestWaitingVerdictsAreBounded(t *testing.T) {
