--- a/common/platform/memory/memory.go
+++ b/common/platform/memory/memory.go
@@ -26,6 +26,8 @@
 	mu       sync.Mutex
 	rows     map[string]platform.KeyValue
 	revision int64
+	// copied is what Restore brings back; nil until Copy is called.
+	copied *tableCopy
 	// Reads counts the ranges and the transactions without a write. The stand-in
 	// reports Reads and Writes for the figures of the capacity page.
 	Reads atomic.Int64
