Log the software version of each attempt, and which stream a request takes up

Cause: no line names the software version of an engine, nor the stream that a request goes on with, so that the hypotheses on ORDER (take-ups by clients, our own moves) cannot be told apart. No change of decisions.

--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -42,6 +42,9 @@
 	// ResumeAfter is the id of the last stream event that the caller has received;
 	// empty if the stream starts from the beginning.
 	ResumeAfter string
+	// Resumed is the ID of the attempt that began the stream; empty if the stream starts from the
+	// beginning or the caller does not say.
+	Resumed string
 }
 
 // Prompt describes a call's prompt and the answer that the caller expects.
--- a/common/routing/routing.go
+++ b/common/routing/routing.go
@@ -164,6 +164,9 @@
 	// Leaving is true once the upstream has announced that it will shut down.
 	Leaving bool
 	Role    Role
+	// Software is the version of the upstream's software. What two versions write does not fit
+	// together: a stream may go on only at the version that began it.
+	Software string
 	// StartedMs is when the upstream started (Unix ms); it distinguishes a restarted
 	// upstream from its predecessor.
 	StartedMs clock.Millis
--- a/common/verdict/verdict.go
+++ b/common/verdict/verdict.go
@@ -60,6 +60,8 @@
 	// Upstream is the name of the upstream. It is the daemon's name if Phase is
 	// "handOff", and the service's if the instance is not known.
 	Upstream string `json:"upstream"`
+	// Software is the version of the upstream's software, if it is known.
+	Software string `json:"software,omitempty"`
 	// Phase is the part of the request that was attempted: "prefill", "decode",
 	// "call", "run" or "handOff".
 	Phase string `json:"phase"`
--- a/hemlockd/internal/directory/directory.go
+++ b/hemlockd/internal/directory/directory.go
@@ -299,7 +299,7 @@
 		}
 		if d.upstreams.put(u, e.Value) {
 			log.Info("upstream added to the list or changed", zap.String("upstream", u.ID), zap.String("service", u.Service),
-				zap.String("address", u.Address), zap.Bool("leaving", u.Leaving), zap.String("role", string(u.Role)))
+				zap.String("address", u.Address), zap.Bool("leaving", u.Leaving), zap.String("role", string(u.Role)), zap.String("software", u.Software))
 		}
 	}
 	if full {
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -294,7 +294,7 @@
 // recordAttempt adds a finished attempt to the request's verdict and updates the
 // outcome. It returns the *calls.Error in err, or nil.
 func (x *exchange) recordAttempt(upstream string, phase calls.Phase, startMs clock.Millis, err error) *calls.Error {
-	a := verdict.Attempt{Upstream: upstream, Phase: string(phase), Result: calls.Ran, StartMs: startMs, EndMs: x.now()}
+	a := verdict.Attempt{Upstream: upstream, Software: x.softwareOf(upstream), Phase: string(phase), Result: calls.Ran, StartMs: startMs, EndMs: x.now()}
 	var failed *calls.Error
 	if errors.As(err, &failed) {
 		a.Result, a.Cause = failed.Outcome, string(failed.Cause)
@@ -309,6 +309,16 @@
 	return failed
 }
 
+// softwareOf returns the version of an upstream's software; empty if the upstream is not listed.
+func (x *exchange) softwareOf(id string) string {
+	for _, u := range x.d.opts.Directory.Upstreams(x.service) {
+		if u.ID == id {
+			return u.Software
+		}
+	}
+	return ""
+}
+
 // conclude records the end of the request: its verdict, a log line and the metrics.
 func (x *exchange) conclude() {
 	end := x.now()
@@ -342,6 +352,9 @@
 	if x.events > 0 {
 		fields = append(fields, zap.Int("events", x.events))
 	}
+	if x.call.ResumeAfter != "" {
+		fields = append(fields, zap.String("resumes", x.call.Resumed), zap.String("after", x.call.ResumeAfter))
+	}
 	if x.silentMs > 0 {
 		fields = append(fields, zap.Int64("silentMs", int64(x.silentMs)))
 	}
