--- a/standin/internal/usersplatform/server.go
+++ b/standin/internal/usersplatform/server.go
@@ -1,6 +1,7 @@
 package usersplatform
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -27,8 +28,17 @@
 	// Slots is the number of requests that the server runs at the same time; less
 	// than 1 means 1.
 	Slots int `json:"slots"`
+	// Software is the version of the server's software; "" means v1. The events of other versions
+	// than v1 name it.
+	Software string `json:"software"`
 }
 
+// software returns the version of the server's software.
+func (s ServerSpec) software() string { return cmp.Or(s.Software, firstSoftware) }
+
+// firstSoftware is the version whose events do not name it.
+const firstSoftware = "v1"
+
 // ServerFault describes how a server fails.
 type ServerFault struct {
 	// Busy answers 503 and X-Not-Executed to every request.
@@ -61,6 +71,10 @@
 	// Ran is false if the server rejected the request as not executed, and for
 	// prefills.
 	Ran bool `json:"ran"`
+	// Software is the version of the server's software, and SourceSoftware that of the server whose
+	// prefill result it fetched.
+	Software       string `json:"software"`
+	SourceSoftware string `json:"sourceSoftware,omitempty"`
 	// After is the Last-Event-Id header.
 	After string `json:"after,omitempty"`
 	// Target is the request URI.
@@ -143,7 +157,7 @@
 	stage, sequence := s.spec.Stage, s.sequence
 	s.mu.Unlock()
 	entry := map[string]any{
-		"Service": s.spec.Service, "Address": s.address, "Zone": s.spec.Zone, "Version": "v1",
+		"Service": s.spec.Service, "Address": s.address, "Zone": s.spec.Zone, "Version": s.spec.software(),
 		"Slots": max(1, s.spec.Slots), "State": state, "ColdLeftMs": 0, "Sequence": sequence, "born": s.bornMs,
 	}
 	if stage != "" {
@@ -324,6 +338,7 @@
 	case s.spec.Stage == "decode":
 		arrival.Phase = "decode"
 	}
+	arrival.Software, arrival.SourceSoftware = s.spec.software(), s.sourceSoftware(r.Header.Get("X-Kv-Source"))
 	fault := s.consumeFault()
 	s.mu.Lock()
 	full := s.activeRequests >= max(1, s.spec.Slots)
--- a/standin/internal/usersplatform/streams.go
+++ b/standin/internal/usersplatform/streams.go
@@ -50,6 +50,23 @@
 	return from != nil && from.consumeHandle(handle)
 }
 
+// sourceSoftware returns the version of the software of the server that holds a prefill result.
+func (s *Server) sourceSoftware(source string) string {
+	address, _, _ := strings.Cut(source, "/")
+	if from := s.platform.serverAt(address); from != nil {
+		return from.spec.software()
+	}
+	return ""
+}
+
+// eventText returns the text of the event with a number.
+func (s *Server) eventText(number int) string {
+	if v := s.spec.software(); v != firstSoftware {
+		return fmt.Sprintf("piece %d of %s", number, v)
+	}
+	return fmt.Sprintf("piece %d", number)
+}
+
 // stream sends one event for each tokensPerEvent output tokens, up to the number of
 // output tokens that X-Token-Count requests, starting after Last-Event-Id.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault ServerFault) {
@@ -79,7 +96,7 @@
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, s.eventText(i)); err != nil {
 			return
 		}
 		if flush() != nil {
