A stream that its engine breaks off goes on within its software version

Callers got answers joined from two software versions of the engines. Change: once an event has reached the caller, the run may be placed only at engines of the version that wrote it; if none is left, the stream ends at once. A stream without an event yet may go on anywhere.

--- a/hemlockd/internal/capacity/choice.go
+++ b/hemlockd/internal/capacity/choice.go
@@ -64,7 +64,7 @@
 func (v *View) chooseAmongLocked(r Run, o PlaceOptions, foreign bool, now clock.Millis) (best *engine, need int) {
 	bestCost := 0.0
 	for _, e := range v.sortedLocked() {
-		if e.Service != r.Service || o.Exclude[e.ID] || e.MemoryTokens == 0 || (e.Foreign != nil) != foreign || e.count() >= e.Slots {
+		if e.Service != r.Service || !r.mayUse(e.Software) || o.Exclude[e.ID] || e.MemoryTokens == 0 || (e.Foreign != nil) != foreign || e.count() >= e.Slots {
 			continue
 		}
 		n := v.peakLocked(e, &r, now)
@@ -103,7 +103,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range v.engines {
-		if e.Service == r.Service && r.PromptTokens < e.MemoryTokens {
+		if e.Service == r.Service && r.mayUse(e.Software) && r.PromptTokens < e.MemoryTokens {
 			return true
 		}
 	}
--- a/hemlockd/internal/capacity/run.go
+++ b/hemlockd/internal/capacity/run.go
@@ -32,6 +32,9 @@
 	// Service is the service whose engines the run may use. Only the daemon that places
 	// the run knows it.
 	Service string `json:"-"`
+	// Software is the version of the software of the engines that the run may use; empty: any. Only
+	// the daemon that places the run knows it.
+	Software string `json:"-"`
 	// MemoryUse is the predicted peak memory of the engine when the run was placed, as a
 	// fraction of its memory.
 	MemoryUse float64 `json:"-"`
@@ -42,6 +45,9 @@
 // IsAt reports whether the run's decode engine is in a data centre.
 func (r Run) IsAt(dataCentre string) bool { return r.DataCentre == dataCentre }
 
+// mayUse reports whether the run may use an engine with a version of the software.
+func (r Run) mayUse(software string) bool { return r.Software == "" || r.Software == software }
+
 // Limits bounds how much work engines are given.
 type Limits struct {
 	// MaxMemoryUse is the fraction of a decode engine's memory that may be planned with.
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -51,6 +51,8 @@
 	Service string
 	// DataCentre is the name of the engine's data centre.
 	DataCentre string
+	// Software is the version of the engine's software.
+	Software string
 	// MemoryTokens is the size of the KV cache in tokens.
 	MemoryTokens int
 	// Slots is the maximum number of concurrent runs.
--- a/hemlockd/internal/dispatch/continuation.go
+++ b/hemlockd/internal/dispatch/continuation.go
@@ -69,7 +69,7 @@
 // request may not, or can't, go on elsewhere now. What is tried in vain uses up none of the
 // engines and calls that the request has left for when its engine is lost.
 func (m *modelRun) prepareContinuation() *placement {
-	if m.callerGone() || m.remainingMs() <= 0 || m.possibleRuns >= m.route.MaxAttempts || m.continuations >= maxContinuations ||
+	if m.callerGone() || m.remainingMs() <= 0 || !m.versionServed() || m.possibleRuns >= m.route.MaxAttempts || m.continuations >= maxContinuations ||
 		m.tryingPart || m.blamed() || !m.d.opts.Retries.Has(m.service, continuationRetries, m.now()) {
 		return nil
 	}
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -208,7 +208,7 @@
 				continue
 			}
 			engines = append(engines, capacity.Engine{
-				ID: u.ID, Service: name, DataCentre: u.DataCentre, MemoryTokens: service.Engine.KVCacheTokens, Slots: service.Engine.Slots,
+				ID: u.ID, Service: name, DataCentre: u.DataCentre, Software: u.Software, MemoryTokens: service.Engine.KVCacheTokens, Slots: service.Engine.Slots,
 				Cost: rttCostPerMs * d.rttMs(u.DataCentre), Margin: memoryMarginPerMs * d.rttMs(u.DataCentre),
 				UpdateDelayMs: d.rttMs(u.DataCentre) / 2, Foreign: foreign,
 			})
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -180,7 +180,7 @@
 // the placement and returns true. Otherwise it ends the request.
 func (m *modelRun) prepareRetry() bool {
 	if m.callerGone() || m.remainingMs() <= 0 || !m.route.Repeatable() || m.possibleRuns >= m.route.MaxAttempts ||
-		m.tryingPart || m.blamed() || !m.d.opts.Retries.Take(m.service, m.now()) {
+		m.tryingPart || m.blamed() || !m.versionServed() || !m.d.opts.Retries.Take(m.service, m.now()) {
 		m.giveUp(reasonUnknown)
 		return false
 	}
@@ -188,6 +188,20 @@
 	return true
 }
 
+// versionServed reports whether the run may go on at an engine that is listed and that it has not been
+// at: after the first event only engines of the software version that wrote it are left.
+func (m *modelRun) versionServed() bool {
+	if m.run.Software == "" {
+		return true
+	}
+	for _, u := range m.d.opts.Directory.Upstreams(m.service) {
+		if u.Role == routing.RoleDecode && u.Software == m.run.Software && !m.excluded[u.ID] {
+			return true
+		}
+	}
+	return false
+}
+
 // giveUp ends the request without a complete answer: it closes the caller's
 // connection if part of the answer has been sent, and sends an error otherwise. The reason
 // is used if the request was not run and no part of its prompt is to blame.
@@ -329,7 +343,7 @@
 	failed := m.recordAttempt(u.ID, calls.PhaseDecode, start, err)
 	if failed == nil {
 		m.prefillResult = nil
-		m.stream.attempt = len(m.attempts) - 1
+		m.stream.attempt, m.stream.software = len(m.attempts)-1, u.Software
 		return reply, nil
 	}
 	m.stream.stop()
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -38,6 +38,8 @@
 	// lastEventMs is when the last event was forwarded, or the current engine's answer
 	// began.
 	lastEventMs clock.Millis
+	// software is the version of the current engine's software.
+	software string
 	// attempt is the index of the stream's attempt among those of the request.
 	attempt int
 	// ctx is the context of the call to the current engine.
@@ -210,6 +212,7 @@
 		m.d.latencies.recordValue(latencyFirstEvent, m.now()-m.arrivedMs)
 	}
 	m.events++
+	m.run.Software = m.stream.software
 	m.stream.lastEventMs = m.now()
 	m.run.GeneratedTokens += m.spec.EventTokens
 	m.d.opts.View.Progress(m.run.ID, m.run.GeneratedTokens, m.now())
