A stream that a client takes up goes on at the software version that began it, or is refused

Callers got answers joined from two software versions: the first part from one, the rest from another, with nothing to show it. Cause: hypothesis 1: the daemon went on after the client's last event at any engine. Nothing that outlives a daemon knew the version. Change: package streamversions. The store keeps a base version for each service, and a record for each stream that another version began, written before its first event reaches the caller, in batches within a quarter of the store's writes. No record means the base; it moves once another version has been the only one for longer than a stream lives. A take-up is placed at engines of that version only; if none is listed, or the store cannot tell, it is refused at once (streamVersionGone, streamVersionUnknown). What binds: prompts of take-ups are read again.

--- a/common/directory/directory.go
+++ b/common/directory/directory.go
@@ -32,6 +32,11 @@
 	Roles Topic = "roles"
 	// Parts holds the parts of prompts that are refused because engines crash on them.
 	Parts Topic = "parts"
+	// SoftwareVersions holds, for each service, the software version that begins streams without an
+	// entry in Streams.
+	SoftwareVersions Topic = "softwareVersions"
+	// Streams holds the software versions that began streams, by the ID of the attempt.
+	Streams Topic = "streams"
 )
 
 // Entry is one entry of a topic.
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -23,6 +23,7 @@
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
 	"hemlockmux.example/hemlockd/internal/roles"
+	"hemlockmux.example/hemlockd/internal/streamversions"
 	"hemlockmux.example/hemlockd/internal/suspects"
 	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
@@ -74,6 +75,7 @@
 	gate         *upstreamgate.Gate
 	archive      *archive.Archive
 	blames       *blameStore
+	versions     *streamversions.Versions
 	// registerAgain has the daemon's entry in the list of daemons written again.
 	registerAgain chan struct{}
 	stopping      chan struct{} // closed when the shutdown begins
@@ -187,9 +189,14 @@
 	})
 	d.onClose(closeVerdicts)
 	d.blames = newBlameStore(d.log, d.clk, store, d.prompts, d.mayTryPart)
+	var closeVersions func()
+	d.versions, closeVersions = streamversions.New(streamversions.Options{
+		Log: d.log, Clock: boot, Store: store, Lifetime: d.streamLifetime, WriteInterval: d.recordInterval, Cleans: d.isFirst,
+	})
+	d.onClose(closeVersions)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Log: d.log, Clock: d.clk, Directory: d.directory, Upstreams: servers, View: view, Queue: queue, Peers: d.peers,
-		Retries: d.retries, Suspects: sus, Prompts: d.prompts, Gate: d.gate, MayTryPart: d.mayTryPart, Verdicts: d.archive, Name: d.settings.Name,
+		Retries: d.retries, Suspects: sus, Prompts: d.prompts, Gate: d.gate, MayTryPart: d.mayTryPart, Verdicts: d.archive, StreamVersions: d.versions, Name: d.settings.Name,
 		ReadCall: platform.ReadCall, DataCentre: d.settings.DataCentre, Regions: d.settings.Regions,
 	})
 	roleController := roles.NewController(roles.Options{
@@ -253,6 +260,7 @@
 // directoryChanged is called when the configuration or the list of upstreams has
 // changed. It updates the dispatcher and notifies the other daemons.
 func (d *platformDaemon) directoryChanged() {
+	d.observeVersions()
 	d.dispatcher.RefreshEngines()
 	d.peers.Broadcast(peers.Update{DataCentres: []string{d.settings.DataCentre}})
 }
@@ -273,6 +281,7 @@
 func (d *platformDaemon) runRefresh(ctx context.Context) {
 	for clock.Sleep(ctx, refreshInterval) {
 		d.directory.Settle()
+		d.observeVersions()
 		d.dispatcher.RefreshEngines()
 	}
 }
@@ -328,12 +337,7 @@
 // isFirstInDataCentre reports whether no live daemon of this data centre that is not
 // leaving has a lower name than this one.
 func (d *platformDaemon) isFirstInDataCentre() bool {
-	for _, other := range d.peers.Alive() {
-		if other.DataCentre == d.settings.DataCentre && !other.Leaving && other.Name < d.settings.Name {
-			return false
-		}
-	}
-	return true
+	return d.isFirstOf(func(other peers.Daemon) bool { return other.DataCentre == d.settings.DataCentre })
 }
 
 // drain takes the daemon out of service and waits for the requests in flight until
--- a/hemlockd/internal/app/registration.go
+++ b/hemlockd/internal/app/registration.go
@@ -80,4 +80,5 @@
 	}
 	d.archive.Restored()
 	d.blames.restored.Store(true)
+	d.versions.Restored()
 }
--- a/hemlockd/internal/capacity/queue.go
+++ b/hemlockd/internal/capacity/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,11 +56,13 @@
 	w := &waiter{run: r, options: PlaceOptions{SkipPrefill: skipPrefill, Exclude: exclude}, placed: make(chan Run, 1)}
 	q.mu.Lock()
 	w.options.CompetingRuns, w.options.RetryIntervalMs = q.competitionLocked()
-	if placed, ok := q.view.Place(r, w.options, q.clk.Now()); ok {
-		q.mu.Unlock()
-		return placed, true
+	if r.Continues || !q.continuesLocked() {
+		if placed, ok := q.view.Place(r, w.options, q.clk.Now()); ok {
+			q.mu.Unlock()
+			return placed, true
+		}
 	}
-	q.waiting = append(q.waiting, w)
+	q.addLocked(w)
 	q.mu.Unlock()
 	ticker := time.NewTicker(retryInterval.Duration() + q.randomDelay())
 	defer ticker.Stop()
@@ -75,6 +78,22 @@
 	}
 }
 
+// continuesLocked reports whether a run that goes on with a stream waits.
+func (q *Queue) continuesLocked() bool { return len(q.waiting) > 0 && q.waiting[0].run.Continues }
+
+// addLocked adds a run to those that wait. Those that go on with a stream come first: their callers have
+// waited for it before, and what has been generated would be lost.
+func (q *Queue) addLocked(w *waiter) {
+	i := len(q.waiting)
+	if w.run.Continues {
+		i = slices.IndexFunc(q.waiting, func(other *waiter) bool { return !other.run.Continues })
+		if i < 0 {
+			i = len(q.waiting)
+		}
+	}
+	q.waiting = slices.Insert(q.waiting, i, w)
+}
+
 // withdraw removes a waiter from the queue, or returns its placement if it was placed
 // in the meantime.
 func (q *Queue) withdraw(w *waiter) (Run, bool) {
--- a/hemlockd/internal/capacity/run.go
+++ b/hemlockd/internal/capacity/run.go
@@ -35,6 +35,9 @@
 	// Software is the version of the software of the engines that the run may use; empty: any. Only
 	// the daemon that places the run knows it.
 	Software string `json:"-"`
+	// Continues is set if the caller has a part of the stream already. Only the daemon that places the
+	// run knows it.
+	Continues bool `json:"-"`
 	// MemoryUse is the predicted peak memory of the engine when the run was placed, as a
 	// fraction of its memory.
 	MemoryUse float64 `json:"-"`
--- a/hemlockd/internal/directory/storehealth.go
+++ b/hemlockd/internal/directory/storehealth.go
@@ -82,6 +82,16 @@
 	return d.freshness.storeRevision[topic]
 }
 
+// ListIsFresh reports whether the list of upstreams in force was the store's so lately that no upstream
+// may be used wrongly by it.
+func (d *Directory) ListIsFresh() bool {
+	now := d.o.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	age, known := d.freshness.age(directory.Upstreams, now)
+	return known && age <= d.limits.LeavingMs && d.ListRevision().Era == d.history.era
+}
+
 // Freshness returns how up to date this daemon is, to be sent to other daemons, or nil if
 // the store has not been heard of yet.
 func (d *Directory) Freshness() *peers.Freshness {
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -78,6 +78,18 @@
 	LoadOf(dataCentre string) (peers.EngineLoad, bool)
 }
 
+// StreamVersions knows which software version began a stream that a caller may take up.
+type StreamVersions interface {
+	// Begin records that an engine with a version is about to begin a stream.
+	Begin(service, attempt, software string)
+	// Recorded waits until any daemon would find the version.
+	Recorded(ctx context.Context, attempt string) error
+	// End records that the caller has the whole stream.
+	End(attempt string)
+	// Lookup returns the version that began a stream, or an error if that is not known.
+	Lookup(ctx context.Context, service, attempt string) (string, error)
+}
+
 // Verdicts stores the outcomes of requests.
 type Verdicts interface {
 	Record(v verdict.Verdict)
@@ -95,6 +107,8 @@
 	Queue    *capacity.Queue
 	Peers    Peers
 	Verdicts Verdicts
+	// StreamVersions knows the versions of streams.
+	StreamVersions StreamVersions
 	// Retries is the retry budget.
 	Retries *retries.ServiceBudgets
 	// Suspects holds the requests during which upstreams crashed.
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -39,6 +39,9 @@
 	reasonUnreachable = "upstreamsUnreachable"
 	reasonInternal    = "internal"
 	reasonPart        = "crashingPart"
+	// The software version that began the stream is not known, or none of its engines is left.
+	reasonVersionUnknown = "streamVersionUnknown"
+	reasonVersionGone    = "streamVersionGone"
 )
 
 const (
--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -271,6 +271,38 @@
 	dispatcher *Dispatcher
 	upstreams  *fakeUpstreams
 	verdicts   *fakeVerdicts
+	versions   *fakeVersions
+}
+
+// fakeVersions knows the versions of streams that a test gives it, and no others.
+type fakeVersions struct {
+	mu       sync.Mutex
+	software map[string]string // by the attempt that began the stream
+	ended    map[string]bool
+}
+
+func (f *fakeVersions) Begin(_, attempt, software string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.software[attempt] = software
+}
+
+func (f *fakeVersions) Recorded(context.Context, string) error { return nil }
+
+func (f *fakeVersions) End(attempt string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended[attempt] = true
+}
+
+func (f *fakeVersions) Lookup(_ context.Context, _, attempt string) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	software, ok := f.software[attempt]
+	if !ok {
+		return "", errors.New("not known")
+	}
+	return software, nil
 }
 
 // retrySlack is the retry budget of the fake deployment.
@@ -306,11 +338,11 @@
 	}
 	clk := clock.System()
 	view := capacity.NewView(capacity.DefaultLimits())
-	s := &setup{upstreams: newFakeUpstreams(choose), verdicts: &fakeVerdicts{all: map[string]verdict.Verdict{}}}
+	s := &setup{upstreams: newFakeUpstreams(choose), verdicts: &fakeVerdicts{all: map[string]verdict.Verdict{}}, versions: &fakeVersions{software: map[string]string{}, ended: map[string]bool{}}}
 	bound := retries.Bound{Slack: retrySlack, WindowMs: 100 * clock.Second}
 	s.dispatcher = New(Options{
 		Log: zap.NewNop(), Clock: clk, Directory: dir, Upstreams: s.upstreams, View: view, Queue: capacity.NewQueue(clk, view, func() int { return 1 }),
-		Peers: fakePeers{}, Verdicts: s.verdicts, Retries: retries.NewServiceBudgets(bound, clk.Now()-bound.WindowMs, func() int { return 1 }),
+		Peers: fakePeers{}, Verdicts: s.verdicts, StreamVersions: s.versions, Retries: retries.NewServiceBudgets(bound, clk.Now()-bound.WindowMs, func() int { return 1 }),
 		Suspects: suspects.New(), Prompts: prompts.New(), Gate: upstreamgate.New(upstreamlimits.New("d", 0, func(upstreamlimits.News) {}), func(upstreamgate.Notice) {}), MayTryPart: func(string) bool { return false }, ReadCall: readCall, Name: "d", DataCentre: "a",
 	})
 	s.dispatcher.RefreshEngines()
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -85,6 +85,9 @@
 	m.stream.lastEventID = m.call.ResumeAfter
 	defer m.releaseAll()
 	defer func() { m.drop(m.continuation) }() // if the caller left when it had become ready
+	if m.resumes() && !m.findSoftware() {
+		return
+	}
 	m.wantUpstreams()
 	if m.refuseClosed(routing.RoleDecode) {
 		return
@@ -98,6 +101,9 @@
 		return
 	}
 	queueTimeout := clock.Millis(queueTimeShare * float64(m.route.TargetLatencyMs))
+	if m.run.Continues {
+		queueTimeout = resumeQueueTimeout
+	}
 	for m.possibleRuns < m.route.MaxAttempts {
 		if !m.attempt(queueTimeout - (m.now() - m.arrivedMs)) {
 			return
@@ -188,20 +194,6 @@
 	return true
 }
 
-// versionServed reports whether the run may go on at an engine that is listed and that it has not been
-// at: after the first event only engines of the software version that wrote it are left.
-func (m *modelRun) versionServed() bool {
-	if m.run.Software == "" {
-		return true
-	}
-	for _, u := range m.d.opts.Directory.Upstreams(m.service) {
-		if u.Role == routing.RoleDecode && u.Software == m.run.Software && !m.excluded[u.ID] {
-			return true
-		}
-	}
-	return false
-}
-
 // giveUp ends the request without a complete answer: it closes the caller's
 // connection if part of the answer has been sent, and sends an error otherwise. The reason
 // is used if the request was not run and no part of its prompt is to blame.
@@ -330,6 +322,7 @@
 		}
 	}
 	m.callTaken = false
+	m.beginStream(u)
 	start := m.now()
 	m.decodeCalls++
 	m.stream.start(m.ctx)
--- /dev/null
+++ b/hemlockd/internal/dispatch/software.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/common/routing"
+)
+
+const (
+	// lookupTimeout limits the time to find out which version began a stream.
+	lookupTimeout = 400 * clock.Millisecond
+	// recordTimeout limits how long the first event of a stream waits until its version is recorded.
+	recordTimeout = 250 * clock.Millisecond
+)
+
+// resumes reports whether the request goes on with a stream that an earlier one began.
+func (m *modelRun) resumes() bool { return m.route.Resumable && m.call.ResumeAfter != "" }
+
+// findSoftware finds the version that the request's stream must go on at. It refuses the request and
+// returns false if that is not known or no engine of it is listed.
+func (m *modelRun) findSoftware() bool {
+	ctx, cancel := context.WithTimeout(m.ctx, lookupTimeout.Duration())
+	defer cancel()
+	software, err := m.d.opts.StreamVersions.Lookup(ctx, m.service, m.call.Resumed)
+	if err != nil {
+		m.refusalBasis = err.Error()
+		m.respondError(http.StatusServiceUnavailable, reasonVersionUnknown, capacityRetryAfter+jitter(capacityRetryAfter))
+		return false
+	}
+	m.run.Software, m.run.Continues = software, true
+	if !m.versionServed() {
+		m.refusalBasis = "no engine of version " + software + " is listed"
+		m.respondError(http.StatusServiceUnavailable, reasonVersionGone, capacityRetryAfter+jitter(capacityRetryAfter))
+		return false
+	}
+	return true
+}
+
+// versionServed reports whether the run may go on at an engine that is listed and that it has not been
+// at: after the first event only engines of the software version that wrote it are left.
+func (m *modelRun) versionServed() bool {
+	if m.run.Software == "" {
+		return true
+	}
+	for _, u := range m.d.opts.Directory.Upstreams(m.service) {
+		if u.Role == routing.RoleDecode && u.Software == m.run.Software && !m.excluded[u.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+// beginStream records the version of the engine that is about to begin the stream, unless an event has
+// been forwarded before or nobody may take the stream up.
+func (m *modelRun) beginStream(u routing.Upstream) {
+	if m.route.Resumable && m.stream.lastEventID == "" {
+		m.d.opts.StreamVersions.Begin(m.service, m.call.ID, u.Software)
+	}
+}
+
+// awaitRecord waits, before the first event is forwarded, until any daemon would find the stream's version.
+// The caller gets the event all the same if that takes long.
+func (m *modelRun) awaitRecord() {
+	if !m.route.Resumable || m.events > 0 || m.call.ResumeAfter != "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, recordTimeout.Duration())
+	defer cancel()
+	_ = m.d.opts.StreamVersions.Recorded(ctx, m.call.ID) // a failure is counted there
+}
+
+// endStream records that the caller has the whole stream.
+func (m *modelRun) endStream() {
+	if m.route.Resumable && m.call.ResumeAfter == "" {
+		m.d.opts.StreamVersions.End(m.call.ID)
+	}
+}
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -80,6 +80,7 @@
 	if err == nil {
 		m.d.health.recordResult(m.run.Engine, true)
 		m.recordCompletion()
+		m.endStream()
 		if m.possibleRuns == 1 && m.call.ResumeAfter == "" {
 			m.d.opts.View.ObserveLength(m.run.ExpectedTokens, m.run.GeneratedTokens)
 		}
@@ -111,6 +112,7 @@
 	rest.PromptTokens += rest.GeneratedTokens
 	rest.MaxTokens = max(1, rest.MaxTokens-rest.GeneratedTokens)
 	rest.ExpectedTokens = max(1, rest.ExpectedTokens-rest.GeneratedTokens)
+	rest.Continues = rest.Continues || rest.GeneratedTokens > 0
 	rest.GeneratedTokens, rest.Decoding = 0, false
 	return rest
 }
@@ -181,6 +183,7 @@
 		if e.err != nil {
 			return e.err
 		}
+		m.awaitRecord()
 		m.beginAnswer(reply)
 		if err := m.write(e.data); err != nil {
 			return err
