--- a/hemlockd/e2e/usersplatform_deployment_test.go
+++ b/hemlockd/e2e/usersplatform_deployment_test.go
@@ -62,6 +62,7 @@
 // administration interface reports it.
 type arrival struct {
 	Attempt, Server, Phase, After, Target, Body string
+	Software, SourceSoftware                    string // versions of the server and of the server whose prefill result it took
 	Ran                                         bool
 	Parts                                       []string // IDs of the parts of the prompt
 	Crashed                                     bool     // the server crashed while it ran the request
--- a/hemlockd/e2e/usersplatform_software_test.go
+++ b/hemlockd/e2e/usersplatform_software_test.go
@@ -183,3 +183,33 @@
 		}
 	}
 }
+
+// TestPlatformPrefilledMemoryStaysWithinItsVersion guards against an engine that goes on from memory that
+// another software version has written.
+func TestPlatformPrefilledMemoryStaysWithinItsVersion(t *testing.T) {
+	p := deployUsersPlatform(t, 1)
+	p.addEngine("i-new1", "decode", "v2")
+	p.addEngine("i-newpre", "prefill", "v2")
+	p.addEngine("i-lone", "decode", "v3") // prefills by itself
+	time.Sleep(time.Second)
+	var running sync.WaitGroup
+	for i := range 18 {
+		running.Go(func() { p.stream(p.daemons[0], fmt.Sprint("s-", i), "resumable", 30) })
+	}
+	running.Wait()
+	seen := map[string]int{}
+	for i := range 18 {
+		for _, a := range p.arrivals(fmt.Sprint("s-", i)) {
+			if a.Phase != "decode" {
+				continue
+			}
+			seen[a.Software+" from "+a.SourceSoftware]++
+			if a.SourceSoftware != "" && a.SourceSoftware != a.Software {
+				t.Errorf("s-%d: engine %s of version %s took memory of version %s", i, a.Server, a.Software, a.SourceSoftware)
+			}
+		}
+	}
+	if seen["v1 from v1"] == 0 || seen["v2 from v2"] == 0 {
+		t.Errorf("runs by version: %v, want some of v1 and v2", seen)
+	}
+}
--- a/hemlockd/internal/configuration/configuration.go
+++ b/hemlockd/internal/configuration/configuration.go
@@ -245,7 +245,7 @@
 		metrics.Add("pollFailures", 1)
 		return err
 	}
-	if own == (settings.ChangeRef{Version: head.Version, ChangeID: head.ChangeID}) || own.Version == 0 && head.Version == 0 {
+	if own == settings.ChangeRef(head) || own.Version == 0 && head.Version == 0 {
 		c.diverged.Store(false)
 		return nil
 	}
--- a/standin/internal/usersplatform/server.go
+++ b/standin/internal/usersplatform/server.go
@@ -343,7 +343,7 @@
 	s.mu.Lock()
 	full := s.activeRequests >= max(1, s.spec.Slots)
 	s.mu.Unlock()
-	if fault.Busy || full || arrival.Phase == "decode" && !s.fetchPrefillResult(r.Header.Get("X-Kv-Source")) {
+	if fault.Busy || full || arrival.Phase == "decode" && !s.readPrompt(r.Header.Get("X-Kv-Source")) {
 		s.platform.record(arrival)
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/internal/usersplatform/streams.go
+++ b/standin/internal/usersplatform/streams.go
@@ -39,6 +39,16 @@
 	reply(w, http.StatusOK, map[string]any{"KvHandle": handle, "Tokens": 100, "Version": 1})
 }
 
+// readPrompt gets a prompt's KV cache: from a server that has prefilled it or, if source is empty, by its
+// own prefill at half the speed.
+func (s *Server) readPrompt(source string) bool {
+	if source == "" {
+		time.Sleep(2 * prefillDuration)
+		return true
+	}
+	return s.fetchPrefillResult(source)
+}
+
 // fetchPrefillResult fetches a prefill result from the server that holds it. A result
 // can be fetched once; false means that it was fetched before or has expired.
 func (s *Server) fetchPrefillResult(source string) bool {
