Prefilled memory is decoded at the software version that wrote it

What two versions write does not fit together; the users' rule counts events, not memory, so no play shows this. Change: a run's prefill engine has the version of its decode engine; where none has, the decode engine prefills by itself; a result goes to another decode engine of its version only. Measured: TestPlatformPrefilledMemoryStaysWithinItsVersion, red in the commit before, passes.

--- a/hemlockd/internal/capacity/choice.go
+++ b/hemlockd/internal/capacity/choice.go
@@ -35,7 +35,7 @@
 	r.MemoryUse = float64(need) / float64(best.MemoryTokens)
 	if !o.SkipPrefill {
 		p := v.choosePrefillLocked(best, o.Exclude, now)
-		if p == nil && v.prefillEngineCountLocked(r.Service) > 0 {
+		if p == nil && v.prefillEngineCountLocked(r.Service, best.Software) > 0 {
 			return r, false
 		}
 		if p != nil { // otherwise the decode engine prefills the prompt itself
--- a/hemlockd/internal/capacity/prefill.go
+++ b/hemlockd/internal/capacity/prefill.go
@@ -38,6 +38,8 @@
 	Service string
 	// DataCentre is the name of the engine's data centre.
 	DataCentre string
+	// Software is the version of the engine's software.
+	Software string
 	// RoundTripMs is the network round-trip time to the engine, in ms. A call takes two
 	// round trips, since it opens its own connection.
 	RoundTripMs float64
@@ -142,7 +144,7 @@
 	bestCost := 0.0
 	for _, id := range slices.Sorted(maps.Keys(v.prefillEngines)) {
 		p := v.prefillEngines[id]
-		if p.Service != decode.Service || exclude[id] || p.Foreign != foreign || p.backlog(now) > v.limits.MaxPrefillBacklogMs-backlogPerRoundTrip*p.RoundTripMs {
+		if p.Service != decode.Service || p.Software != decode.Software || exclude[id] || p.Foreign != foreign || p.backlog(now) > v.limits.MaxPrefillBacklogMs-backlogPerRoundTrip*p.RoundTripMs {
 			continue
 		}
 		cost := max(p.backlog(now), p.arrivalMs()) + p.RoundTripMs/2 + failurePenaltyMs*p.FailureRate
@@ -159,17 +161,18 @@
 	return best
 }
 
-// PrefillEngineCount returns the number of a service's prefill engines that accept work.
-func (v *View) PrefillEngineCount(service string) int {
+// PrefillEngineCount returns the number of a service's prefill engines that accept work and have a
+// version of the software. What another version has prefilled can't be decoded.
+func (v *View) PrefillEngineCount(service, software string) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.prefillEngineCountLocked(service)
+	return v.prefillEngineCountLocked(service, software)
 }
 
-func (v *View) prefillEngineCountLocked(service string) int {
+func (v *View) prefillEngineCountLocked(service, software string) int {
 	n := 0
 	for _, p := range v.prefillEngines {
-		if p.Service == service {
+		if p.Service == service && p.Software == software {
 			n++
 		}
 	}
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -210,7 +210,7 @@
 			if u.Role == routing.RolePrefill {
 				_, failureRate := d.health.stats(u.ID)
 				prefillers = append(prefillers, capacity.PrefillEngine{
-					ID: u.ID, Service: name, DataCentre: u.DataCentre, RoundTripMs: d.rttMs(u.DataCentre), FailureRate: failureRate,
+					ID: u.ID, Service: name, DataCentre: u.DataCentre, Software: u.Software, RoundTripMs: d.rttMs(u.DataCentre), FailureRate: failureRate,
 					Foreign: !d.opts.Peers.InCell(u.DataCentre),
 				})
 			}
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -39,6 +39,8 @@
 	run capacity.Run
 	// prefillResult is the result of the prefill until a decode engine fetches it.
 	prefillResult *calls.KVSource
+	// prefillSoftware is the version of the software of the engine that holds the result.
+	prefillSoftware string
 	// resultExpiresMs is when the prefill engine discards the result.
 	resultExpiresMs clock.Millis
 	// reservation is an unused reservation at the run's engine, or nil.
@@ -218,12 +220,17 @@
 	start := m.now()
 	ctx, cancel := context.WithTimeout(m.ctx, max(0, queueTimeout).Duration())
 	defer cancel()
-	run, ok := m.d.opts.Queue.Place(ctx, m.run, m.prefillResult != nil, m.excluded)
+	wanted := m.run
+	if m.prefillResult != nil {
+		wanted.Software = m.prefillSoftware
+	}
+	run, ok := m.d.opts.Queue.Place(ctx, wanted, m.prefillResult != nil, m.excluded)
 	for ok && !m.takeEngine(run.Engine) {
 		m.excluded[run.Engine] = true
 		m.d.opts.View.End(run.ID)
-		run, ok = m.d.opts.Queue.Place(ctx, m.run, m.prefillResult != nil, m.excluded)
+		run, ok = m.d.opts.Queue.Place(ctx, wanted, m.prefillResult != nil, m.excluded)
 	}
+	run.Software = m.run.Software
 	m.queueTimeMs += m.now() - start
 	if !ok {
 		return false
--- a/hemlockd/internal/dispatch/prefill.go
+++ b/hemlockd/internal/dispatch/prefill.go
@@ -52,7 +52,7 @@
 // other prefill engines after failures and returns false if none succeeded, or if the run's
 // decode engine may no longer be called.
 func (m *modelRun) prefill() bool {
-	if m.prefillResult != nil || m.run.Prefill == "" && m.d.opts.View.PrefillEngineCount(m.service) == 0 {
+	if m.prefillResult != nil || m.run.Prefill == "" && m.d.opts.View.PrefillEngineCount(m.service, m.softwareOf(m.run.Engine)) == 0 {
 		return true
 	}
 	tried := map[string]bool{}
@@ -80,7 +80,7 @@
 		m.recordResult(u, err)
 		if failed == nil {
 			m.prefillCalls++
-			m.prefillResult = &source
+			m.prefillResult, m.prefillSoftware = &source, u.Software
 			m.resultExpiresMs = m.now() + m.spec.PrefillResultTTLMs
 			return true
 		}
