Own door: a placement whose record the table has lost does not run again

After the table had come back from an older copy, a caller who sent a placement again had it run twice. Change: the table's answers name its history (cluster_id of the published protocol; the stand-in learns it). Not covered: records of daemons that died between, daemons that start in those seconds.

--- a/common/platform/memory/memory.go
+++ b/common/platform/memory/memory.go
@@ -26,6 +26,8 @@
 	mu       sync.Mutex
 	rows     map[string]platform.KeyValue
 	revision int64
+	// clusterID is the history's; it changes with a restore.
+	clusterID uint64
 	// copied is what Restore brings back; nil until Copy is called.
 	copied *tableCopy
 	// Reads counts the ranges and the transactions without a write. The stand-in
@@ -39,7 +41,7 @@
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{rows: map[string]platform.KeyValue{}} }
+func New() *Table { return &Table{rows: map[string]platform.KeyValue{}, clusterID: 1} }
 
 // Range reads the rows of a range, in key order.
 func (t *Table) Range(_ context.Context, req platform.RangeRequest) ([]platform.KeyValue, error) {
@@ -118,7 +120,7 @@
 	for _, op := range branch {
 		resp.Responses = append(resp.Responses, t.operation(op))
 	}
-	resp.Header.Revision = t.revision
+	resp.Header.Revision, resp.Header.ClusterID = t.revision, t.clusterID
 	return resp
 }
 
--- a/common/platform/memory/restore.go
+++ b/common/platform/memory/restore.go
@@ -20,7 +20,7 @@
 }
 
 // Restore replaces the table's content by that of the copy: what was written since is gone, and
-// revisions are given out again. It reports whether there is a copy.
+// revisions are given out again; answers have another cluster ID. It reports whether there is a copy.
 func (t *Table) Restore() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -28,5 +28,6 @@
 		return false
 	}
 	t.rows, t.revision = maps.Clone(t.copied.rows), t.copied.revision
+	t.clusterID++
 	return true
 }
--- a/common/platform/table.go
+++ b/common/platform/table.go
@@ -102,6 +102,9 @@
 
 // ResponseHeader is the header of a response.
 type ResponseHeader struct {
+	// ClusterID identifies the table's history: a table that comes back from an older copy has another
+	// one. 0 if the table does not say.
+	ClusterID uint64 `json:"cluster_id,string,omitempty"`
 	// Revision is the table's revision after the transaction.
 	Revision int64 `json:"revision,string"`
 }
--- a/hemlockd/e2e/restored_test.go
+++ b/hemlockd/e2e/restored_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
+	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/settings"
 )
 
@@ -35,3 +37,25 @@
 	})
 	waitInForce(write(d.daemons[0].settingsVersion(), "teams/quotes", 3))
 }
+
+// TestPlacementRunsOnceAcrossARestoreOfTheTable guards against a placement that runs again: the table had
+// acknowledged its record and came back from an older copy without it.
+func TestPlacementRunsOnceAcrossARestoreOfTheTable(t *testing.T) {
+	d := deploy(t, options{dataCentres: []string{"brandon-a"}, daemons: 2})
+	d.adminCall(http.MethodPost, "/table/copy")
+	if a := d.daemons[0].createPlacement("lost", `{"item":"ash"}`); a.status != http.StatusCreated {
+		t.Fatalf("status %d", a.status)
+	}
+	d.adminCall(http.MethodPost, "/table/restore")
+	for i := range 4 {
+		if a := d.daemons[i%2].createPlacement("lost", `{"item":"ash"}`); a.status == http.StatusServiceUnavailable && a.problem.Ran != problem.RanNo {
+			t.Errorf("refused without saying that it was not run: %+v", a.problem)
+		}
+	}
+	d.eventually("the recorded answer is replayed", 10*time.Second, func() bool {
+		return d.daemons[1].createPlacement("lost", `{"item":"ash"}`).status == http.StatusCreated
+	})
+	if runs := d.runsByKey()["lost"]; runs != 1 {
+		t.Errorf("the placement ran %d times, want once", runs)
+	}
+}
--- a/hemlockd/internal/placements/batcher.go
+++ b/hemlockd/internal/placements/batcher.go
@@ -20,6 +20,8 @@
 type batcher struct {
 	table    Table
 	interval func() clock.Millis
+	// onAnswer is called with the header of each answer, before its results are passed on.
+	onAnswer func(platform.ResponseHeader)
 
 	mu      sync.Mutex
 	pending []*write
@@ -42,8 +44,8 @@
 	err      error
 }
 
-func newBatcher(table Table, interval func() clock.Millis) *batcher {
-	return &batcher{table: table, interval: interval, wake: make(chan struct{}, 1)}
+func newBatcher(table Table, interval func() clock.Millis, onAnswer func(platform.ResponseHeader)) *batcher {
+	return &batcher{table: table, interval: interval, onAnswer: onAnswer, wake: make(chan struct{}, 1)}
 }
 
 // submit writes a record if the condition holds, and returns the existing row otherwise.
@@ -119,6 +121,7 @@
 		reply(batch, writeResult{err: err})
 		return
 	}
+	b.onAnswer(resp.Header)
 	for i, w := range batch {
 		w.result <- readResult(resp.Header.Revision, resp.Responses[i].ResponseTxn)
 	}
--- a/hemlockd/internal/placements/ledger.go
+++ b/hemlockd/internal/placements/ledger.go
@@ -151,7 +151,9 @@
 	env   process.Environment
 	table Table
 	batch *batcher
-	ctx   context.Context
+	// history tells restores of the table.
+	history *history
+	ctx     context.Context
 	// settling is the number of outcomes that are not recorded yet.
 	settling atomic.Int64
 	// initialBackoff is the base of the exponential backoff between writes.
@@ -163,8 +165,10 @@
 // transactions.
 func New(env process.Environment, table Table, interval func() clock.Millis) (*Ledger, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Ledger{env: env, table: table, ctx: ctx, batch: newBatcher(table, interval), initialBackoff: initialSettleBackoff}
+	l := &Ledger{env: env, table: table, ctx: ctx, history: newHistory(env.Clock), initialBackoff: initialSettleBackoff}
+	l.batch = newBatcher(table, interval, l.tableAnswered)
 	go l.batch.run(ctx)
+	go l.run(ctx)
 	return l, func() {
 		l.awaitSettled(2 * env.Config.PlatformTimeoutMs)
 		cancel()
@@ -187,6 +191,9 @@
 // lost, the nonce in the row tells whether the write took effect. Claim returns an *UnavailableError
 // if the table could not be written or other calls keep taking over the record.
 func (l *Ledger) Claim(ctx context.Context, key string, record Record) (Claim, error) {
+	if l.history.quiet() {
+		return Claim{}, &UnavailableError{Err: errRestored}
+	}
 	record.State, record.Nonce = Started, newNonce()
 	condition := platform.Absent(key)
 	var lastErr error
@@ -203,8 +210,14 @@
 			continue
 		}
 		if result.written || result.row.Nonce == record.Nonce && result.row.State == Started {
+			won := Claim{Won: true, Key: key, Record: record, revision: result.revision}
+			if l.history.quiet() { // the answer itself told of a restore: the call may have run before
+				l.Release(won)
+				return Claim{}, &UnavailableError{Err: errRestored}
+			}
+			l.history.keep(key, record)
 			metrics.Add("claimsWon", 1)
-			return Claim{Won: true, Key: key, Record: record, revision: result.revision}, nil
+			return won, nil
 		}
 		if result.row.State == Released && result.row.Digest == record.Digest {
 			condition = platform.Unchanged(key, result.revision)
@@ -247,6 +260,7 @@
 func (l *Ledger) Finish(claim Claim, answer Answer) {
 	record := claim.Record
 	record.State, record.Answer = Finished, &answer
+	l.history.keep(claim.Key, record)
 	l.settling.Add(1)
 	go l.runSettle(claim.Key, claim.revision, record)
 }
@@ -256,6 +270,7 @@
 func (l *Ledger) Release(claim Claim) {
 	record := claim.Record
 	record.State = Released
+	l.history.drop(claim.Key)
 	l.settling.Add(1)
 	go l.runSettle(claim.Key, claim.revision, record)
 }
