Tests of the lease share the check of orders

Cause: the same twelve lines stood twice after the test of restores. Change: one method; the assertions are the same.

--- a/hemlockd/internal/roles/lease_test.go
+++ b/hemlockd/internal/roles/lease_test.go
@@ -77,7 +77,6 @@
 		const span = 3 * clock.Second
 		store := &fakeStore{t: t}
 		f := newLeaseFleet(store, span)
-		lastHolder, lastAt, lastFence := "", clock.Millis(-1), int64(0)
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			f.now += clock.Millis(rapid.IntRange(1, 4000).Draw(t, "pause"))
 			if len(store.late) > 0 && rapid.Bool().Draw(t, "late write") {
@@ -89,16 +88,7 @@
 				f.start(n)
 			}
 			fence, _ := f.leases[n].Renew(context.Background(), func() clock.Millis { return f.now })
-			if fence == 0 {
-				continue
-			}
-			if fence <= lastFence {
-				t.Fatalf("fencing token %d issued after %d", fence, lastFence)
-			}
-			if lastHolder != "" && lastHolder != n && f.now-lastAt < span {
-				t.Fatalf("%s may send orders %d ms after %s", n, f.now-lastAt, lastHolder)
-			}
-			lastHolder, lastAt, lastFence = n, f.now, fence
+			f.checkOrder(t, n, fence)
 		}
 	})
 }
@@ -111,7 +101,6 @@
 		const span = 3 * clock.Second
 		store := &fakeStore{t: t, era: 1}
 		f := newLeaseFleet(store, span)
-		lastHolder, lastAt, lastFence := "", clock.Millis(-1), int64(0)
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			f.now += clock.Millis(rapid.IntRange(1, 2000).Draw(t, "pause"))
 			switch rapid.IntRange(0, 15).Draw(t, "event") {
@@ -130,16 +119,7 @@
 				f.observe(n)
 			}
 			fence, _ := f.leases[n].Renew(context.Background(), func() clock.Millis { return f.now })
-			if fence == 0 {
-				continue
-			}
-			if fence <= lastFence {
-				t.Fatalf("fencing token %d issued after %d", fence, lastFence)
-			}
-			if lastHolder != "" && lastHolder != n && f.now-lastAt < span {
-				t.Fatalf("%s may send orders %d ms after %s", n, f.now-lastAt, lastHolder)
-			}
-			lastHolder, lastAt, lastFence = n, f.now, fence
+			f.checkOrder(t, n, fence)
 		}
 	})
 }
@@ -153,6 +133,10 @@
 	leases map[string]*Lease
 	// eras is what each daemon knows of the store's era.
 	eras map[string]Era
+	// lastHolder sent the last order, at lastAtMs and with lastFence.
+	lastHolder string
+	lastAtMs   clock.Millis
+	lastFence  int64
 }
 
 func newLeaseFleet(store *fakeStore, span clock.Millis) *leaseFleet {
@@ -163,6 +147,21 @@
 	return f
 }
 
+// checkOrder fails the test if a daemon may send an order, by its fencing token, and should not: too soon after
+// another one, or with a token that is not higher than all before.
+func (f *leaseFleet) checkOrder(t *rapid.T, holder string, fence int64) {
+	if fence == 0 {
+		return
+	}
+	if fence <= f.lastFence {
+		t.Fatalf("fencing token %d issued after %d", fence, f.lastFence)
+	}
+	if f.lastHolder != "" && f.lastHolder != holder && f.now-f.lastAtMs < f.span {
+		t.Fatalf("%s may send orders %d ms after %s", holder, f.now-f.lastAtMs, f.lastHolder)
+	}
+	f.lastHolder, f.lastAtMs, f.lastFence = holder, f.now, fence
+}
+
 // start starts a daemon anew.
 func (f *leaseFleet) start(name string) {
 	f.eras[name] = Era{}
