Streams begin at the base version while records cannot be written

Cause: a stream of another version than the base that was begun while the store failed had no record; after a kill of all daemons it would have been taken for one of the base. Change: while records or other calls to the store fail, new streams that may be taken up are placed at engines of the base version, if one is listed; else anywhere, so that callers are served.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -191,7 +191,7 @@
 	d.blames = newBlameStore(d.log, d.clk, store, d.prompts, d.mayTryPart)
 	var closeVersions func()
 	d.versions, closeVersions = streamversions.New(streamversions.Options{
-		Log: d.log, Clock: boot, Store: store, Lifetime: d.streamLifetime, WriteInterval: d.recordInterval, Cleans: d.isFirst,
+		Log: d.log, Clock: boot, Store: store, Lifetime: d.streamLifetime, WriteInterval: d.recordInterval, Cleans: d.isFirst, StoreFails: d.storeFails,
 	})
 	d.onClose(closeVersions)
 	d.dispatcher = dispatch.New(dispatch.Options{
--- a/hemlockd/internal/app/versions.go
+++ b/hemlockd/internal/app/versions.go
@@ -62,6 +62,15 @@
 	return clock.Millis(float64(d.peers.Count()) * float64(clock.Second) / (recordShare * writes))
 }
 
+// storeFailureMemory is how long after a failed call the store counts as failing.
+const storeFailureMemory = clock.Second
+
+// storeFails reports whether a call to the store has failed just now.
+func (d *platformDaemon) storeFails() bool {
+	since := d.directory.SinceStoreFailure()
+	return since >= 0 && since < storeFailureMemory
+}
+
 // isFirst reports whether no other daemon that is alive has a lower name.
 func (d *platformDaemon) isFirst() bool {
 	return d.isFirstOf(func(peers.Daemon) bool { return true })
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -84,6 +84,9 @@
 	Begin(service, attempt, software string)
 	// Recorded waits until any daemon would find the version.
 	Recorded(ctx context.Context, attempt string) error
+	// OnlyWithoutRecord returns the version at which streams should begin while no records can be
+	// written; ok is false while they can.
+	OnlyWithoutRecord(service string) (software string, ok bool)
 	// End records that the caller has the whole stream.
 	End(attempt string)
 	// Lookup returns the version that began a stream, or an error if that is not known.
--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -279,8 +279,12 @@
 	mu       sync.Mutex
 	software map[string]string // by the attempt that began the stream
 	ended    map[string]bool
+	// only is what OnlyWithoutRecord returns; "" if any version will do.
+	only string
 }
 
+func (f *fakeVersions) OnlyWithoutRecord(string) (string, bool) { return f.only, f.only != "" }
+
 func (f *fakeVersions) Begin(_, attempt, software string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -351,7 +355,7 @@
 
 func readCall(r *http.Request) *calls.Call {
 	call := &calls.Call{
-		ID: r.Header.Get("Id"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.Path, Header: http.Header{}, TimeoutMs: 1500,
+		ID: r.Header.Get("Id"), ResumeAfter: r.Header.Get("After"), Resumed: r.Header.Get("Resumed"), Method: r.Method, Host: r.Host, Target: r.RequestURI, Path: r.URL.Path, Header: http.Header{}, TimeoutMs: 1500,
 	}
 	if r.Method == http.MethodPost {
 		call.Prompt = &calls.Prompt{Tokens: 100, MaxOutputTokens: 10 * events, ExpectedOutputTokens: 10 * events}
@@ -378,8 +382,15 @@
 // ask sends one request and returns the answer, and whether the connection was closed
 // before the answer was complete.
 func (s *setup) ask(id, path string) (recorder *httptest.ResponseRecorder, cut bool) {
+	return s.askAfter(id, path, "", "")
+}
+
+// askAfter is ask for a request that goes on after an event of a stream that an attempt began.
+func (s *setup) askAfter(id, path, after, began string) (recorder *httptest.ResponseRecorder, cut bool) {
 	recorder = httptest.NewRecorder()
 	r := newRequest(id, path)
+	r.Header.Set("After", after)
+	r.Header.Set("Resumed", began)
 	defer func() {
 		if err := recover(); err != nil {
 			if err != http.ErrAbortHandler {
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -221,9 +221,7 @@
 	ctx, cancel := context.WithTimeout(m.ctx, max(0, queueTimeout).Duration())
 	defer cancel()
 	wanted := m.run
-	if m.prefillResult != nil {
-		wanted.Software = m.prefillSoftware
-	}
+	wanted.Software = m.wantedSoftware()
 	run, ok := m.d.opts.Queue.Place(ctx, wanted, m.prefillResult != nil, m.excluded)
 	for ok && !m.takeEngine(run.Engine) {
 		m.excluded[run.Engine] = true
--- a/hemlockd/internal/dispatch/software.go
+++ b/hemlockd/internal/dispatch/software.go
@@ -41,17 +41,34 @@
 // versionServed reports whether the run may go on at an engine that is listed and that it has not been
 // at: after the first event only engines of the software version that wrote it are left.
 func (m *modelRun) versionServed() bool {
-	if m.run.Software == "" {
-		return true
-	}
+	return m.run.Software == "" || m.served(m.run.Software)
+}
+
+// served reports whether an engine of a version is listed that the run has not been at.
+func (m *modelRun) served(software string) bool {
 	for _, u := range m.d.opts.Directory.Upstreams(m.service) {
-		if u.Role == routing.RoleDecode && u.Software == m.run.Software && !m.excluded[u.ID] {
+		if u.Role == routing.RoleDecode && u.Software == software && !m.excluded[u.ID] {
 			return true
 		}
 	}
 	return false
 }
 
+// wantedSoftware returns the version at which the run should be placed; empty if any will do.
+func (m *modelRun) wantedSoftware() string {
+	if m.prefillResult != nil {
+		return m.prefillSoftware
+	}
+	if m.run.Software != "" || !m.route.Resumable {
+		return m.run.Software
+	}
+	base, ok := m.d.opts.StreamVersions.OnlyWithoutRecord(m.service)
+	if !ok || !m.served(base) {
+		return ""
+	}
+	return base
+}
+
 // beginStream records the version of the engine that is about to begin the stream, unless an event has
 // been forwarded before or nobody may take the stream up.
 func (m *modelRun) beginStream(u routing.Upstream) {
--- a/hemlockd/internal/streamversions/streamversions.go
+++ b/hemlockd/internal/streamversions/streamversions.go
@@ -66,6 +66,8 @@
 	Lifetime func() clock.Millis
 	// WriteInterval returns the shortest time between two of this daemon's writes of records.
 	WriteInterval func() clock.Millis
+	// StoreFails reports whether calls to the store have just failed.
+	StoreFails func() bool
 	// Cleans reports whether this daemon removes the records of daemons that are gone.
 	Cleans func() bool
 }
@@ -188,6 +190,21 @@
 	}
 }
 
+// OnlyWithoutRecord returns the version at which streams should begin while no records can be written:
+// those of another one could not be told from its own. ok is false while that is not so.
+func (v *Versions) OnlyWithoutRecord(name string) (software string, ok bool) {
+	if !v.writer.isFailing() {
+		return "", false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.services[name]
+	if s == nil || !s.settled() || !s.base.valid {
+		return "", false
+	}
+	return s.base.software, true
+}
+
 // End records that the caller has the whole stream.
 func (v *Versions) End(attempt string) {
 	v.mu.Lock()
--- a/hemlockd/internal/streamversions/streamversions_test.go
+++ b/hemlockd/internal/streamversions/streamversions_test.go
@@ -129,6 +129,7 @@
 	f.daemons[i], f.stops[i] = New(Options{
 		Log: zap.NewNop(), Clock: f.time.Clock(), Store: f.store, Lifetime: func() clock.Millis { return testLifetime },
 		WriteInterval: func() clock.Millis { return 10 * clock.Millisecond }, Cleans: func() bool { return i == 0 },
+		StoreFails: func() bool { return false },
 	})
 	f.daemons[i].Observe(map[string][]string{"models": f.listed})
 }
@@ -254,6 +255,31 @@
 	})
 }
 
+// TestStreamsShouldBeginAtTheBaseWhileRecordsFail guards against streams of another version whose version nobody can
+// tell: they were begun while the store failed.
+func TestStreamsShouldBeginAtTheBaseWhileRecordsFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		defer f.stop()
+		f.pass(25 * clock.Second)
+		f.listed = []string{"v1", "v2"}
+		f.pass(8 * clock.Second)
+		if software, ok := f.daemons[0].OnlyWithoutRecord("models"); ok {
+			t.Errorf("%q while the store is well", software)
+		}
+		f.store.set(func() { f.store.down = true })
+		f.begin(0, "other", "v2")
+		if software, ok := f.daemons[0].OnlyWithoutRecord("models"); !ok || software != "v1" {
+			t.Errorf("%q, %t while records fail, want v1", software, ok)
+		}
+		f.store.set(func() { f.store.down = false })
+		f.pass(2 * clock.Second)
+		if software, ok := f.daemons[0].OnlyWithoutRecord("models"); ok {
+			t.Errorf("%q after the store is back", software)
+		}
+	})
+}
+
 // TestRecordsAreRemoved checks that records end with their streams, and those of daemons that are gone later.
 func TestRecordsAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/hemlockd/internal/streamversions/writer.go
+++ b/hemlockd/internal/streamversions/writer.go
@@ -65,6 +65,13 @@
 // removalDelay is how long removals wait for a record with which they can be written.
 const removalDelay = 5 * clock.Second
 
+// isFailing reports whether a record would not be written now.
+func (w *writer) isFailing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failing || w.o.StoreFails()
+}
+
 func (w *writer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait, cancel := context.WithTimeout(ctx, removalDelay.Duration())
@@ -120,8 +127,14 @@
 
 // logState logs that writes begin to fail, or work again.
 func (w *writer) logState(ctx context.Context, err error) {
-	if failing := err != nil; failing != w.failing && ctx.Err() == nil {
+	failing := err != nil
+	w.mu.Lock()
+	changed := failing != w.failing && ctx.Err() == nil
+	if changed {
 		w.failing = failing
+	}
+	w.mu.Unlock()
+	if changed {
 		w.o.Log.Info("the store changed state", zap.String("topic", string(directory.Streams)), zap.Bool("reachable", !failing), zap.Error(err))
 	}
 }
