--- a/hemlockd/internal/dispatch/software_test.go
+++ b/hemlockd/internal/dispatch/software_test.go
@@ -1,12 +1,50 @@
 package dispatch
 
 import (
+	"context"
+	"errors"
 	"net/http"
+	"sync"
 	"testing"
 
 	"hemlockmux.example/common/routing"
 )
 
+// fakeVersions knows the versions of streams that a test gives it, and no others.
+type fakeVersions struct {
+	mu       sync.Mutex
+	software map[string]string // by the attempt that began the stream
+	ended    map[string]bool
+	// only is what OnlyWithoutRecord returns; "" if any version will do.
+	only string
+}
+
+func (f *fakeVersions) OnlyWithoutRecord(string) (string, bool) { return f.only, f.only != "" }
+
+func (f *fakeVersions) Begin(_, attempt, software string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.software[attempt] = software
+}
+
+func (f *fakeVersions) Recorded(context.Context, string) error { return nil }
+
+func (f *fakeVersions) End(attempt string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended[attempt] = true
+}
+
+func (f *fakeVersions) Lookup(_ context.Context, _, attempt string) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	software, ok := f.software[attempt]
+	if !ok {
+		return "", errors.New("not known")
+	}
+	return software, nil
+}
+
 // software gives the decode engines of the fake deployment versions, and prefill engines the first one.
 func (s *setup) software(versions map[string]string) {
 	models := s.dispatcher.opts.Directory.(*fakeDirectory).upstreams["model"]
