One look-up of an upstream by its ID in dispatch

Cause: softwareOf scanned the list that modelRun.upstream scans too. Change: upstream belongs to the exchange, and softwareOf calls it; behaviour is unchanged.

--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -312,14 +312,20 @@
 	return failed
 }
 
-// softwareOf returns the version of an upstream's software; empty if the upstream is not listed.
-func (x *exchange) softwareOf(id string) string {
+// upstream returns the upstream of the request's service with the id, if it is listed.
+func (x *exchange) upstream(id string) (routing.Upstream, bool) {
 	for _, u := range x.d.opts.Directory.Upstreams(x.service) {
 		if u.ID == id {
-			return u.Software
+			return u, true
 		}
 	}
-	return ""
+	return routing.Upstream{}, false
+}
+
+// softwareOf returns the version of an upstream's software; empty if the upstream is not listed.
+func (x *exchange) softwareOf(id string) string {
+	u, _ := x.upstream(id)
+	return u.Software
 }
 
 // conclude records the end of the request: its verdict, a log line and the metrics.
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -302,16 +302,6 @@
 	return m.d.opts.Gate.CheckNotices(upstreamgate.TargetOf(u), m.now())
 }
 
-// upstream returns the upstream of the run's service with the id, if it is listed.
-func (m *modelRun) upstream(id string) (routing.Upstream, bool) {
-	for _, u := range m.d.opts.Directory.Upstreams(m.service) {
-		if u.ID == id {
-			return u, true
-		}
-	}
-	return routing.Upstream{}, false
-}
-
 // decode sends the request to the decode engine where it is placed.
 func (m *modelRun) decode() (*calls.Reply, *calls.Error) {
 	u, ok := m.upstream(m.run.Engine)
