--- a/review/stand/platform_test.go
+++ b/review/stand/platform_test.go
@@ -220,16 +220,38 @@
 // daemon is one process of the project.
 type daemon struct {
 	name, front, ready string
+	settings, log      string // paths
 	cmd                *exec.Cmd
 	exited             chan struct{}
 }
 
+// start starts the daemon's process, on one core as the settings say.
+func (d *daemon) start() {
+	d.cmd = exec.Command("target/hemlockd", "platform", "--metrics-port", "9464")
+	d.cmd.Env = append(os.Environ(), "HEMLOCKMUX_BOOT="+d.settings, "GOMAXPROCS=1")
+	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	log, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must(err)
+	defer log.Close()
+	d.cmd.Stdout, d.cmd.Stderr = log, log
+	must(d.cmd.Start())
+	exited := make(chan struct{})
+	d.exited = exited
+	cmd := d.cmd
+	go func() { _ = cmd.Wait(); close(exited) }()
+}
+
+// kill ends the daemon's process at once.
+func (d *daemon) kill() {
+	_ = d.cmd.Process.Kill()
+	<-d.exited
+}
+
 var daemons []*daemon
 
 func stopDaemons() {
 	for _, d := range daemons {
-		_ = d.cmd.Process.Kill()
-		<-d.exited
+		d.kill()
 	}
 }
 
@@ -337,15 +359,8 @@
 		path := filepath.Join(dir, d.name+".toml")
 		text := fmt.Sprintf(daemonSettings, d.name, ip, p[0], strings.Join(seeds, ","), p[1], p[2], p[3], storeAddress)
 		must(os.WriteFile(path, []byte(text), 0o600))
-		d.cmd = exec.Command("target/hemlockd", "platform", "--metrics-port", "9464")
-		d.cmd.Env = append(os.Environ(), "HEMLOCKMUX_BOOT="+path)
-		d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		log, err := os.Create(filepath.Join(dir, d.name+".log"))
-		must(err)
-		d.cmd.Stdout, d.cmd.Stderr = log, log
-		must(d.cmd.Start())
-		d.exited = make(chan struct{})
-		go func() { _ = d.cmd.Wait(); close(d.exited) }()
+		d.settings, d.log = path, filepath.Join(dir, d.name+".log")
+		d.start()
 		daemons = append(daemons, d)
 	}
 	for _, d := range daemons {
