--- a/review/stand/platform_test.go
+++ b/review/stand/platform_test.go
@@ -332,10 +332,20 @@
 	var ports []int
 	var open []net.Listener
 	for len(ports) < n {
-		l, err := net.Listen("tcp4", "0.0.0.0:0")
-		must(err)
-		open = append(open, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		first := listen(ips[0])
+		open = append(open, first)
+		port := first.Addr().(*net.TCPAddr).Port
+		free := true
+		for _, ip := range ips[1:] {
+			l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
+			free = free && err == nil
+			if err == nil {
+				open = append(open, l)
+			}
+		}
+		if free {
+			ports = append(ports, port)
+		}
 	}
 	for _, l := range open {
 		_ = l.Close()
