Request lines and counters tell how a request met the daemon's shutdown

A stream that the exit cut off and one that reached its deadline had the same cause, nothing said whether a stream came before or after the signal or what was expected of it, and a request that the exit overtook left no line.

Change: afterStopMs, neededMs and leftMs in the line of a request, the cause shutdown, counters of streams admitted, refused and cut during a shutdown, and a line for each request that is open at the exit. No decision is changed.

--- a/common/calls/calls.go
+++ b/common/calls/calls.go
@@ -181,6 +181,8 @@
 	CauseTruncated Cause = "truncated"
 	// CauseDeadline means that the time for the whole request was over.
 	CauseDeadline Cause = "deadline"
+	// CauseShutdown means that this daemon had to exit.
+	CauseShutdown Cause = "shutdown"
 	// CauseCallerGone means that the caller stopped waiting.
 	CauseCallerGone Cause = "callerGone"
 	// CauseUpstreamError means that the upstream answered with an error of its own.
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -357,4 +357,5 @@
 	if err := d.callers.drain(ctx); err != nil {
 		d.log.Warn("drain ended with requests in flight", zap.Int("open", d.dispatcher.OpenRequests()), zap.Error(err))
 	}
+	d.dispatcher.LogOpenRequests()
 }
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -19,7 +19,6 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -138,13 +137,13 @@
 	health    *health
 	logLimits *requestLogLimits
 	latencies *latencies
-	// drainingUntilMs is when the daemon will exit; 0 unless it is shutting down.
-	drainingUntilMs atomic.Int64
+	// shutdown holds the times of the daemon's shutdown; nil unless it is shutting down.
+	shutdown atomic.Pointer[shutdown]
 	// exiting is closed shortly before the daemon exits: requests that are still in flight
 	// are answered then, or their connections would be closed without an answer.
-	exiting      context.Context
-	exit         context.CancelFunc
-	openRequests atomic.Int64
+	exiting context.Context
+	exit    context.CancelFunc
+	open    openRequests
 }
 
 // New returns a dispatcher.
@@ -154,37 +153,15 @@
 	return d
 }
 
-// exitMargin is how long before the daemon's exit requests in flight are ended, so that
-// their callers get an answer.
-const exitMargin = 50 * clock.Millisecond
-
-// Drain prepares for the daemon's exit at the time until: answers close the callers'
-// connections, so that callers reconnect to other daemons, and streams that are
-// expected to take longer are refused.
-// Requests in flight are ended exitMargin before that time.
-func (d *Dispatcher) Drain(until clock.Millis) {
-	d.drainingUntilMs.Store(int64(until))
-	time.AfterFunc((until - exitMargin - d.opts.Clock.Now()).Duration(), d.exit)
-}
-
-// draining reports whether the daemon is shutting down, and when it will exit.
-func (d *Dispatcher) draining() (until clock.Millis, draining bool) {
-	until = clock.Millis(d.drainingUntilMs.Load())
-	return until, until != 0
-}
-
 // IsDown reports whether an upstream is marked down. It stays so until it answers a
 // call or a probe.
 func (d *Dispatcher) IsDown(id string) bool { return d.health.isDown(id) }
 
-// OpenRequests returns the number of requests in flight.
-func (d *Dispatcher) OpenRequests() int { return int(d.openRequests.Load()) }
-
 // ServeHTTP implements [http.Handler].
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	d.openRequests.Add(1)
-	defer d.openRequests.Add(-1)
 	x := &exchange{d: d, w: w, r: r, call: d.opts.ReadCall(r), arrivedMs: d.opts.Clock.Now(), outcome: calls.NotRun}
+	d.open.add(x.call.ID)
+	defer d.open.remove(x.call.ID)
 	defer x.conclude()
 	defer x.answerPanic()
 	x.serve()
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -89,6 +89,9 @@
 	closedSkipped bool
 	// events is the number of stream events forwarded.
 	events int
+	// neededMs and leftMs are the time that the request was expected to take and the time until the daemon's
+	// exit when it was admitted or refused during the shutdown; 0 otherwise.
+	neededMs, leftMs clock.Millis
 	// silentMs is the time without an event before the last stream that ended early.
 	silentMs clock.Millis
 }
@@ -338,6 +341,7 @@
 	}
 	x.d.opts.Verdicts.Record(v)
 	metrics.Add("request "+x.reason, 1)
+	duringShutdown := x.noteShutdown()
 	x.d.latencies.recordRequest(x, end)
 	served := x.reason == reasonServed && x.status < http.StatusInternalServerError
 	if !x.d.logLimits.allow(served) {
@@ -364,6 +368,7 @@
 	if x.call.ResumeAfter != "" {
 		fields = append(fields, zap.String("resumes", x.call.Resumed), zap.String("after", x.call.ResumeAfter))
 	}
+	fields = append(fields, duringShutdown...)
 	if x.silentMs > 0 {
 		fields = append(fields, zap.Int64("silentMs", int64(x.silentMs)))
 	}
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -98,9 +98,12 @@
 		m.respondError(http.StatusServiceUnavailable, reasonNoUpstream, capacityRetryAfter+jitter(capacityRetryAfter))
 		return
 	}
-	if until, draining := m.d.draining(); draining && m.now()+m.d.opts.View.ExpectedDuration(m.run)+drainMargin > until {
-		m.respondError(http.StatusServiceUnavailable, reasonShutdown, 100*clock.Millisecond)
-		return
+	if until, draining := m.d.draining(); draining {
+		m.neededMs, m.leftMs = m.d.opts.View.ExpectedDuration(m.run)+drainMargin, until-m.now()
+		if m.neededMs > m.leftMs {
+			m.respondError(http.StatusServiceUnavailable, reasonShutdown, 100*clock.Millisecond)
+			return
+		}
 	}
 	queueTimeout := clock.Millis(queueTimeShare * float64(m.route.TargetLatencyMs))
 	if m.run.Continues {
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -132,6 +132,8 @@
 	switch {
 	case m.callerGone():
 		return calls.CauseCallerGone
+	case m.d.exiting.Err() != nil:
+		return calls.CauseShutdown
 	case m.ctx.Err() != nil:
 		return calls.CauseDeadline
 	case errors.Is(err, errSilent):
