--- a/standin/internal/usersplatform/streams.go
+++ b/standin/internal/usersplatform/streams.go
@@ -77,11 +77,30 @@
 	return fmt.Sprintf("piece %d", number)
 }
 
-// stream sends one event for each tokensPerEvent output tokens, up to the number of
-// output tokens that X-Token-Count requests, starting after Last-Event-Id.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault ServerFault) {
-	_, out, _ := strings.Cut(r.Header.Get("X-Token-Count"), ",")
+// Headers with which a caller tells the stand-in how long its stream is, whatever it told the daemon.
+const (
+	eventsHeader   = "X-Standin-Events"   // number of events
+	intervalHeader = "X-Standin-Interval" // time between two events in ms
+)
+
+// streamShape returns how many events a stream has and the time between them: one event for each
+// tokensPerEvent output tokens that X-Token-Count requests, unless the caller tells otherwise.
+func streamShape(h http.Header) (number int, interval time.Duration) {
+	_, out, _ := strings.Cut(h.Get("X-Token-Count"), ",")
 	tokens, _ := strconv.Atoi(out)
+	number, interval = tokens/tokensPerEvent, eventInterval
+	if n, err := strconv.Atoi(h.Get(eventsHeader)); err == nil {
+		number = min(number, n)
+	}
+	if ms, err := strconv.Atoi(h.Get(intervalHeader)); err == nil {
+		interval = time.Duration(ms) * time.Millisecond
+	}
+	return number, interval
+}
+
+// stream sends the events of a stream, starting after Last-Event-Id.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, fault ServerFault) {
+	number, interval := streamShape(r.Header)
 	first := 0
 	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = after
@@ -89,13 +108,13 @@
 	w.Header().Set("X-Server-Seal", "seal-"+s.spec.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
-	for i := first + 1; i <= tokens/tokensPerEvent; i++ {
+	for i := first + 1; i <= number; i++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-s.done:
 			panic(http.ErrAbortHandler)
-		case <-time.After(eventInterval):
+		case <-time.After(interval):
 		}
 		if fault.ResetAfterEvents > 0 && i-first > fault.ResetAfterEvents {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i) // in the middle of an event
