A stopping daemon takes only streams that it can finish

Cause: while it stops, the daemon asked for the time that such streams take in the mean (expected length, mean pace of all engines, 0.8 s for all else), once, before the request waited for a place. A stream that is longer than its hint, or whose engine is slower than the mean, was cut.

Change: the daemon asks for the longest that the stream may take: its output limit at 1.25 times the pace of its engine (before it is placed: of the slowest one observed), backlog and prompt included; its own time limit where no pace is known. It asks again before the prompt is read and before an engine is asked to decode, so that what waited at the signal is asked too. What an engine may have begun is continued. For the first 2.2 s, while the balancer still sends callers here, a daemon without serving neighbours goes by the expected time: a refusal would cost its callers more than the risk. A refusal names 0.1 to 0.2 s to come back, or, without serving neighbours, when the balancer has noticed.

Why it works: what is admitted ends before the exit unless its engine becomes slower by more than a quarter.

--- a/hemlockd/e2e/usersplatform_stops_test.go
+++ b/hemlockd/e2e/usersplatform_stops_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -60,42 +61,55 @@
 }
 
 // Guards against a stopping daemon that accepts a stream by its expected length and cuts it off when it exits, because
-// the stream is longer (LOST).
+// the stream is longer (LOST). With a second daemon that serves, that holds from the signal on; where there is none to go to,
+// from when the balancer sends callers elsewhere.
 func TestPlatformStoppingDaemonTakesOnlyStreamsThatItCanFinish(t *testing.T) {
+	for _, daemons := range []int{2, 1} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) { stopUnderLongStreams(t, daemons) })
+	}
+}
+
+// lateStream is a long stream that is sent to a stopping daemon.
+type lateStream struct {
+	what, id string
+	answer   platformResponse
+}
+
+func stopUnderLongStreams(t *testing.T, daemons int) {
 	long := stopStream{hintEvents: 30, limitEvents: 330, events: 330, interval: 25 * time.Millisecond}
 	first := stopStream{hintEvents: 130, limitEvents: 130, events: 130, interval: 25 * time.Millisecond}
-	p := deployUsersPlatform(t, 1)
+	p := deployUsersPlatform(t, daemons)
 	d := p.daemons[0]
-	client := func() *http.Client { return &http.Client{Transport: &http.Transport{}, Timeout: 20 * time.Second} }
-	kept, fresh, early := client(), client(), client()
-	type result struct {
-		what, id string
-		answer   platformResponse
-	}
-	results := make(chan result, 3)
+	p.eventually(5*time.Second, "the daemons know each other", func() bool {
+		return strings.Count(d.log.String(), "first message received from another daemon") == daemons-1
+	})
+	var all sync.WaitGroup
+	results := make(chan lateStream, 3)
 	signalled := make(chan struct{})
-	go func() {
+	kept := &http.Client{Transport: &http.Transport{}, Timeout: 20 * time.Second}
+	all.Go(func() {
 		sendStream(kept, d, "first", "resumable", first)
-		results <- result{"on a kept connection, some 3 s after SIGTERM", "kept", sendStream(kept, d, "kept", "resumable", long)}
-	}()
-	go func() {
-		<-signalled
-		time.Sleep(100 * time.Millisecond)
-		results <- result{"0.1 s after SIGTERM", "early", sendStream(early, d, "early", "once", long)}
-	}()
-	go func() {
+		results <- lateStream{"on a kept connection, some 3 s after SIGTERM", "kept", sendStream(kept, d, "kept", "resumable", long)}
+	})
+	sendAfter := func(span time.Duration, id string) {
 		<-signalled
-		time.Sleep(2700 * time.Millisecond)
-		results <- result{"2.7 s after SIGTERM", "late", sendStream(fresh, d, "late", "once", long)}
-	}()
+		time.Sleep(span)
+		client := &http.Client{Transport: &http.Transport{}, Timeout: 20 * time.Second}
+		results <- lateStream{fmt.Sprint(span, " after SIGTERM"), id, sendStream(client, d, id, "once", long)}
+	}
+	all.Go(func() { sendAfter(2700*time.Millisecond, "late") })
+	if daemons > 1 {
+		all.Go(func() { sendAfter(100*time.Millisecond, "early") })
+	}
 	p.eventually(5*time.Second, "the first stream runs", func() bool { return p.runCount("first") > 0 })
 	time.Sleep(200 * time.Millisecond) // its answer begins before the signal, and keeps the connection open
 	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	close(signalled)
-	for range 3 {
-		r := <-results
+	all.Wait()
+	close(results)
+	for r := range results {
 		p.checkAccepted(r.what, r.id, long.events, r.answer)
 	}
 	<-d.exited
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -84,6 +84,8 @@
 	Engine
 	// msPerToken is the moving average of the decode time per token.
 	msPerToken float64
+	// observed is set once msPerToken holds a sample of the engine itself.
+	observed bool
 	// runs holds the runs by owner and id.
 	runs map[string]map[string]Run
 }
@@ -151,13 +153,6 @@
 	return total / float64(len(v.engines))
 }
 
-// ExpectedDuration returns how long a run is expected to decode.
-func (v *View) ExpectedDuration(r Run) clock.Millis {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return clock.Millis(float64(v.lengths.expect(r.ExpectedTokens, 0, r.MaxTokens)) * v.meanPaceLocked())
-}
-
 func (v *View) sortedLocked() []*engine {
 	all := make([]*engine, 0, len(v.engines))
 	for _, id := range slices.Sorted(maps.Keys(v.engines)) {
@@ -217,6 +212,7 @@
 	if more := generated - r.GeneratedTokens; r.Decoding && more > 0 && now > r.observedMs {
 		pace := float64(now-r.observedMs) / float64(more)
 		e.msPerToken += paceWeight * (pace - e.msPerToken)
+		e.observed = true
 	}
 	r.GeneratedTokens, r.Decoding, r.observedMs = max(r.GeneratedTokens, generated), true, now
 	r.Prefill = ""
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -75,6 +75,8 @@
 	// LoadOf returns the load of the engines of a data centre that is not in its cell, or false
 	// if it is not known.
 	LoadOf(dataCentre string) (peers.EngineLoad, bool)
+	// DaemonsIn returns how many other daemons of a data centre serve, and how many shut down.
+	DaemonsIn(dataCentre string) (serving, leaving int)
 }
 
 // StreamVersions knows which software version began a stream that a caller may take up.
--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -50,6 +50,8 @@
 func (fakePeers) ViewStale() bool        { return false }
 func (fakePeers) InCell(string) bool     { return true }
 
+func (fakePeers) DaemonsIn(string) (serving, leaving int) { return 1, 0 }
+
 func (fakePeers) LoadOf(string) (peers.EngineLoad, bool) { return peers.EngineLoad{}, false }
 
 // fakeVerdicts keeps the last verdict of each request.
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -26,9 +26,6 @@
 	// maxEngineCalls limits the decode calls and, separately, the prefill calls of one
 	// request, including those that engines refuse.
 	maxEngineCalls = 4
-	// drainMargin is added to the expected duration of a stream when a daemon that is
-	// shutting down decides whether the stream would still finish.
-	drainMargin = 800 * clock.Millisecond
 	// capacityRetryAfter is the minimum Retry-After of a request that found no capacity,
 	// and also the range of the random time added to it.
 	capacityRetryAfter = 1500 * clock.Millisecond
@@ -98,12 +95,8 @@
 		m.respondError(http.StatusServiceUnavailable, reasonNoUpstream, capacityRetryAfter+jitter(capacityRetryAfter))
 		return
 	}
-	if until, draining := m.d.draining(); draining {
-		m.neededMs, m.leftMs = m.d.opts.View.ExpectedDuration(m.run)+drainMargin, until-m.now()
-		if m.neededMs > m.leftMs {
-			m.respondError(http.StatusServiceUnavailable, reasonShutdown, 100*clock.Millisecond)
-			return
-		}
+	if m.refuseAtShutdown() {
+		return
 	}
 	queueTimeout := clock.Millis(queueTimeShare * float64(m.route.TargetLatencyMs))
 	if m.run.Continues {
@@ -151,6 +144,9 @@
 				return false
 			}
 		}
+		if m.refuseAtShutdown() { // the shutdown may have begun while the request waited
+			return false
+		}
 		prefilled := m.prefill()
 		if !prefilled && !m.blamed() && m.engineClosed() != upstreamgate.Open {
 			continue
@@ -159,6 +155,9 @@
 			m.giveUp(reasonBusy)
 			return false
 		}
+		if m.refuseAtShutdown() {
+			return false
+		}
 		reply, failed := m.decode()
 		if failed == nil {
 			return m.forward(reply)
--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -1,13 +1,23 @@
 package dispatch
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
 )
 
+const (
+	// balancerTime is how long the balancer goes on sending connections to a daemon that is not ready.
+	balancerTime = 2200 * clock.Millisecond
+	// otherDaemonRetryAfter is the Retry-After of a request that another daemon can take at once, and also the range
+	// of the random time added to it.
+	otherDaemonRetryAfter = 100 * clock.Millisecond
+)
+
 // exitMargin is how long before the daemon's exit requests in flight are ended, so that
 // their callers get an answer.
 const exitMargin = 50 * clock.Millisecond
@@ -16,8 +26,8 @@
 type shutdown struct{ beganMs, exitMs clock.Millis }
 
 // Drain prepares for the daemon's exit at the time until: answers close the callers'
-// connections, so that callers reconnect to other daemons, and streams that are
-// expected to take longer are refused.
+// connections, so that callers reconnect to other daemons, and streams that may take
+// longer are refused.
 // Requests in flight are ended exitMargin before that time.
 func (d *Dispatcher) Drain(until clock.Millis) {
 	now := d.opts.Clock.Now()
@@ -34,6 +44,53 @@
 	return s.exitMs, true
 }
 
+// refuseAtShutdown refuses the request if the daemon is shutting down and the stream may take longer than is left,
+// unless an engine may have begun it: what has been accepted is continued. It returns true if it has refused.
+func (m *modelRun) refuseAtShutdown() bool {
+	until, draining := m.d.draining()
+	if !draining || m.answered || m.outcome != calls.NotRun {
+		return false
+	}
+	needed, known := m.neededTime()
+	ownMs := m.arrivedMs + m.timeoutMs - m.now() // it ends then, shutdown or not
+	if !known || needed > ownMs {
+		needed = ownMs
+	}
+	m.neededMs, m.leftMs = needed, until-exitMargin-m.now()
+	if m.neededMs <= m.leftMs {
+		return false
+	}
+	m.respondError(http.StatusServiceUnavailable, reasonShutdown, m.d.shutdownRetryAfter())
+	return true
+}
+
+// neededTime returns how long the stream may take, or false if that is not known. As long as callers can't know of the
+// shutdown and most other daemons of the data centre can't take them either, the expected time counts: a refusal would
+// cost them more than the risk to be cut off.
+func (m *modelRun) neededTime() (clock.Millis, bool) {
+	early := m.now() < m.d.shutdown.Load().beganMs+balancerTime
+	if early && !m.d.othersServe() {
+		return m.d.opts.View.ExpectedDuration(m.run)
+	}
+	return m.d.opts.View.LongestDuration(m.run)
+}
+
+// othersServe reports whether more of the other daemons of the data centre serve than shut down.
+func (d *Dispatcher) othersServe() bool {
+	serving, leaving := d.opts.Peers.DaemonsIn(d.opts.DataCentre)
+	return serving > leaving
+}
+
+// shutdownRetryAfter returns when a caller that is refused because of the shutdown should come back: soon if most daemons
+// of the data centre serve, otherwise once the balancer no longer sends it here.
+func (d *Dispatcher) shutdownRetryAfter() clock.Millis {
+	soon := otherDaemonRetryAfter + jitter(otherDaemonRetryAfter)
+	if d.othersServe() {
+		return soon
+	}
+	return max(0, d.shutdown.Load().beganMs+balancerTime-d.opts.Clock.Now()) + soon
+}
+
 // noteShutdown returns the fields of a request's log line that say how it met the daemon's shutdown,
 // and counts it if the shutdown has cut it off.
 func (x *exchange) noteShutdown() []zap.Field {
@@ -49,12 +106,19 @@
 	switch {
 	case x.reason == reasonShutdown:
 		metrics.Add("shutdownRefused", 1)
-	case x.reason == reasonStreamCut && x.d.exiting.Err() != nil && sinceMs < 0:
+	case x.reason == reasonStreamCut && x.cutByShutdown() && sinceMs < 0:
 		metrics.Add("shutdownCutBefore", 1)
-	case x.reason == reasonStreamCut && x.d.exiting.Err() != nil:
+	case x.reason == reasonStreamCut && x.cutByShutdown():
 		metrics.Add("shutdownCutAfter", 1)
 	case x.neededMs > 0:
 		metrics.Add("shutdownAdmitted", 1)
 	}
 	return fields
 }
+
+// cutByShutdown reports whether the time for requests in flight is over because the daemon exits, before the
+// request's own.
+func (x *exchange) cutByShutdown() bool {
+	until, draining := x.d.draining()
+	return draining && x.now() >= until-exitMargin && x.now() < x.arrivedMs+x.timeoutMs
+}
--- a/hemlockd/internal/dispatch/shutdown_test.go
+++ b/hemlockd/internal/dispatch/shutdown_test.go
@@ -88,3 +88,61 @@
 		t.Errorf("%d lines of open requests once it has ended, %d open", named, s.dispatcher.OpenRequests())
 	}
 }
+
+// TestWaitingStreamIsAskedAgainAtTheSignal guards against a stream that is sent to an engine after the signal to stop
+// although it may not be whole by the exit, because it had come before the signal and waited for its prefill.
+func TestWaitingStreamIsAskedAgainAtTheSignal(t *testing.T) {
+	s := newSetup(noFaults)
+	s.upstreams.send = func(_ *calls.Call, _ routing.Upstream, d calls.Delivery) error {
+		if d.Phase == calls.PhasePrefill {
+			s.drainFor(300)
+		}
+		return nil
+	}
+	answer, _ := s.ask("waits", "/once/x")
+	if answer.Code != http.StatusServiceUnavailable || s.upstreams.runs["waits"] != 0 {
+		t.Errorf("status %d, %d runs", answer.Code, s.upstreams.runs["waits"])
+	}
+}
+
+// TestShortStreamIsServedDuringTheShutdown guards against refusing streams that surely end before the exit.
+func TestShortStreamIsServedDuringTheShutdown(t *testing.T) {
+	s := newSetup(noFaults)
+	s.slowEngines(5 * time.Millisecond)
+	for range 6 { // until every engine's pace has been seen
+		s.ask("pace", "/once/x")
+	}
+	s.drainFor(1000)
+	if answer, cut := s.ask("short", "/once/x"); cut || answer.Body.String() != eventsAfter(0) {
+		t.Errorf("status %d, cut %v", answer.Code, cut)
+	}
+}
+
+// TestBrokenStreamGoesOnDuringTheShutdown guards against giving up a stream that a stopping daemon has accepted: what is
+// left of it may be too long for a new request, but it is owed.
+func TestBrokenStreamGoesOnDuringTheShutdown(t *testing.T) {
+	sent := 0
+	s := newSetup(func(name string, n int) int {
+		switch name {
+		case "fault in prefill":
+			return 7
+		case "fault in decode":
+			if sent++; sent == 1 {
+				return faultTruncatedBody
+			}
+			return faultNone
+		case "cut":
+			return n / 2
+		}
+		return 0
+	})
+	s.upstreams.send = func(_ *calls.Call, _ routing.Upstream, d calls.Delivery) error {
+		if d.Phase == calls.PhaseDecode && sent == 0 {
+			s.drainFor(800)
+		}
+		return nil
+	}
+	if answer, cut := s.ask("broken", "/resumable/x"); cut || answer.Body.String() != eventsAfter(0) {
+		t.Errorf("status %d, cut %v, answer %q", answer.Code, cut, answer.Body.String())
+	}
+}
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -132,7 +132,7 @@
 	switch {
 	case m.callerGone():
 		return calls.CauseCallerGone
-	case m.d.exiting.Err() != nil:
+	case m.cutByShutdown():
 		return calls.CauseShutdown
 	case m.ctx.Err() != nil:
 		return calls.CauseDeadline
--- a/hemlockd/internal/peers/known.go
+++ b/hemlockd/internal/peers/known.go
@@ -105,6 +105,20 @@
 	return alive
 }
 
+// DaemonsIn returns how many other daemons of a data centre serve and how many shut down, as far as they are heard.
+func (p *Peers) DaemonsIn(dataCentre string) (serving, leaving int) {
+	for _, d := range p.Alive() {
+		switch {
+		case d.DataCentre != dataCentre:
+		case d.Leaving:
+			leaving++
+		default:
+			serving++
+		}
+	}
+	return serving, leaving
+}
+
 // silentShareLimit is the share of the daemons heard within the last minute above
 // which silent ones mean that this daemon may be cut off from the others.
 const silentShareLimit = 0.25
