A stopping daemon gives up the duties of the first one

What callers saw: nothing directly; engines got role change orders from a daemon about to exit.

Cause: the others leave out a daemon that says that it shuts down when they tell who comes first by name, but the daemon itself did not. So two had the duty to order role changes (and to remove records of streams) for up to 8 s. The one that exits renewed the lease, and its successor's order was dropped and had to wait for the lease to expire.

Change: a daemon that shuts down is never the first.

Why it works: it is the same condition on both sides, and the signal comes before the message that tells the others.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -246,14 +246,18 @@
 
 // serveReady answers the balancer's readiness checks.
 func (d *platformDaemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if d.isStopping() || !d.directory.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// isStopping reports whether the daemon shuts down.
+func (d *platformDaemon) isStopping() bool {
 	select {
 	case <-d.stopping:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return true
 	default:
-	}
-	if !d.directory.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
 	}
 }
 
@@ -334,8 +338,7 @@
 	return services
 }
 
-// isFirstInDataCentre reports whether no live daemon of this data centre that is not
-// leaving has a lower name than this one.
+// isFirstInDataCentre is isFirst among the daemons of this data centre.
 func (d *platformDaemon) isFirstInDataCentre() bool {
 	return d.isFirstOf(func(other peers.Daemon) bool { return other.DataCentre == d.settings.DataCentre })
 }
--- a/hemlockd/internal/app/versions.go
+++ b/hemlockd/internal/app/versions.go
@@ -71,13 +71,17 @@
 	return since >= 0 && since < storeFailureMemory
 }
 
-// isFirst reports whether no other daemon that is alive has a lower name.
+// isFirst reports whether this daemon is not shutting down and no other daemon that is alive has a lower name.
 func (d *platformDaemon) isFirst() bool {
 	return d.isFirstOf(func(peers.Daemon) bool { return true })
 }
 
-// isFirstOf reports whether no other daemon that is alive and counts has a lower name.
+// isFirstOf reports whether this daemon is not shutting down and no other daemon that is alive and counts has a lower name.
+// The others leave out a daemon that shuts down, too, so that two never have the same duty.
 func (d *platformDaemon) isFirstOf(counts func(peers.Daemon) bool) bool {
+	if d.isStopping() {
+		return false
+	}
 	for _, other := range d.peers.Alive() {
 		if counts(other) && !other.Leaving && other.Name < d.settings.Name {
 			return false
