--- a/hemlockd/internal/upstreamlimits/limits_test.go
+++ b/hemlockd/internal/upstreamlimits/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -33,6 +34,8 @@
 	demand float64 // requests per second
 	// cut is set if the daemon neither hears nor is heard; it goes on calling.
 	cut bool
+	// leaving is set if the daemon shuts down and has told the others.
+	leaving bool
 	// toldMs is when the process first passed on an answer that names the limit; 0 if it has not.
 	toldMs clock.Millis
 	// healedMs is when the daemon's last cut ended.
@@ -101,6 +104,10 @@
 	}
 }
 
+func (f *fleet) isLeaving(name string) bool {
+	return slices.ContainsFunc(f.daemons, func(d *daemon) bool { return d.name == name && d.leaving })
+}
+
 func (f *fleet) tick(d *daemon) {
 	var alive []string
 	known := 1
@@ -108,7 +115,7 @@
 		if name == d.name {
 			continue
 		}
-		if f.now-at <= aliveSpan {
+		if f.now-at <= aliveSpan && !f.isLeaving(name) {
 			alive = append(alive, name)
 		}
 		if f.now-at <= memorySpan {
