A stopping daemon no longer grants shares of upstreams' limits

What callers saw: upstreams that name a limit got more calls than it allows while a daemon stopped, and refuse such calls.

Cause: the granter of a limit is chosen among the daemons that are alive. The others leave out one that shuts down; the one that shuts down counted itself, went on granting itself the whole limit, and its successor granted it a second time.

Change: a daemon that shuts down leaves itself out, too, as long as another is alive, and asks the successor.

Why it works: both sides choose the same granter, and the successor waits for the leases of the one before it to expire.

The limit is not used up then, as the share of the daemon that leaves is kept free.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -350,6 +350,7 @@
 	close(d.stopping)
 	span := max(shutdownListenTime, d.settings.ShutdownGraceMs-shutdownReserve)
 	d.dispatcher.Drain(d.clk.Now() + span)
+	d.gate.Limits.Leave()
 	d.peers.Leave()
 	ctx, cancel := context.WithTimeout(hard, (span + lastAnswersTime).Duration())
 	defer cancel()
--- a/hemlockd/internal/upstreamlimits/leases.go
+++ b/hemlockd/internal/upstreamlimits/leases.go
@@ -174,7 +174,15 @@
 // granter returns the daemon that grants shares of an upstream's limit.
 func (l *Limits) granterLocked(id string) string { return membership.Owner(id, l.alive) }
 
-// Tick records which daemons are alive, this one not included, and how many are known, this one
+// Leave records that this daemon shuts down: another one grants from now on, if one is alive. The others must be told
+// at the same time.
+func (l *Limits) Leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = true
+}
+
+// Tick records which daemons are alive, this one and those that shut down not included, and how many are known, this one
 // included. It returns the messages that ask for shares, and grants this daemon its own. It must be
 // called every AskInterval.
 func (l *Limits) Tick(alive []string, known int, now clock.Millis) []Message {
@@ -184,6 +192,9 @@
 	l.tickMs = now
 	l.alive = append([]string{l.self}, alive...)
 	l.known = max(known, len(l.alive))
+	if l.leaving && len(alive) > 0 {
+		l.alive = alive
+	}
 	l.expireLocked(now)
 	var messages []Message
 	for id, u := range l.upstreams {
--- a/hemlockd/internal/upstreamlimits/leaving_test.go
+++ b/hemlockd/internal/upstreamlimits/leaving_test.go
@@ -19,7 +19,10 @@
 		f.run(6 * clock.Second)
 		from := f.now
 		for _, d := range f.daemons {
-			d.leaving = d.name == membership.Owner(upstreamID, names)
+			if d.name == membership.Owner(upstreamID, names) {
+				d.leaving = true
+				d.limits.Leave()
+			}
 		}
 		f.run(8 * clock.Second)
 		if most := f.most(from); float64(most) > allowed(7.3) {
--- a/hemlockd/internal/upstreamlimits/limits.go
+++ b/hemlockd/internal/upstreamlimits/limits.go
@@ -84,10 +84,12 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
-	// alive are the live daemons, this one included, and known is the number of all known ones.
-	alive  []string
-	known  int
-	tickMs clock.Millis // of the last Tick
+	// alive are the live daemons that don't shut down, and known is the number of all known ones.
+	alive []string
+	known int
+	// leaving is set once this daemon shuts down.
+	leaving bool
+	tickMs  clock.Millis // of the last Tick
 	// acquaintedMs is the time from which on the other daemons are surely known.
 	acquaintedMs clock.Millis
 }
