--- /dev/null
+++ b/hemlockd/e2e/usersplatform_enginestop_runs_test.go
@@ -0,0 +1,137 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// signalStop sends SIGTERM to a daemon.
+func (p *usersPlatform) signalStop(d *platformDaemon) {
+	p.t.Helper()
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// knowEachOther waits until the daemons have heard from each other.
+func (p *usersPlatform) knowEachOther() {
+	p.t.Helper()
+	n := len(p.daemons)
+	p.eventually(5*time.Second, "the daemons know each other", func() bool {
+		heard := 0
+		for _, d := range p.daemons {
+			heard += strings.Count(d.log.String(), "first message received from another daemon")
+		}
+		return heard == n*(n-1)
+	})
+}
+
+// checkWhole checks that a stream was served whole.
+func (p *usersPlatform) checkWhole(what string, events int, a platformResponse) {
+	p.t.Helper()
+	if a.err != nil || a.body != expectedStream(events) {
+		last, _ := receivedEvents(a.body)
+		p.t.Errorf("%s: status %d, %d of %d events: %v", what, a.status, last, events, a.err)
+	}
+}
+
+// Guards against daemons that drop the runs of a daemon that says that it leaves, and place theirs beside them at engines that
+// are full: the engines then refuse calls, and preempt or slow down the streams that the leaving daemon has accepted.
+func TestPlatformRunsOfAStoppingDaemonCountAtTheOthers(t *testing.T) {
+	p := deployUsersPlatform(t, 2)
+	p.knowEachOther()
+	leaving, other := p.daemons[0], p.daemons[1]
+	// Four streams of 100 tokens of prompt and 750 of output at each of two engines of 4000 tokens leave no room for another
+	// until shortly before their end.
+	s := stopStream{hintEvents: 75, limitEvents: 75, events: 75, interval: 80 * time.Millisecond}
+	var all sync.WaitGroup
+	for i := range 2 { // the other daemon has seen the engines' pace
+		all.Go(func() {
+			pace := stopStream{hintEvents: 25, limitEvents: 25, events: 25, interval: s.interval}
+			id := fmt.Sprint("pace-", i)
+			p.checkWhole(id, pace.events, sendStream(&http.Client{Transport: &http.Transport{}}, other, id, "once", pace))
+		})
+	}
+	all.Wait()
+	for i := range 8 {
+		all.Go(func() {
+			id := fmt.Sprint("accepted-", i)
+			p.checkWhole(id, s.events, sendStream(&http.Client{Transport: &http.Transport{}}, leaving, id, "once", s))
+		})
+	}
+	full := map[string]bool{}
+	p.eventually(3*time.Second, "the streams run", func() bool {
+		n := 0
+		for i := range 8 {
+			for _, a := range p.arrivals(fmt.Sprint("accepted-", i)) {
+				if a.Ran {
+					n++
+					full[a.Server] = true
+				}
+			}
+		}
+		return n == 8
+	})
+	p.signalStop(leaving)
+	large := stopStream{hintEvents: 270, limitEvents: 270, events: 1, interval: time.Millisecond}
+	for i, began := 0, time.Now(); time.Since(began) < 4*time.Second; i++ {
+		id := fmt.Sprint("large-", i)
+		sendStream(&http.Client{Transport: &http.Transport{}}, other, id, "once", large)
+		for _, a := range p.arrivals(id) { // it may run at an engine that has changed its role
+			if a.Phase == "decode" && full[a.Server] {
+				t.Fatalf("%v after SIGTERM a stream is placed at %s, where it does not fit beside those of the stopping daemon", time.Since(began), a.Server)
+			}
+		}
+	}
+	all.Wait()
+	<-leaving.exited
+	a := sendStream(&http.Client{Transport: &http.Transport{}}, other, "afterwards", "once", large)
+	p.checkWhole("after the exit", large.events, a)
+}
+
+// Guards against a stream that is given up when its engine is lost, is silent or leaves while its daemon stops: it is owed, and
+// goes on at another engine.
+func TestPlatformStreamLosesItsEngineDuringTheStop(t *testing.T) {
+	for name, lose := range map[string]func(p *usersPlatform, engine string){
+		"crash":             func(p *usersPlatform, e string) { p.callAdmin(http.MethodPost, "/servers/"+e+"/crash", nil) },
+		"crash and removal": func(p *usersPlatform, e string) { p.callAdmin(http.MethodPost, "/servers/"+e+"/crash?gone=1", nil) },
+		"drain": func(p *usersPlatform, e string) {
+			p.callAdmin(http.MethodPost, "/servers/"+e+"/drain", nil)
+			time.Sleep(1500 * time.Millisecond)
+			p.callAdmin(http.MethodPost, "/servers/"+e+"/crash?gone=1", nil)
+		},
+		"crash without the store": func(p *usersPlatform, e string) {
+			p.injectStoreFault("busy", p.daemons[0])
+			p.callAdmin(http.MethodPost, "/servers/"+e+"/crash", nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := deployUsersPlatform(t, 1)
+			d := p.daemons[0]
+			s := stopStream{hintEvents: 90, limitEvents: 90, events: 90, interval: 50 * time.Millisecond}
+			answer := make(chan platformResponse, 1)
+			go func() { answer <- sendStream(&http.Client{Transport: &http.Transport{}}, d, "owed", "resumable", s) }()
+			p.eventually(3*time.Second, "the stream runs", func() bool { return p.runCount("owed") == 1 })
+			p.signalStop(d)
+			time.Sleep(time.Second)
+			for _, a := range p.arrivals("owed") {
+				if a.Ran {
+					lose(p, a.Server)
+				}
+			}
+			p.checkWhole("the stream", s.events, <-answer)
+			if n := p.runCount("owed"); n != 2 {
+				t.Errorf("%d runs, want 2", n)
+			}
+			<-d.exited
+			if t.Failed() {
+				t.Log(d.log)
+			}
+		})
+	}
+}
