--- a/hemlockd/e2e/usersplatform_deployment_test.go
+++ b/hemlockd/e2e/usersplatform_deployment_test.go
@@ -342,6 +342,7 @@
 	status int
 	header http.Header
 	body   string
+	closes bool // the answer closes the connection
 	err    error
 }
 
@@ -369,7 +370,7 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
-	return platformResponse{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+	return platformResponse{status: resp.StatusCode, header: resp.Header, body: string(text), closes: resp.Close, err: err}
 }
 
 // stream requests a stream of so many events.
