A stopping daemon answers requests whose body can't be whole before its exit

What callers saw: a request whose body was still being sent at the daemon's exit was closed without an answer.

Cause: the reading of a body was not bound by the exit; its handler was overtaken by it.

Change: 0.3 s before the exit the bodies that are being read get a read deadline. Such a request has not been sent anywhere: 503 shuttingDown with Retry-After and Connection: close. A failed read ends the context of the request, so the caller does not count as gone then.

Why it works: no handler waits for its caller beyond that moment before it has answered; a body that ends earlier is read whole.

--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -4,9 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -92,6 +92,9 @@
 	// neededMs and leftMs are the time that the request was expected to take and the time until the daemon's
 	// exit when it was admitted or refused during the shutdown; 0 otherwise.
 	neededMs, leftMs clock.Millis
+	// uploadCut is set if the shutdown has ended the reading of the body. The request's context is done then, though the
+	// caller is there.
+	uploadCut bool
 	// silentMs is the time without an event before the last stream that ended early.
 	silentMs clock.Millis
 }
@@ -183,11 +186,14 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.readAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		x.respondError(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.uploadCut = true
+		x.respondError(http.StatusServiceUnavailable, reasonShutdown, x.d.shutdownRetryAfter())
 	case err != nil:
 		x.respondError(http.StatusBadRequest, reasonBadRequest, 0)
 	}
@@ -196,7 +202,7 @@
 }
 
 // callerGone reports whether the caller has stopped waiting for the answer.
-func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
+func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil && !x.uploadCut }
 
 // respondError answers the caller with a problem document, unless the caller is gone.
 // A status of 429 or 503 tells the caller that the request was not run; if that is
--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -22,16 +24,26 @@
 // their callers get an answer.
 const exitMargin = 50 * clock.Millisecond
 
+const (
+	// uploadMargin is how long before the daemon's exit requests whose body has not come to its end are refused. It
+	// is longer than exitMargin: their callers have to notice the answer while they send.
+	uploadMargin = 300 * clock.Millisecond
+	// lastReadTime is how long a body is read on then. Its end may wait in the kernel.
+	lastReadTime = 20 * clock.Millisecond
+)
+
 // shutdown holds the times of the daemon's shutdown.
 type shutdown struct{ beganMs, exitMs clock.Millis }
 
 // Drain prepares for the daemon's exit at the time until: answers close the callers'
 // connections, so that callers reconnect to other daemons, and requests that may take
 // longer are refused.
-// Requests in flight are ended exitMargin before that time.
+// Requests in flight are ended exitMargin before that time, and those whose body is still being sent
+// uploadMargin before it.
 func (d *Dispatcher) Drain(until clock.Millis) {
 	now := d.opts.Clock.Now()
 	d.shutdown.Store(&shutdown{beganMs: now, exitMs: until})
+	time.AfterFunc((until - uploadMargin - now).Duration(), d.endUploads)
 	time.AfterFunc((until - exitMargin - now).Duration(), d.exit)
 }
 
@@ -44,6 +56,23 @@
 	return s.exitMs, true
 }
 
+// readAll reads the request's body. If the daemon is about to exit before the end of the body, the error is
+// [os.ErrDeadlineExceeded].
+func (x *exchange) readAll(body io.Reader) ([]byte, error) {
+	conn := http.NewResponseController(x.w)
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(x.d.uploadsEnd, func() {
+		defer close(stopped)
+		_ = conn.SetReadDeadline(time.Now().Add(lastReadTime.Duration())) // fails only if the connection is closed
+	})
+	read, err := io.ReadAll(body)
+	if !stop() {
+		<-stopped
+		_ = conn.SetReadDeadline(time.Time{})
+	}
+	return read, err
+}
+
 // refuseTooLong refuses the request if the daemon is shutting down and the request may take longer than is left, unless an
 // upstream may have begun it: what has been accepted is continued. needed returns how long it may take; without it, or if
 // that is not known, it is as long as its own limit allows. It returns true if it has refused.
