A changed GraceS is in force at once, also during a stop

What callers saw: an operator raised GraceS so that long streams can end, replaced the daemon, and all streams in flight were cut at the old time; with a lowered one the daemon was killed with streams in flight and no line for them.

Cause: reload dropped GraceS, and the drain used the settings of the start of the process.

Change: stopTimes holds the grace period in force and the moment of the signal; a reload, by SIGHUP or by the changed file, moves all that follows from it: the end of the wait and, by Dispatcher.Drain, which may now be called again, the end of requests in flight and what is admitted. The context of a request no longer has the time of the exit as its deadline, which may change; the exit ends it by itself. A grace period below 3.5 s is now kept too; before, the wait lasted 2.8 s in any case.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -79,7 +79,8 @@
 	// registerAgain has the daemon's entry in the list of daemons written again.
 	registerAgain chan struct{}
 	stopping      chan struct{} // closed when the shutdown begins
-	cleanup       []func()      // run in reverse
+	stop          *stopTimes
+	cleanup       []func() // run in reverse
 }
 
 // PlatformOptions holds the options of a daemon on the users' platform.
@@ -104,6 +105,7 @@
 func RunOnPlatform(ctx, hard context.Context, o PlatformOptions, log *zap.Logger) error {
 	settings := o.Settings
 	d := &platformDaemon{log: log, settings: settings, metricsPort: o.MetricsPort, controlBytes: o.ControlBytesPerSecond, clk: clock.System(), failed: make(chan error, 2), registerAgain: make(chan struct{}, 1), stopping: make(chan struct{})}
+	d.stop = &stopTimes{graceMs: settings.ShutdownGraceMs, exit: func(left clock.Millis) { d.dispatcher.Drain(d.clk.Now() + left) }}
 	defer d.close()
 	if err := d.wire(); err != nil {
 		return err
@@ -295,8 +297,10 @@
 }
 
 // reload applies those of the new settings that can change while the daemon runs: the
-// seeds, the limits of changes and the retry budget. Changed addresses need a restart.
+// seeds, the limits of changes, the retry budget and the grace period, also of a shutdown that has begun. Changed
+// addresses need a restart.
 func (d *platformDaemon) reload(settings platform.Settings) {
+	d.stop.setGrace(settings.ShutdownGraceMs)
 	d.addSeeds(settings.Seeds)
 	d.checkLimits(settings)
 	d.directory.SetLimits(directoryLimits(settings))
@@ -345,13 +349,11 @@
 func (d *platformDaemon) drain(hard context.Context) {
 	d.log.Info("draining", zap.Int("open", d.dispatcher.OpenRequests()))
 	close(d.stopping)
-	span := max(shutdownListenTime, d.settings.ShutdownGraceMs-shutdownReserve)
-	d.dispatcher.Drain(d.clk.Now() + span)
-	d.peers.Leave()
-	ctx, cancel := context.WithTimeout(hard, (span + lastAnswersTime).Duration())
+	ctx, cancel := d.stop.begin(hard)
 	defer cancel()
+	d.peers.Leave()
 	select {
-	case <-time.After(shutdownListenTime.Duration()):
+	case <-time.After(d.stop.listenTime().Duration()):
 	case <-ctx.Done():
 	}
 	if err := d.callers.drain(ctx); err != nil {
--- /dev/null
+++ b/hemlockd/internal/app/stoptimes.go
@@ -0,0 +1,67 @@
+package app
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hemlockmux.example/common/clock"
+)
+
+// stopTimes holds when the daemon does what during its shutdown. The times follow from the grace period in force, which
+// may change at any time.
+type stopTimes struct {
+	// exit is called with the time left until requests in flight end, when the shutdown begins and when that time changes.
+	exit func(left clock.Millis)
+
+	mu      sync.Mutex
+	graceMs clock.Millis
+	began   time.Time   // zero until the shutdown begins
+	timer   *time.Timer // ends the wait for requests in flight
+}
+
+// setGrace puts a grace period in force.
+func (s *stopTimes) setGrace(graceMs clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if graceMs == s.graceMs {
+		return
+	}
+	s.graceMs = graceMs
+	if !s.began.IsZero() {
+		s.applyLocked()
+	}
+}
+
+// begin begins the shutdown. The returned context ends when the wait for requests in flight does, or with hard.
+func (s *stopTimes) begin(hard context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(hard)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.began = time.Now()
+	s.timer = time.AfterFunc(s.graceMs.Duration(), cancel)
+	s.applyLocked()
+	return ctx, cancel
+}
+
+// applyLocked sets the times that follow from the grace period.
+func (s *stopTimes) applyLocked() {
+	left := s.spanLocked() - clock.Millis(time.Since(s.began).Milliseconds())
+	s.exit(left)
+	s.timer.Reset((left + lastAnswersTime).Duration())
+}
+
+// spanLocked returns the time from the signal until requests in flight end.
+func (s *stopTimes) spanLocked() clock.Millis {
+	if s.graceMs <= 0 { // the settings do not give it
+		return shutdownListenTime
+	}
+	return max(0, s.graceMs-shutdownReserve)
+}
+
+// listenTime returns how long after the signal connections are accepted.
+func (s *stopTimes) listenTime() clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(shutdownListenTime, s.spanLocked())
+}
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -18,7 +18,9 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -141,6 +143,9 @@
 	latencies *latencies
 	// shutdown holds the times of the daemon's shutdown; nil unless it is shutting down.
 	shutdown atomic.Pointer[shutdown]
+	// exitTimer ends the requests in flight shortly before the daemon exits.
+	exitTimer *time.Timer
+	drainMu   sync.Mutex // held while shutdown and exitTimer are replaced
 	// exiting is closed shortly before the daemon exits: requests that are still in flight
 	// are answered then, or their connections would be closed without an answer.
 	exiting context.Context
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -98,9 +98,12 @@
 
 func (x *exchange) now() clock.Millis { return x.d.opts.Clock.Now() }
 
+// dueMs returns when the answer is due.
+func (x *exchange) dueMs() clock.Millis { return x.arrivedMs + x.timeoutMs }
+
 // remainingMs returns the time until the answer is due, or the daemon exits.
 func (x *exchange) remainingMs() clock.Millis {
-	due := x.arrivedMs + x.timeoutMs
+	due := x.dueMs()
 	if until, draining := x.d.draining(); draining {
 		due = min(due, until-exitMargin)
 	}
@@ -141,7 +144,7 @@
 		x.respondError(http.StatusServiceUnavailable, reasonPart, x.blame.RetryAfterMs)
 		return
 	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.remainingMs().Duration())
+	ctx, cancel := context.WithTimeout(x.r.Context(), (x.dueMs() - x.now()).Duration()) // the time of the exit may still change
 	defer cancel()
 	defer context.AfterFunc(x.d.exiting, cancel)()
 	x.d.opts.Retries.RecordRequest(x.service, x.now())
