Red tests: what the exit of a daemon takes from answers

Real daemons, callers with raw sockets. - Answers of 330 KB to callers that read late: with another request, or a part of one, behind the first, the connection is reset and none of the 40 events arrives; without, the answer is whole. - Four callers that do not read: their requests have not ended when the daemon logs what is open at the exit, and end after that, logged as callerGone although the callers are there. - A stream that needs 3.5 s of 4 s GraceS is cut at 3.25 s; beside a silent store the daemon is killed.

--- /dev/null
+++ b/hemlockd/e2e/usersplatform_exit_test.go
@@ -0,0 +1,215 @@
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// smallBuffer is the size of the receive buffer of callers that read slowly.
+const smallBuffer = 4 << 10
+
+// dialSmall opens a connection whose caller has a small receive buffer.
+func (p *usersPlatform) dialSmall(d *platformDaemon) net.Conn {
+	p.t.Helper()
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if controlErr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer)
+		}); controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	c, err := dialer.Dial("tcp", d.setting("Front"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+// paddedStream is a stream with large events.
+type paddedStream struct {
+	stopStream
+	padding int
+}
+
+// text returns the bytes of the stream's request.
+func (s paddedStream) text(attempt, route string) string {
+	const body = "a prompt"
+	var b strings.Builder
+	fmt.Fprintf(&b, "POST /%s/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Standin-Padding: %d\r\nContent-Length: %d\r\n", route, testHost, attempt, s.padding, len(body))
+	for name, value := range s.headers() {
+		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
+	}
+	return b.String() + "\r\n" + body
+}
+
+// received reads an answer and returns what is wrong with it.
+func (s paddedStream) received(r io.Reader) error {
+	resp, err := http.ReadResponse(bufio.NewReader(r), nil)
+	if err != nil {
+		return fmt.Errorf("no answer: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if n := strings.Count(string(body), "\n\n"); err != nil || n != s.events || resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d, %d of %d events: %v", resp.StatusCode, n, s.events, err)
+	}
+	return nil
+}
+
+func mustWrite(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against an answer whose end is lost because the daemon closes the connection while bytes of the caller wait in
+// the kernel: it is reset, and what the caller has not received yet is dropped (LOST).
+func TestPlatformAnswerIsWholeBesideUnreadBytes(t *testing.T) {
+	stream := paddedStream{stopStream{hintEvents: 40, limitEvents: 40, events: 40, interval: 10 * time.Millisecond}, 8 << 10}
+	next := map[string]string{
+		"next-request":         stream.text("next", "once"),
+		"part-of-next-request": "POST /once/x HTTP/1.1\r\nHost: " + testHost + "\r\n",
+		"nothing":              "",
+	}
+	p := deployUsersPlatform(t, 1)
+	d := p.daemons[0]
+	for i := range 4 { // the daemon knows the engines' paces
+		if a := p.stream(d, fmt.Sprint("first", i), "once", 10); a.status != http.StatusOK {
+			t.Fatalf("status %d", a.status)
+		}
+	}
+	p.signal(d, syscall.SIGTERM)
+	began := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	var all sync.WaitGroup
+	for name, text := range next {
+		c := p.dialSmall(d)
+		all.Go(func() {
+			mustWrite(t, c, stream.text(name, "once"))
+			time.Sleep(200 * time.Millisecond) // the answer has begun
+			mustWrite(t, c, text)
+			time.Sleep(2 * time.Second) // the daemon has written the answer
+			if err := stream.received(c); err != nil {
+				t.Errorf("answer before %s: %v", name, err)
+			}
+		})
+	}
+	all.Wait()
+	p.exitsBefore(d, began, 8*time.Second)
+}
+
+// storedVerdict returns the verdict on a request that the store has, or why there is none.
+func (p *usersPlatform) storedVerdict(request string) (string, error) {
+	out, err := exec.Command(filepath.Join(binaryDir, "hemlockctl"), "--json", "platform", "verdict", "--store", p.addr.Store, request).CombinedOutput()
+	return string(out), err
+}
+
+// Guards against a request that the exit overtakes while its answer is written to a slow caller, and that leaves neither
+// a line in the log nor a verdict.
+func TestPlatformExitConcludesRequestsOfSlowCallers(t *testing.T) {
+	const grace = 4
+	p := deployUsersPlatform(t, 1)
+	d := p.daemons[0]
+	p.setGrace(d, grace)
+	p.signal(d, syscall.SIGHUP)
+	stream := paddedStream{stopStream{hintEvents: 100, limitEvents: 100, events: 100, interval: 10 * time.Millisecond}, 200 << 10}
+	var ids []string
+	for i := range 4 {
+		id := fmt.Sprint("slow", i)
+		ids = append(ids, id)
+		mustWrite(t, p.dialSmall(d), stream.text(id, "once"))
+	}
+	time.Sleep(time.Second) // the callers' buffers are full
+	p.signal(d, syscall.SIGTERM)
+	p.exitsBefore(d, time.Now(), grace*time.Second)
+	for _, id := range ids {
+		if strings.Contains(d.log.String(), `"request":"`+id+`","reason":"callerGone"`) {
+			t.Errorf("the log says that the caller of %s has gone", id)
+		}
+		if !strings.Contains(d.log.String(), `"msg":"request","daemon":"`+d.name+`","request":"`+id+`"`) {
+			t.Errorf("no line of request %s", id)
+		}
+		if strings.Contains(d.log.String(), `"msg":"daemon exits before the request has ended","daemon":"`+d.name+`","request":"`+id+`"`) {
+			t.Errorf("request %s has not ended at the exit", id)
+		}
+		if out, err := p.storedVerdict(id); err != nil || !strings.Contains(out, `"outcome"`) {
+			t.Errorf("verdict on %s: %v, %s", id, err, out)
+		}
+	}
+	if t.Failed() {
+		t.Log(d.log)
+	}
+}
+
+// throttle lets the daemon's process run for a tenth of the time, until it has exited.
+func (p *usersPlatform) throttle(d *platformDaemon) {
+	const run, pause = 10 * time.Millisecond, 90 * time.Millisecond
+	for {
+		_ = d.cmd.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(pause)
+		_ = d.cmd.Process.Signal(syscall.SIGCONT)
+		select {
+		case <-d.exited:
+			return
+		case <-time.After(run):
+		}
+	}
+}
+
+// Guards against a daemon that is killed while it waits for something at its exit, and against one that ends streams
+// long before the kill although it needs little time to exit (LOST).
+func TestPlatformExitsByItselfShortlyBeforeTheKill(t *testing.T) {
+	const grace, first = 4, 3500 * time.Millisecond
+	troubles := map[string]func(p *usersPlatform, d *platformDaemon){
+		"no trouble":   func(*usersPlatform, *platformDaemon) {},
+		"silent store": func(p *usersPlatform, d *platformDaemon) { p.injectStoreFault("silent", d) },
+		"a tenth of a core": func(p *usersPlatform, d *platformDaemon) {
+			go p.throttle(d)
+		},
+	}
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			p := deployUsersPlatform(t, 1)
+			d := p.daemons[0]
+			p.setGrace(d, grace)
+			p.signal(d, syscall.SIGHUP)
+			stream := paddedStream{stopStream{hintEvents: 35, limitEvents: 35, events: 35, interval: first / 35}, 10}
+			whole, cut := p.dialSmall(d), p.dialSmall(d)
+			long := stream
+			long.events, long.limitEvents = 70, 70
+			mustWrite(t, cut, long.text("cut", "once"))
+			mustWrite(t, whole, stream.text("whole", "once"))
+			p.eventually(5*time.Second, "the streams run", func() bool { return p.runCount("whole") > 0 && p.runCount("cut") > 0 })
+			trouble(p, d)
+			began := time.Now()
+			p.signal(d, syscall.SIGTERM)
+			answered := make(chan time.Duration, 1)
+			go func() {
+				if err := stream.received(whole); err != nil {
+					t.Errorf("the stream that ends before the kill: %v", err)
+				}
+				answered <- time.Since(began)
+			}()
+			took := p.exitsBefore(d, began, grace*time.Second)
+			t.Logf("answer %v after SIGTERM, exit %v", <-answered, took)
+			if !strings.Contains(d.log.String(), `"request":"cut"`) || !strings.Contains(d.log.String(), "daemon has stopped") {
+				t.Errorf("the log is not whole:\n%s", d.log)
+			}
+		})
+	}
+}
--- a/standin/internal/usersplatform/streams.go
+++ b/standin/internal/usersplatform/streams.go
@@ -107,7 +107,7 @@
 	}
 	w.Header().Set("X-Server-Seal", "seal-"+s.spec.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
-	flush := http.NewResponseController(w).Flush
+	flush, pad := http.NewResponseController(w).Flush, padding(r.Header)
 	for i := first + 1; i <= number; i++ {
 		select {
 		case <-r.Context().Done():
@@ -125,7 +125,7 @@
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, s.eventText(i)); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s%s\n\n", i, s.eventText(i), pad); err != nil {
 			return
 		}
 		if flush() != nil {
