A stopping daemon closes connections without a reset

What callers saw: the end of an answer, or all of it, is lost: connection reset by peer, with an answer that the daemon had written as a whole.

Cause: answers during a stop say that the connection is closed, and net/http closes it after them. A caller that has sent more by then, the next request or a part of it, has bytes in the kernel that nobody reads; the kernel then resets the connection and drops what it has not delivered.

Change: while the port stops, a connection's sending side is closed first; what comes is discarded until the caller closes its side, or has acknowledged all bytes and stayed silent for 0.1 s.

Why it works: a socket without unread bytes is closed in order, and what it still has to send stays in the kernel, also after the process.

--- a/hemlockd/internal/app/conn.go
+++ b/hemlockd/internal/app/conn.go
@@ -31,12 +31,15 @@
 type conn struct {
 	net.Conn
 
+	p        *port
 	mu       sync.Mutex
 	state    http.ConnState
 	begun    bool      // a part of the next request's headers has been read
 	draining bool      // the port is draining
 	deadline time.Time // read deadline set by the server; zero: none
 	limit    time.Time // read deadline set by the drain; zero: none
+	// lingering is true from when the connection is closed with care until it is closed for good, lingered from then on.
+	lingering, lingered bool
 }
 
 // Read implements [net.Conn].
@@ -79,6 +82,9 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.lingered {
+		return net.ErrClosed
+	}
 	c.deadline = t
 	return c.applyDeadline()
 }
@@ -125,7 +131,7 @@
 // updateLimit sets the drain's deadline for the connection's state. A connection with
 // a request has none: its body may take as long as it takes.
 func (c *conn) updateLimit() {
-	if !c.draining {
+	if !c.draining || c.lingered {
 		return
 	}
 	c.limit = time.Time{}
--- a/hemlockd/internal/app/drain.go
+++ b/hemlockd/internal/app/drain.go
@@ -13,7 +13,7 @@
 const drainPollInterval = 10 * clock.Millisecond
 
 func (p *port) addConn(inner net.Conn) *conn {
-	c := &conn{Conn: inner, state: http.StateNew}
+	c := &conn{Conn: inner, p: p, state: http.StateNew}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conns[c] = struct{}{}
@@ -27,13 +27,17 @@
 func (p *port) connStateChanged(nc net.Conn, state http.ConnState) {
 	c := nc.(*conn)
 	c.setState(state)
-	if state == http.StateClosed || state == http.StateHijacked {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.conns, c)
+	if state == http.StateClosed && !c.isLingering() || state == http.StateHijacked {
+		p.forget(c)
 	}
 }
 
+func (p *port) forget(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
 // drain accepts the connections that have been established, then no more, and waits
 // until none is left or ctx ends. A connection that stays silent is closed after a
 // short while; its caller may have sent a request that is still on its way. The result
@@ -78,6 +82,9 @@
 	return p.acceptUntil, p.draining
 }
 
+// startStop makes connections linger when they are closed, see [conn.Close].
+func (p *port) startStop() { p.stopping.Store(true) }
+
 func (p *port) openConns() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/hemlockd/internal/app/linger.go
@@ -0,0 +1,105 @@
+package app
+
+import (
+	"errors"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hemlockmux.example/common/clock"
+)
+
+const (
+	// lingerInterval is the interval at which a lingering connection is checked.
+	lingerInterval = 50 * clock.Millisecond
+	// lingerChecks is the number of such intervals without bytes from a caller that has all of its answer, after
+	// which a connection is closed.
+	lingerChecks = 2
+	// lingerBufferBytes is the size of the buffer for the bytes that are discarded.
+	lingerBufferBytes = 1 << 10
+)
+
+// Close implements [net.Conn]. While the port is stopping, answers tell callers that their connections are closed, and
+// callers may have sent more by then. The kernel resets a connection that is closed with unread bytes, and drops what it
+// has not delivered yet. So the sending side is closed first, and what comes is discarded until the caller closes its side
+// or has received all.
+func (c *conn) Close() error {
+	if !c.p.stopping.Load() {
+		return c.Conn.Close()
+	}
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return c.Conn.Close()
+	}
+	if !c.startLinger() {
+		return nil
+	}
+	if half.CloseWrite() != nil { // the connection is broken
+		return c.endLinger()
+	}
+	go c.linger()
+	return nil
+}
+
+// startLinger marks the connection as lingering. It returns false if it has been.
+func (c *conn) startLinger() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.lingered
+	c.lingering, c.lingered = c.lingering || first, true
+	return first
+}
+
+func (c *conn) isLingering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lingering
+}
+
+// endLinger closes the connection for good.
+func (c *conn) endLinger() error {
+	c.mu.Lock()
+	c.lingering = false
+	c.mu.Unlock()
+	err := c.Conn.Close()
+	c.p.forget(c)
+	return err
+}
+
+// linger discards what the caller sends.
+func (c *conn) linger() {
+	defer func() { _ = c.endLinger() }()
+	discarded := make([]byte, lingerBufferBytes)
+	for checks := 0; checks < lingerChecks; {
+		if c.Conn.SetReadDeadline(time.Now().Add(lingerInterval.Duration())) != nil {
+			return
+		}
+		switch _, err := c.Conn.Read(discarded); {
+		case err == nil:
+			checks = 0
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return
+		case c.allReceived():
+			checks++
+		}
+	}
+}
+
+// allReceived reports whether the caller's kernel has acknowledged all bytes sent, or that is not known.
+func (c *conn) allReceived() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return true
+	}
+	unsent := 0
+	if controlErr := raw.Control(func(fd uintptr) { unsent, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); controlErr != nil || err != nil {
+		return true
+	}
+	return unsent == 0
+}
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -349,6 +349,7 @@
 func (d *platformDaemon) drain(hard context.Context) {
 	d.log.Info("draining", zap.Int("open", d.dispatcher.OpenRequests()))
 	close(d.stopping)
+	d.callers.startStop()
 	ctx, cancel := d.stop.begin(hard)
 	defer cancel()
 	d.peers.Leave()
--- a/hemlockd/internal/app/port.go
+++ b/hemlockd/internal/app/port.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +25,8 @@
 	failed   chan<- error  // receives the error if the server ends without being closed
 	ended    chan struct{} // closed when no more connections are accepted
 
+	stopping atomic.Bool // connections linger when they are closed
+
 	mu          sync.Mutex
 	conns       map[*conn]struct{}
 	draining    bool
