--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -39,12 +39,20 @@
 // connections, so that callers reconnect to other daemons, and requests that may take
 // longer are refused.
 // Requests in flight are ended exitMargin before that time, and those whose body is still being sent
-// uploadMargin before it.
+// uploadMargin before it. It may be called again with another time.
 func (d *Dispatcher) Drain(until clock.Millis) {
 	now := d.opts.Clock.Now()
-	d.shutdown.Store(&shutdown{beganMs: now, exitMs: until})
-	time.AfterFunc((until - uploadMargin - now).Duration(), d.endUploads)
-	time.AfterFunc((until - exitMargin - now).Duration(), d.exit)
+	s := &shutdown{beganMs: now, exitMs: until}
+	d.drainMu.Lock()
+	defer d.drainMu.Unlock()
+	if before := d.shutdown.Load(); before != nil {
+		s.beganMs = before.beganMs
+		d.exitTimer.Stop()
+		d.uploadsTimer.Stop()
+	}
+	d.shutdown.Store(s)
+	d.exitTimer = time.AfterFunc((until - exitMargin - now).Duration(), d.exit)
+	d.uploadsTimer = time.AfterFunc((until - uploadMargin - now).Duration(), d.endUploads)
 }
 
 // draining reports whether the daemon is shutting down, and when it will exit.
@@ -81,7 +89,7 @@
 	if !draining || x.answered || x.outcome != calls.NotRun {
 		return false
 	}
-	x.neededMs = x.arrivedMs + x.timeoutMs - x.now() // it ends then, shutdown or not
+	x.neededMs = x.dueMs() - x.now() // it ends then, shutdown or not
 	if ms, known := needed(); known {
 		x.neededMs = min(x.neededMs, ms)
 	}
@@ -167,5 +175,5 @@
 // request's own.
 func (x *exchange) cutByShutdown() bool {
 	until, draining := x.d.draining()
-	return draining && x.now() >= until-exitMargin && x.now() < x.arrivedMs+x.timeoutMs
+	return draining && x.now() >= until-exitMargin && x.now() < x.dueMs()
 }
