The longest duration of a run bounds it while its engine fills up

What callers saw: a stopping daemon may admit a stream by the pace of an engine that is hardly used and cut it off, and refuse one at a full engine that would have ended in time.

Cause: the longest duration allowed every engine to become slower by a quarter. An engine that fills up becomes slower by more than half, a full one hardly.

The slowest mean pace of late counts too, and the longest time that an engine which reads prompts itself has lately taken to the first event. The first five samples of a pace are averaged, and it counts only after them.

Why it works: the more room an engine has, the more can be placed beside the run; what has been seen lately may come again.

--- a/hemlockd/internal/capacity/longest_load_test.go
+++ b/hemlockd/internal/capacity/longest_load_test.go
@@ -84,7 +84,7 @@
 				continue // no room: it is not admitted
 			}
 			began := e.now
-			longest, ok := e.view.LongestDuration(e.running["asked"])
+			longest, ok := e.view.LongestDuration(e.running["asked"], clock.Millis(e.now))
 			if !ok {
 				t.Fatal("the pace is not known")
 			}
--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -84,8 +84,13 @@
 	Engine
 	// msPerToken is the moving average of the decode time per token.
 	msPerToken float64
-	// observed is set once msPerToken holds a sample of the engine itself.
-	observed bool
+	// samples is the number of samples of the engine itself in msPerToken.
+	samples int
+	// slowest is the greatest moving average of late.
+	slowest slowness
+	// slowestStart is the longest time, in ms, of late from the placement of a run, whose prompt the engine reads itself, to
+	// its first event.
+	slowestStart slowness
 	// runs holds the runs by owner and id.
 	runs map[string]map[string]Run
 }
@@ -161,6 +166,9 @@
 	return all
 }
 
+// observed reports whether msPerToken is that of the engine itself, and not a few events' only.
+func (e *engine) observed() bool { return float64(e.samples)*paceWeight >= 1 }
+
 // known returns the number of runs at the engine that are known here.
 func (e *engine) known() int {
 	n := 0
@@ -211,8 +219,14 @@
 	}
 	if more := generated - r.GeneratedTokens; r.Decoding && more > 0 && now > r.observedMs {
 		pace := float64(now-r.observedMs) / float64(more)
-		e.msPerToken += paceWeight * (pace - e.msPerToken)
-		e.observed = true
+		e.samples++
+		e.msPerToken += max(paceWeight, 1/float64(e.samples)) * (pace - e.msPerToken)
+		if e.observed() {
+			e.slowest.observe(e.msPerToken, e.msPerToken, now)
+		}
+	}
+	if !r.Decoding && v.prefillEngineCountLocked(e.Service, e.Software) == 0 {
+		e.slowestStart.observe(float64(now-r.observedMs), 0, now)
 	}
 	r.GeneratedTokens, r.Decoding, r.observedMs = max(r.GeneratedTokens, generated), true, now
 	r.Prefill = ""
--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -70,9 +70,9 @@
 func (m *modelRun) neededTime() (clock.Millis, bool) {
 	early := m.now() < m.d.shutdown.Load().beganMs+balancerTime
 	if early && !m.d.othersServe() {
-		return m.d.opts.View.ExpectedDuration(m.run)
+		return m.d.opts.View.ExpectedDuration(m.run, m.now())
 	}
-	return m.d.opts.View.LongestDuration(m.run)
+	return m.d.opts.View.LongestDuration(m.run, m.now())
 }
 
 // othersServe reports whether more of the other daemons of the data centre serve than shut down.
