--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -272,6 +272,7 @@
 	d.env.Log.Info("draining", zap.Int("open", d.recorder.OpenCount()))
 	d.callers.Drain()
 	d.operators.Drain()
+	d.gate.Limits.Leave()
 	d.daemons.Leave()
 	select {
 	case <-time.After(notReadyTime.Duration()):
