--- a/hemlockd/e2e/usersplatform_enginestop_runs_test.go
+++ b/hemlockd/e2e/usersplatform_enginestop_runs_test.go
@@ -109,18 +109,27 @@
 			p.injectStoreFault("busy", p.daemons[0])
 			p.callAdmin(http.MethodPost, "/servers/"+e+"/crash", nil)
 		},
+		"silence": nil, // from before the signal on
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := deployUsersPlatform(t, 1)
 			d := p.daemons[0]
+			if lose == nil {
+				for _, e := range []string{"i-dec1", "i-dec2"} {
+					p.injectServerFault(e, map[string]any{"stallAfter": 20})
+				}
+			}
 			s := stopStream{hintEvents: 90, limitEvents: 90, events: 90, interval: 50 * time.Millisecond}
 			answer := make(chan platformResponse, 1)
 			go func() { answer <- sendStream(&http.Client{Transport: &http.Transport{}}, d, "owed", "resumable", s) }()
 			p.eventually(3*time.Second, "the stream runs", func() bool { return p.runCount("owed") == 1 })
+			for _, e := range []string{"i-dec1", "i-dec2"} {
+				p.injectServerFault(e, map[string]any{}) // for later streams
+			}
 			p.signalStop(d)
 			time.Sleep(time.Second)
 			for _, a := range p.arrivals("owed") {
-				if a.Ran {
+				if a.Ran && lose != nil {
 					lose(p, a.Server)
 				}
 			}
@@ -135,3 +144,46 @@
 		})
 	}
 }
+
+// Guards against a stopping daemon that holds back or cuts off a stream because the record of its software version can't be
+// written: the store is silent.
+func TestPlatformStreamWithoutARecordDuringTheStop(t *testing.T) {
+	p := deployUsersPlatform(t, 2)
+	p.knowEachOther()
+	p.addEngine("i-dec3", "decode", "v2")
+	p.addEngine("i-pre3", "prefill", "v2")
+	d := p.daemons[0]
+	s := stopStream{hintEvents: 20, limitEvents: 20, events: 20, interval: 50 * time.Millisecond}
+	for i := range 6 { // the paces are known
+		p.eventually(5*time.Second, "a stream ends", func() bool {
+			return sendStream(&http.Client{Transport: &http.Transport{}}, d, fmt.Sprint("pace-", i, time.Now()), "resumable", s).status == http.StatusOK
+		})
+	}
+	p.injectStoreFault("silent", p.daemons...)
+	p.signalStop(d)
+	var all sync.WaitGroup
+	answers := make(chan platformResponse, 10)
+	for i := range cap(answers) {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+			answers <- sendStream(&http.Client{Transport: &http.Transport{}}, d, fmt.Sprint("unrecorded-", i), "resumable", s)
+		})
+	}
+	all.Wait()
+	close(answers)
+	served := 0
+	for a := range answers {
+		last, versions := receivedEvents(a.body)
+		switch {
+		case a.status == http.StatusServiceUnavailable && a.err == nil:
+		case a.err == nil && last == s.events && len(versions) == 1:
+			served++
+		default:
+			t.Errorf("status %d, %d of %d events of versions %v: %v", a.status, last, s.events, versions, a.err)
+		}
+	}
+	if served == 0 {
+		t.Error("no stream was served")
+	}
+	<-d.exited
+}
--- a/standin/internal/usersplatform/server.go
+++ b/standin/internal/usersplatform/server.go
@@ -58,6 +58,9 @@
 	// EndAfterEvents ends a stream properly after this number of events, in the middle
 	// of the next one; 0 means never.
 	EndAfterEvents int `json:"endAfter"`
+	// StallAfterEvents sends nothing more of a stream after this number of events, until the
+	// request ends; 0 means never.
+	StallAfterEvents int `json:"stallAfter"`
 }
 
 // Arrival is one request that reached a server.
--- a/standin/internal/usersplatform/streams.go
+++ b/standin/internal/usersplatform/streams.go
@@ -121,6 +121,10 @@
 			_ = flush()
 			panic(http.ErrAbortHandler)
 		}
+		if fault.StallAfterEvents > 0 && i-first > fault.StallAfterEvents {
+			<-r.Context().Done()
+			return
+		}
 		if fault.EndAfterEvents > 0 && i-first > fault.EndAfterEvents {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			return
