--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -108,9 +108,9 @@
 // neededTime returns how long the stream may take, or false if that is not known.
 func (m *modelRun) neededTime() (clock.Millis, bool) {
 	if m.d.callersHaveNoOther() {
-		return m.d.opts.View.ExpectedDuration(m.run)
+		return m.d.opts.View.ExpectedDuration(m.run, m.now())
 	}
-	return m.d.opts.View.LongestDuration(m.run)
+	return m.d.opts.View.LongestDuration(m.run, m.now())
 }
 
 // refuseAtShutdown refuses the call if the daemon is shutting down and may not have its answer by the exit. It returns true
