--- a/hemlockd/e2e/deployment_test.go
+++ b/hemlockd/e2e/deployment_test.go
@@ -73,7 +73,7 @@
 	services    int      // instances of the service in each data centre, default 1
 	model       string   // TOML lines of [models.spec-models]
 	policy      string   // TOML lines added to [policy]
-	service     string   // TOML lines added to [services.order-desk]
+	service     string   // TOML lines of [services.order-desk], default: a time-out of 2 s
 	daemon      string   // TOML lines added to each daemon's file
 	loadMs      int      // interval of load reports, default 200
 	probeMs     int      // interval of probes, default 200
@@ -228,7 +228,7 @@
 func (d *deployment) systemFileText() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "[policy]\nverdictIntervalMs = 1000\nledgerIntervalMs = 5\n%s\n[models.spec-models]\n%s\n", d.opts.policy, d.opts.model)
-	fmt.Fprintf(&b, "[services.order-desk]\nrepeatable = false\ntimeoutMs = 2000\n%s\n[operators.ops]\nkeyHash = %q\n", d.opts.service, settings.HashKey(operatorKey))
+	fmt.Fprintf(&b, "[services.order-desk]\nrepeatable = false\n%s\n[operators.ops]\nkeyHash = %q\n", cmp.Or(d.opts.service, "timeoutMs = 2000\n"), settings.HashKey(operatorKey))
 	for _, dc := range d.opts.dataCentres {
 		fmt.Fprintf(&b, "[dataCentres.%s]\nregion = %q\noneWayMs = 20\n", dc, dc)
 		for _, kind := range []struct {
