A stopping daemon of the own door takes only what it can finish

What callers saw: streams, completions and calls to services that were accepted after SIGTERM, or waited for a place then, were cut off when drainMs was over, without an answer.

Cause: a daemon that shuts down went on to accept everything as long as it read requests, and nothing told a keeper that it, or the daemon that handed a run to it, had a limited time.

Change: process.Shutdown holds when requests in flight are ended, for all parts. The callers' port asks, once the body has been read, for the longest that the request may take: for a model the output limit at the pace of a full engine, prompt and transfer, and a quarter more; for a service its time-out, and the record's. The keeper asks again with its backlog and the slowest observed engine, when a run begins and when it is placed, against its own time and that of the daemon that handed the run over (leftMs in the call, or a message /handoff/bound to runs that were handed over before the signal). The services ask for calls that are handed over. A refusal is notReady, not run, with Retry-After; a run that a keeper refuses is tried at the next one. What an engine may have begun goes on.

Why it works: what is admitted ends before the exit unless its engine becomes slower by more than a quarter.

--- a/common/admission/engine.go
+++ b/common/admission/engine.go
@@ -43,6 +43,8 @@
 	// linkBusyUntil is the time at which all results on the engine's link are predicted to
 	// have arrived.
 	linkBusyUntil float64
+	// msPerToken is the mean time per token that was observed here; 0: none.
+	msPerToken float64
 	// avoidedUntil is the time until which this prefill engine is avoided after one of its
 	// results was late or lost.
 	avoidedUntil clock.Millis
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -71,7 +71,7 @@
 // Run runs a daemon until ctx is done or a port fails, then shuts it down
 // gracefully. The end of hard ends the wait for requests in flight.
 func Run(ctx, hard context.Context, cfg process.Config, log *zap.Logger) error {
-	env := process.Environment{Log: log, Clock: clock.System(), Config: cfg, Invariants: invariant.New(log)}
+	env := process.Environment{Log: log, Clock: clock.System(), Config: cfg, Invariants: invariant.New(log), Shutdown: process.NewShutdown()}
 	env.Incarnation = env.Clock.Now()
 	d, closeDaemon, err := New(env)
 	if err != nil {
@@ -270,6 +270,7 @@
 // most the configured time or until hard is done.
 func (d *Daemon) drain(hard context.Context) {
 	d.env.Log.Info("draining", zap.Int("open", d.recorder.OpenCount()))
+	d.env.Shutdown.Begin(d.env.Clock.Now() + notReadyTime + d.env.Config.DrainMs)
 	d.callers.Drain()
 	d.operators.Drain()
 	d.daemons.Leave()
--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 
+	"hemlockmux.example/common/admission"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/completions"
 	"hemlockmux.example/common/prefix"
@@ -48,6 +49,10 @@
 	if p := e.c.Keeper.CheckParts(&call, true); p != nil {
 		return p
 	}
+	needed := admission.LongestMs(e.tree.System.Models[call.Model], e.tree.System.Policy, call.PromptTokens, call.OutputTokens)
+	if p := e.shutdownRefusal(needed); p != nil {
+		return p
+	}
 	release, p := e.admit()
 	if p != nil {
 		return p
@@ -179,6 +184,10 @@
 		return daemonLostResult(at, verdict.AttemptNotRun, "daemon "+at.daemon+" is not a known member")
 	}
 	ctx := e.r.Context()
+	call.LeftMs = e.leftMs()
+	if call.LeftMs == 0 {
+		defer e.c.env.Shutdown.AfterBegin(func() { e.c.HandOff.Bound(ctx, address, e.id, e.leftMs()) })()
+	}
 	result, err := e.c.HandOff.RunModel(ctx, address, call, sink.writeChunks)
 	if err == nil {
 		if result.Inferred {
--- a/hemlockd/internal/callers/services.go
+++ b/hemlockd/internal/callers/services.go
@@ -35,6 +35,9 @@
 	if p != nil {
 		return p
 	}
+	if p := e.shutdownRefusal(services.Longest(e.c.env.Config, e.tree.System.Services[call.Service], call)); p != nil {
+		return p
+	}
 	release, p := e.admit()
 	if p != nil {
 		return p
@@ -146,5 +149,6 @@
 	}
 	result.Attempts = append(out.Attempts, result.Attempts...)
 	*out = result
-	return result.Problem != nil && result.Problem.Reason == problem.NoUpstream && result.Problem.Ran == problem.RanNo
+	return result.Problem != nil && result.Problem.Ran == problem.RanNo &&
+		(result.Problem.Reason == problem.NoUpstream || result.Problem.Reason == problem.NotReady)
 }
--- a/hemlockd/internal/handoff/handoff.go
+++ b/hemlockd/internal/handoff/handoff.go
@@ -90,6 +90,12 @@
 	Header    http.Header `json:"header"`
 }
 
+// boundCall is the encoded form of a request's bound.
+type boundCall struct {
+	RequestID string       `json:"requestId"`
+	LeftMs    clock.Millis `json:"leftMs"`
+}
+
 // serviceResult is the encoded form of a service call's outcome.
 type serviceResult struct {
 	Answer   *placements.Answer `json:"answer,omitempty"`
@@ -284,6 +290,22 @@
 	_ = resp.Body.Close()
 }
 
+// Bound tells a daemon that runs a request that the caller's daemon ends it after left. Errors are ignored: the daemon then
+// goes on as before.
+func (c *Client) Bound(ctx context.Context, address, requestID string, left clock.Millis) {
+	ctx, cancel := context.WithTimeout(ctx, streamTimeout.Duration())
+	defer cancel()
+	req, err := c.newRequest(ctx, address, "/bound", boundCall{RequestID: requestID, LeftMs: left}, nil)
+	if err != nil {
+		return
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+}
+
 // RunService hands a service call over and waits for its outcome. The call is never sent again.
 func (c *Client) RunService(ctx context.Context, address string, call services.Call, timeout clock.Millis) (services.Outcome, error) {
 	metrics.Add("services", 1)
--- a/hemlockd/internal/handoff/server.go
+++ b/hemlockd/internal/handoff/server.go
@@ -50,6 +50,7 @@
 	r.Post("/models", server.model)
 	r.Post("/services", server.service)
 	r.Post("/cancel", server.cancel)
+	r.Post("/bound", server.bound)
 	server.Handler = r
 	return server
 }
@@ -95,6 +96,16 @@
 	}
 }
 
+func (s *Server) bound(w http.ResponseWriter, r *http.Request) {
+	var call boundCall
+	if _, ok := readCall(w, r, &call); !ok {
+		return
+	}
+	if run, ok := s.keeper.Find(call.RequestID); ok {
+		run.Bound(call.LeftMs)
+	}
+}
+
 func (s *Server) model(w http.ResponseWriter, r *http.Request) {
 	var call keeper.Call
 	body, ok := readCall(w, r, &call)
--- a/hemlockd/internal/keeper/decode.go
+++ b/hemlockd/internal/keeper/decode.go
@@ -134,6 +134,7 @@
 	if err != nil {
 		r.abortFailed(e, call.AttemptID, err)
 	} else {
+		r.recordPace(assembler.Next() - 1) // the last chunk holds no token
 		k.parts.RecordCompletion(r.call.Model, r.call.SharedParts, k.env.Clock.Now())
 	}
 	return err
@@ -239,6 +240,12 @@
 	return nil
 }
 
+// recordPace records how fast the engine has decoded so many tokens.
+func (r *Run) recordPace(tokens int) {
+	took := r.keeper.env.Clock.Now() - r.firstTokenMs
+	r.group.withLock(func(a *admission.Group) { a.Decoded(r.call.RequestID, tokens-1, took) })
+}
+
 // reportResultLate reports to admission that the prefill's result is late or lost, unless decoding
 // has started.
 func (r *Run) reportResultLate() {
@@ -271,6 +278,7 @@
 	r.firstChunkSeen = true
 	r.mu.Unlock()
 	if first {
+		r.firstTokenMs = r.keeper.env.Clock.Now()
 		r.group.withLock(func(a *admission.Group) { a.FirstToken(r.call.RequestID, r.keeper.env.Clock.Now()) })
 	}
 	if !r.call.Buffered {
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -91,6 +91,8 @@
 	// TryingPart is true if the call tries a part of a prompt again that crashed engines: it is not
 	// refused because of its parts, and not repeated.
 	TryingPart bool `json:"tryingPart,omitempty"`
+	// LeftMs is the time that the daemon that received the request has left for it, since it shuts down; 0: no limit.
+	LeftMs clock.Millis `json:"leftMs,omitempty"`
 
 	// The daemon that a call is handed to derives the following fields again.
 
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -35,6 +35,7 @@
 
 	// mu guards the fields up to detachTimer.
 	mu             sync.Mutex
+	neededByMs     clock.Millis    // when the front daemon ends its requests; 0: not known
 	chunks         []streams.Chunk // published to readers
 	firstChunkSeen bool            // from the current decode attempt, or chunks is not empty
 	result         *Result
@@ -44,10 +45,11 @@
 	detachTimer    *time.Timer // runs while no reader is attached
 
 	// The following fields are used by the run's own goroutine only.
-	attempts   []verdict.Attempt
-	dispatched bool // an engine ran or may have run a part of the call
-	grant      admission.Grant
-	buffered   []streams.Chunk // chunks of a buffered answer, not yet published
+	attempts     []verdict.Attempt
+	firstTokenMs clock.Millis // of the current decode attempt
+	dispatched   bool         // an engine ran or may have run a part of the call
+	grant        admission.Grant
+	buffered     []streams.Chunk // chunks of a buffered answer, not yet published
 	// lastAttempt is true if the attempt that runs can't be followed by another prefill.
 	lastAttempt bool
 	retryTaken  bool // the budget has granted a retry after the attempt that runs
@@ -65,13 +67,18 @@
 	call.AllowedEngines = allowedEngines(tree.Teams[call.Team])
 	name := GroupName(tree, k.env.Config.DataCentre, call.Model, call.PrefixHashes)
 	g := k.group(name, call.Model, tree)
+	r := &Run{keeper: k, call: call, tree: tree, group: g, changed: make(chan struct{})}
+	r.Bound(call.LeftMs)
+	refusal := r.shutdownRefusal()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if run, ok := k.runs[call.RequestID]; ok {
 		return run, nil
 	}
-	ctx, cancel := context.WithCancel(k.ctx)
-	r := &Run{keeper: k, call: call, tree: tree, group: g, ctx: ctx, cancel: cancel, changed: make(chan struct{})}
+	if refusal != nil {
+		return nil, refusal
+	}
+	r.ctx, r.cancel = context.WithCancel(k.ctx)
 	k.runs[call.RequestID] = r
 	k.done.Add(1)
 	go r.run()
@@ -230,6 +237,9 @@
 	if p := r.admit(r.call.ArrivedMs); p != nil {
 		return p
 	}
+	if p := r.shutdownRefusal(); p != nil {
+		return p
+	}
 	k.budget.RecordFirstAttempt()
 	for attempt := 0; ; attempt++ {
 		r.lastAttempt, r.retryTaken = attempt+1 >= r.tree.System.Policy.MaxAttempts, false
--- a/hemlockd/internal/process/process.go
+++ b/hemlockd/internal/process/process.go
@@ -35,6 +35,8 @@
 	// Incarnation is the start time of the process, in Unix ms. Together with the name
 	// it identifies a run of the daemon.
 	Incarnation clock.Millis
+	// Shutdown tells when the daemon shuts down; nil: never.
+	Shutdown *Shutdown
 }
 
 // RunID returns the identifier of this run of the daemon: its name and start time.
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -152,6 +152,9 @@
 	if !ok {
 		return Outcome{Problem: problem.New(problem.UnknownService, "there is no service %q", call.Service)}
 	}
+	if p := s.env.Shutdown.Refusal(Longest(s.env.Config, service, call), s.env.Clock.Now()); p != nil {
+		return Outcome{Problem: p}
+	}
 	if Idempotent(call.Method, service) {
 		r := &idempotentRun{
 			services: s, ctx: ctx, tree: tree, service: service, call: call, excluded: map[string]bool{}, running: map[string]*attempt{},
@@ -162,6 +165,14 @@
 	return s.runAtMostOnce(ctx, tree, service, call)
 }
 
+// Longest returns how long a call may take until it has an answer.
+func Longest(cfg process.Config, service settings.Service, call Call) clock.Millis {
+	if Idempotent(call.Method, service) {
+		return service.TimeoutMs
+	}
+	return cfg.PlatformTimeoutMs + service.TimeoutMs // it is recorded first
+}
+
 // instances returns the names of the service's instances in this data centre that the team may use,
 // sorted.
 func (s *Services) instances(tree *settings.Tree, call Call) []string {
