Tests of own-door stops find the keeper by a stream that runs there

TestOwnDoorStopAsksAgainWhatWaitedForAPlace asked a daemon whether it is the keeper of an engine, which every daemon says that has used the engine's group; the case of the stopped keeper ran elsewhere and passed on the faulty code. The tests now look where a stream runs.

--- a/hemlockd/e2e/own_stop_queue_test.go
+++ b/hemlockd/e2e/own_stop_queue_test.go
@@ -22,8 +22,8 @@
 				daemons: 2, decode: 1, daemon: "drainMs = 2000\n", policy: "firstTokenMs = 60000\n",
 				model: "prefillTokenUs = 20\nstepBaseMs = 10.0\nstepPerSlotMs = 0.1\nslots = 1\n",
 			})
-			front, other := d.daemons[0], d.daemons[1]
-			if front.isKeeperOf("brandon-a-decode-1") != test.frontKeeps {
+			front, other := d.modelKeeper()
+			if !test.frontKeeps {
 				front, other = other, front
 			}
 			stops := other
--- a/hemlockd/e2e/own_stop_test.go
+++ b/hemlockd/e2e/own_stop_test.go
@@ -31,6 +31,24 @@
 	return d
 }
 
+// modelKeeper returns the one of two daemons that runs the streams of both, and the other one.
+func (d *deployment) modelKeeper() (keeper, other *daemon) {
+	d.t.Helper()
+	done := make(chan response, 1)
+	go func() { done <- d.daemons[0].stream("where", 100) }()
+	keeper, other = d.daemons[0], d.daemons[1]
+	d.eventually("a stream runs", 5*time.Second, func() bool {
+		if other.metric("daemon", "keeperRuns") == 1 {
+			keeper, other = other, keeper
+		}
+		return keeper.metric("daemon", "keeperRuns") == 1
+	})
+	if a := <-done; a.err != nil {
+		d.t.Fatal(a.err)
+	}
+	return keeper, other
+}
+
 // keptCaller is a caller on one connection, which it keeps.
 type keptCaller struct {
 	m      *daemon
