Requests in flight at the end of drainMs get the reason

What callers saw: a closed connection without the end of the chunked answer, a problem or an error event, for whatever was in flight when drainMs was over or SIGINT came; the verdict blamed the caller (callerGone) or was not recorded at all.

Cause: the daemon closed its ports while the handlers were running. That ended their contexts as if callers had left.

Change: process.Shutdown.End ends the contexts of requests, with a cause of its own, half a second before the end of drainMs (half of drainMs if that is shorter), and the daemon waits for the handlers for that time. Streams end with an error event, other requests with a problem: daemonLost with what is known of the run, outcomeUnknown for a placement, notReady for a body that has not come whole. Runs of other daemons get their result before their connections end.

Why it works: the connections are closed once the handlers have answered, and the recorder stops after them.

--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -45,6 +45,8 @@
 	// notReadyTime is how long a daemon that shuts down still accepts connections after
 	// it has become not ready, so that the balancer can notice.
 	notReadyTime = clock.Second
+	// endTime is how long before the end of DrainMs requests in flight are ended, so that their callers are told.
+	endTime = 500 * clock.Millisecond
 	// idleTimeout is how long an idle connection is kept open.
 	idleTimeout = 2 * clock.Minute
 )
@@ -153,7 +155,7 @@
 		Configuration: d.configuration, Daemons: d.daemons, Keeper: k, Services: svc, HandOff: handOff,
 		Limits: limits.New(), Suspects: sus, Verdicts: recorder,
 	})
-	d.handOff = handoff.NewServer(cfg.DataCentre, d.configuration, k, svc, recorder.AcceptCopies)
+	d.handOff = handoff.NewServer(env, d.configuration, k, svc, recorder.AcceptCopies)
 	closeDaemons, err := d.daemons.Start(daemons.Handlers{
 		HandOff:      d.handOff,
 		AcceptCopies: recorder.AcceptCopies, FindVerdict: recorder.Find,
@@ -267,10 +269,11 @@
 }
 
 // drain takes the daemon out of service and waits for the requests in flight, at
-// most the configured time or until hard is done.
+// most the configured time or until hard is done. Those that are left then are ended with the reason.
 func (d *Daemon) drain(hard context.Context) {
 	d.env.Log.Info("draining", zap.Int("open", d.recorder.OpenCount()))
-	d.env.Shutdown.Begin(d.env.Clock.Now() + notReadyTime + d.env.Config.DrainMs)
+	ending := min(endTime, d.env.Config.DrainMs/2)
+	d.env.Shutdown.Begin(d.env.Clock.Now() + notReadyTime + d.env.Config.DrainMs - ending)
 	d.callers.Drain()
 	d.operators.Drain()
 	d.daemons.Leave()
@@ -278,16 +281,29 @@
 	case <-time.After(notReadyTime.Duration()):
 	case <-hard.Done():
 	}
-	ctx, cancel := context.WithTimeout(hard, d.env.Config.DrainMs.Duration())
+	ctx, cancel := context.WithTimeout(hard, (d.env.Config.DrainMs - ending).Duration())
 	defer cancel()
+	err := d.awaitRequests(ctx)
+	open := d.recorder.OpenCount()
+	cut := err != nil || open > 0 || d.busy()
+	d.env.Invariants.Check(invariant.DrainedAtExit, !cut || hard.Err() != nil || ctx.Err() != nil, "open", open)
+	if !cut {
+		return
+	}
+	d.env.Log.Warn("drain ended with requests in flight", zap.Int("open", open), zap.Error(err))
+	d.env.Shutdown.End()
+	endCtx, cancelEnd := context.WithTimeout(context.Background(), ending.Duration())
+	defer cancelEnd()
+	if err := d.awaitRequests(endCtx); err != nil || d.recorder.OpenCount() > 0 {
+		d.env.Log.Warn("requests have no end", zap.Int("open", d.recorder.OpenCount()), zap.Error(err))
+	}
+}
+
+// awaitRequests waits until no request is in flight or ctx ends. It returns an error if a caller's is then.
+func (d *Daemon) awaitRequests(ctx context.Context) error {
 	err := d.callersPort.drain(ctx)
 	for err == nil && d.busy() && ctx.Err() == nil {
 		time.Sleep(20 * time.Millisecond)
 	}
-	open := d.recorder.OpenCount()
-	cut := err != nil || open > 0 || d.busy()
-	if cut {
-		d.env.Log.Warn("drain ended with requests in flight", zap.Int("open", open), zap.Error(err))
-	}
-	d.env.Invariants.Check(invariant.DrainedAtExit, !cut || hard.Err() != nil || ctx.Err() != nil, "open", open)
+	return err
 }
--- a/hemlockd/internal/callers/callers.go
+++ b/hemlockd/internal/callers/callers.go
@@ -10,6 +10,7 @@
 package callers
 
 import (
+	"context"
 	"expvar"
 	"net/http"
 	"strings"
@@ -93,13 +94,15 @@
 
 // exchange is one request with the state of its response.
 type exchange struct {
-	c       *Callers
-	w       http.ResponseWriter
-	r       *http.Request
-	id      string
-	tree    *settings.Tree
-	team    settings.Team
-	verdict verdict.Verdict
+	c *Callers
+	w http.ResponseWriter
+	r *http.Request
+	// connection is done once the caller has left; the context of r also ends with the daemon's shutdown.
+	connection context.Context
+	id         string
+	tree       *settings.Tree
+	team       settings.Team
+	verdict    verdict.Verdict
 	// headersSent is set once the headers of a streamed response have been sent.
 	headersSent bool
 	// answered is set once the headers of a response with a complete body have been sent.
@@ -126,6 +129,9 @@
 			RequestID: e.id, Daemon: c.env.Config.Name, DataCentre: c.env.Config.DataCentre,
 			StartMs: now, SettingsVersion: c.Configuration.Version(),
 		}
+		ctx, cancel := c.env.Shutdown.WithEnd(r.Context())
+		defer cancel()
+		e.connection, e.r = r.Context(), r.WithContext(ctx)
 		w.Header().Set(headerRequestID, e.id)
 		c.Verdicts.Open(e.verdict)
 		defer e.recoverPanic()
@@ -227,7 +233,7 @@
 func (e *exchange) close() {
 	e.closed = true
 	e.verdict.EndMs = e.c.env.Clock.Now()
-	e.c.Verdicts.Close(e.r.Context(), e.verdict)
+	e.c.Verdicts.Close(e.connection, e.verdict)
 }
 
 // succeed records the verdict of a request that has been run and gets a response.
--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"hemlockmux.example/common/admission"
 	"hemlockmux.example/common/clock"
@@ -16,6 +17,7 @@
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/handoff"
 	"hemlockmux.example/hemlockd/internal/keeper"
+	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/services"
 )
 
@@ -74,11 +76,16 @@
 // readBody reads the request's body, which is limited in size by the settings.
 func (e *exchange) readBody() ([]byte, *problem.Problem) {
 	limit := e.tree.System.Policy.MaxBodyBytes
+	ended := e.c.env.Shutdown.Ended()
+	defer context.AfterFunc(ended, func() { _ = e.controller.SetReadDeadline(time.Now()) })()
 	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, problem.New(problem.BodyTooLarge, "the body is longer than %d bytes", limit)
 	}
+	if err != nil && ended.Err() != nil {
+		return nil, process.ShutdownProblem(0, 0)
+	}
 	if err != nil {
 		return nil, problem.New(problem.BadRequest, "the body could not be read completely: %v", err)
 	}
@@ -149,7 +156,7 @@
 			result.Ran = ran // an earlier candidate may have run it
 		}
 		ran = result.Ran
-		if !canRunElsewhere(result) || call.TryingPart && result.Ran != problem.RanNo {
+		if e.r.Context().Err() != nil || !canRunElsewhere(result) || call.TryingPart && result.Ran != problem.RanNo {
 			break
 		}
 	}
@@ -199,12 +206,16 @@
 	if ctx.Err() == nil && errors.As(err, &noResult) {
 		return daemonLostResult(at, noResult.Result, noResult.Err.Error())
 	}
-	e.cancelAt(address)
+	if process.HasEnded(ctx) {
+		go e.cancelAt(address) // the answer waits for nothing else
+	} else {
+		e.cancelAt(address)
+	}
 	var bad *chunkError
 	if errors.As(err, &bad) {
 		return bad.result([]verdict.Attempt{{Upstream: at.daemon, Phase: "handOff", Result: verdict.AttemptRan, Cause: bad.Error()}})
 	}
-	return callerGoneResult()
+	return goneResult(ctx)
 }
 
 // cancelAt asks the daemon that runs the call to cancel it because its answer is no longer
@@ -215,8 +226,10 @@
 	e.c.HandOff.Cancel(ctx, address, e.id)
 }
 
-func callerGoneResult() keeper.Result {
+// goneResult returns the result of a run that was ended for its caller has left, or because this daemon exits.
+func goneResult(ctx context.Context) keeper.Result {
 	p := problem.New(problem.CallerGone, "the caller disconnected before the response was complete").WithRan(problem.RanUnknown)
+	p = process.CutOff(ctx, p)
 	return keeper.Result{Problem: p, Ran: problem.RanUnknown}
 }
 
@@ -260,5 +273,5 @@
 	if result.Problem != nil {
 		return *result
 	}
-	return callerGoneResult()
+	return goneResult(ctx)
 }
--- a/hemlockd/internal/handoff/server.go
+++ b/hemlockd/internal/handoff/server.go
@@ -21,6 +21,7 @@
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/daemons"
 	"hemlockmux.example/hemlockd/internal/keeper"
+	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/services"
 	"hemlockmux.example/hemlockd/internal/streams"
 )
@@ -38,13 +39,14 @@
 	keeper        *keeper.Keeper
 	services      *services.Services
 	dataCentre    string
+	shutdown      *process.Shutdown
 	storeCopies   func(daemons.CopyRequest) daemons.CopyAnswer
 }
 
 // NewServer returns the server. storeCopies stores copies of the verdicts on
 // requests that run here for another daemon of this data centre.
-func NewServer(dataCentre string, cfg *configuration.Configuration, k *keeper.Keeper, s *services.Services, storeCopies func(daemons.CopyRequest) daemons.CopyAnswer) *Server {
-	server := &Server{configuration: cfg, keeper: k, services: s, dataCentre: dataCentre, storeCopies: storeCopies}
+func NewServer(env process.Environment, cfg *configuration.Configuration, k *keeper.Keeper, s *services.Services, storeCopies func(daemons.CopyRequest) daemons.CopyAnswer) *Server {
+	server := &Server{configuration: cfg, keeper: k, services: s, dataCentre: env.Config.DataCentre, shutdown: env.Shutdown, storeCopies: storeCopies}
 	r := chi.NewRouter()
 	r.Use(server.count)
 	r.Post("/models", server.model)
@@ -207,7 +209,9 @@
 		writeOutcome(w, services.Outcome{Problem: problem.New(problem.NotReady, "this daemon has no settings yet")})
 		return
 	}
-	writeOutcome(w, s.services.Run(r.Context(), services.Call{
+	ctx, cancel := s.shutdown.WithEnd(r.Context())
+	defer cancel()
+	writeOutcome(w, s.services.Run(ctx, services.Call{
 		RequestID: call.RequestID, Team: call.Team, Service: call.Service, Method: call.Method,
 		Path: call.Path, Key: call.Key, Digest: call.Digest, Header: call.Header, Body: body,
 	}))
--- a/hemlockd/internal/handoff/server_test.go
+++ b/hemlockd/internal/handoff/server_test.go
@@ -53,7 +53,7 @@
 	t.Cleanup(closeClient)
 	k, closeKeeper := keeper.New(env, c, client, alone{}, alone{}, suspects.New(), parts)
 	t.Cleanup(closeKeeper)
-	return NewServer("a", c, k, nil, func(daemons.CopyRequest) daemons.CopyAnswer { return daemons.CopyAnswer{} }), k
+	return NewServer(env, c, k, nil, func(daemons.CopyRequest) daemons.CopyAnswer { return daemons.CopyAnswer{} }), k
 }
 
 // TestForgottenRunIsNotResumed guards against an answer that is put together from two
--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -156,7 +156,7 @@
 
 // New starts a keeper and returns the function that stops it and waits for its goroutines.
 func New(env process.Environment, cfg *configuration.Configuration, client *engines.Client, peers Peers, leaving LeavingChecker, sus *suspects.Suspects, parts *prompts.Evidence) (*Keeper, func()) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(env.Shutdown.Ended())
 	k := &Keeper{
 		env: env, configuration: cfg, client: client, peers: peers, leaving: leaving, suspects: sus, parts: parts,
 		budget: retries.NewBudget(settings.DefaultSystem().Policy.RetryRatio),
--- a/hemlockd/internal/keeper/run.go
+++ b/hemlockd/internal/keeper/run.go
@@ -328,7 +328,7 @@
 
 // callerGone returns the problem of a run that was cancelled: by its caller, unless this daemon stops.
 func (r *Run) callerGone() *problem.Problem {
-	if r.keeper.ctx.Err() != nil {
+	if r.keeper.ctx.Err() != nil || r.keeper.env.Shutdown.Ended().Err() != nil {
 		return problem.New(problem.DaemonLost, "the daemon that ran the request has stopped").WithRetryAfter(clock.Second)
 	}
 	return problem.New(problem.CallerGone, "the caller disconnected before the answer was complete")
--- a/hemlockd/internal/services/atmostonce.go
+++ b/hemlockd/internal/services/atmostonce.go
@@ -11,6 +11,7 @@
 	"hemlockmux.example/common/settings"
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/placements"
+	"hemlockmux.example/hemlockd/internal/process"
 )
 
 const (
@@ -75,7 +76,10 @@
 // replayed to a repeat.
 func (s *Services) dispatch(tree *settings.Tree, service settings.Service, call Call, claim placements.Claim) Outcome {
 	d := &dispatchedCall{services: s, tree: tree, service: service, call: call, claim: claim, done: make(chan struct{})}
-	started := s.env.Clock.Now()
+	late := verdict.Attempt{
+		Phase: "call", Upstream: call.Service, Result: verdict.AttemptUnknown, Cause: "no answer within the service's time-out",
+		StartMs: s.env.Clock.Now(),
+	}
 	s.dispatched.Add(1)
 	go d.run()
 	timer := time.NewTimer(service.TimeoutMs.Duration())
@@ -84,16 +88,15 @@
 	case <-d.done:
 		return d.out
 	case <-timer.C:
+	case <-s.env.Shutdown.Ended().Done():
+		late.Cause = process.ErrShutdown.Error()
 	}
 	select {
 	case <-d.done: // both are ready if this process was paused
 		return d.out
 	default:
 	}
-	late := verdict.Attempt{
-		Phase: "call", Upstream: call.Service, Result: verdict.AttemptUnknown, Cause: "no answer within the service's time-out",
-		StartMs: started, EndMs: s.env.Clock.Now(),
-	}
+	late.EndMs = s.env.Clock.Now()
 	return Outcome{Problem: s.outcomeUnknown(call, nil), Attempts: []verdict.Attempt{late}}
 }
 
@@ -165,7 +168,8 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return Outcome{Problem: problem.New(problem.CallerGone, "the caller disconnected before the answer was recorded").WithRan(problem.RanUnknown)}
+			p := problem.New(problem.CallerGone, "the caller disconnected before the answer was recorded").WithRan(problem.RanUnknown)
+			return Outcome{Problem: process.CutOff(ctx, p)}
 		case <-timer.C:
 		}
 		wait = min(2*wait, maxPollInterval)
--- a/hemlockd/internal/services/idempotent.go
+++ b/hemlockd/internal/services/idempotent.go
@@ -11,6 +11,7 @@
 	"hemlockmux.example/common/settings"
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/placements"
+	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/retries"
 )
 
@@ -160,7 +161,7 @@
 	s := r.services
 	ran := verdict.CombineRan(r.out.Attempts)
 	if r.ctx.Err() != nil {
-		return problem.New(problem.CallerGone, "the caller disconnected before the service answered").WithRan(ran)
+		return process.CutOff(r.ctx, problem.New(problem.CallerGone, "the caller disconnected before the service answered").WithRan(ran))
 	}
 	excluded := r.excluded
 	if isClosed(r.last) {
