A stopping daemon runs completions itself when no daemon of its data centre stays

What callers saw: dataCentreOutOfReach for every completion in the second in which the balancer still sends to a daemon that stops alone or together with all others of its data centre.

Cause: a daemon that leaves is no keeper in its own view either, so that no keeper was left.

Change: while no daemon of its own data centre is live, a daemon takes itself as the keeper. What does not fit before its exit is still refused.

Why it works: its engines and its drain go on until its requests have ended.

--- a/hemlockd/internal/callers/candidates.go
+++ b/hemlockd/internal/callers/candidates.go
@@ -31,7 +31,7 @@
 func (e *exchange) modelCandidates(call keeper.Call) []candidate {
 	var candidates []candidate
 	for _, dc := range e.modelDataCentres(call) {
-		live := e.c.Daemons.Live(dc)
+		live := e.c.Daemons.Keepers(dc)
 		name := keeper.GroupName(e.tree, dc, call.Model, call.PrefixHashes)
 		for range 2 {
 			daemon := membership.Owner(name, live)
--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -216,6 +216,16 @@
 	return names
 }
 
+// Keepers returns the names of the daemons that may run requests in a data centre: the live ones or, in this daemon's own
+// while all shut down, itself.
+func (d *Daemons) Keepers(dataCentre string) []string {
+	live := d.Live(dataCentre)
+	if len(live) == 0 && dataCentre == d.env.Config.DataCentre {
+		return []string{d.env.Config.Name}
+	}
+	return live
+}
+
 // Owns reports whether this daemon is the one responsible for a key, of the live and suspected
 // daemons of all data centres.
 func (d *Daemons) Owns(key string) bool {
