--- a/hemlockd/internal/keeper/keeper.go
+++ b/hemlockd/internal/keeper/keeper.go
@@ -91,6 +91,8 @@
 	// TryingPart is true if the call tries a part of a prompt again that crashed engines: it is not
 	// refused because of its parts, and not repeated.
 	TryingPart bool `json:"tryingPart,omitempty"`
+	// LeftMs is the time that the daemon that received the request has left for it, since it shuts down; 0: no limit.
+	LeftMs clock.Millis `json:"leftMs,omitempty"`
 
 	// The daemon that a call is handed to derives the following fields again.
 
@@ -154,7 +156,7 @@
 
 // New starts a keeper and returns the function that stops it and waits for its goroutines.
 func New(env process.Environment, cfg *configuration.Configuration, client *engines.Client, peers Peers, leaving LeavingChecker, sus *suspects.Suspects, parts *prompts.Evidence) (*Keeper, func()) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(env.Shutdown.Ended())
 	k := &Keeper{
 		env: env, configuration: cfg, client: client, peers: peers, leaving: leaving, suspects: sus, parts: parts,
 		budget: retries.NewBudget(settings.DefaultSystem().Policy.RetryRatio),
