Requests to slow callers end before the exit, with a line and a verdict

What callers saw: nothing else than before; a caller that does not read loses the rest of its answer at the exit.

Cause: the drain looked for open requests while their handlers still waited in a write to such a caller; closing the port ended them later, beside the last store of verdicts. Their lines said callerGone, and each had a second line as overtaken.

Change: at the end of the wait the port ends these writes by a deadline, then requests have 0.1 s to record their end, and only then those that are left are logged. A context that ended because of that no longer counts as a caller that has gone.

--- a/hemlockd/internal/app/drain.go
+++ b/hemlockd/internal/app/drain.go
@@ -85,6 +85,15 @@
 // startStop makes connections linger when they are closed, see [conn.Close].
 func (p *port) startStop() { p.stopping.Store(true) }
 
+// endWrites ends writes to callers that don't read, so that the requests that wait for them end.
+func (p *port) endWrites() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.SetWriteDeadline(time.Now()) // fails only if the connection is closed
+	}
+}
+
 func (p *port) openConns() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -46,6 +46,10 @@
 	shutdownReserve = 700 * clock.Millisecond
 	// lastAnswersTime is the time for answering the requests that are ended then.
 	lastAnswersTime = 200 * clock.Millisecond
+	// concludeTime is the time for requests that are still in flight then to record their end.
+	concludeTime = 100 * clock.Millisecond
+	// concludePollInterval is the interval at which the daemon looks whether they have.
+	concludePollInterval = 2 * clock.Millisecond
 	// entryLifetimeBeats is the number of heartbeats that the store must miss before it
 	// loses the entry of an upstream that is running: it takes three to lose an entry, and
 	// the first may have been due just as the outage began.
@@ -359,6 +363,16 @@
 	}
 	if err := d.callers.drain(ctx); err != nil {
 		d.log.Warn("drain ended with requests in flight", zap.Int("open", d.dispatcher.OpenRequests()), zap.Error(err))
+		d.callers.endWrites()
+		d.awaitConclusions()
 	}
 	d.dispatcher.LogOpenRequests()
 }
+
+// awaitConclusions waits until no request is in flight, for concludeTime at most.
+func (d *platformDaemon) awaitConclusions() {
+	ctx, cancel := context.WithTimeout(context.Background(), concludeTime.Duration())
+	defer cancel()
+	for d.dispatcher.OpenRequests() > 0 && clock.Sleep(ctx, concludePollInterval) {
+	}
+}
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -198,8 +198,9 @@
 	return err == nil
 }
 
-// callerGone reports whether the caller has stopped waiting for the answer.
-func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
+// callerGone reports whether the caller has stopped waiting for the answer. When the daemon exits, it ends the writes to
+// callers that don't read: their contexts are done then, too.
+func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil && !x.cutByShutdown() }
 
 // respondError answers the caller with a problem document, unless the caller is gone.
 // A status of 429 or 503 tells the caller that the request was not run; if that is
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -184,6 +184,9 @@
 	x.outcome = calls.Ran
 	x.writeHeader(answer.reply)
 	if _, err := x.w.Write(answer.body); err != nil {
+		if x.cutByShutdown() {
+			x.abort(reasonStreamCut)
+		}
 		x.reason = reasonCallerGone
 		return
 	}
