--- a/hemlockd/e2e/usersplatform_exit_test.go
+++ b/hemlockd/e2e/usersplatform_exit_test.go
@@ -213,3 +213,32 @@
 		})
 	}
 }
+
+// Guards against verdicts that wait for the exit of a stopping daemon, and are lost if the store takes nothing then.
+func TestPlatformVerdictsAreStoredEarlyInAStop(t *testing.T) {
+	const grace = 4
+	p := deployUsersPlatform(t, 1)
+	d := p.daemons[0]
+	p.setGrace(d, grace)
+	p.signal(d, syscall.SIGHUP)
+	if a := p.send(d, "early", "/order/x", "an order", nil); a.status != http.StatusOK {
+		t.Fatalf("status %d", a.status)
+	}
+	long := paddedStream{stopStream{hintEvents: 70, limitEvents: 70, events: 70, interval: 100 * time.Millisecond}, 10}
+	mustWrite(t, p.dialSmall(d), long.text("cut", "once"))
+	p.eventually(5*time.Second, "the stream runs", func() bool { return p.runCount("cut") > 0 })
+	began := time.Now()
+	p.signal(d, syscall.SIGTERM)
+	time.Sleep(500 * time.Millisecond)
+	if a := p.send(d, "during", "/order/x", "an order", nil); a.status != http.StatusOK {
+		t.Errorf("status %d", a.status)
+	}
+	time.Sleep(2 * time.Second)
+	p.injectStoreFault("silent", d)
+	p.exitsBefore(d, began, grace*time.Second)
+	for _, id := range []string{"early", "during"} {
+		if out, err := p.storedVerdict(id); err != nil || !strings.Contains(out, `"outcome": "run"`) {
+			t.Errorf("verdict on %s: %v, %s", id, err, out)
+		}
+	}
+}
