A stream that its caller takes up with Last-Event-Id alone goes on where its version is certain

What callers saw: the rest of a resumable stream was refused by every other daemon (503 streamVersionUnknown) after a stop or a crash of theirs, unless they named the attempt that began it.

Cause: the version that began a stream was looked up by that attempt only.

Change: without the attempt, the version is the service's base, if (1) this daemon has seen no other one listed for as long as a stream lives, or since it started, and has begun no stream of another one, (2) the store has that base in its present era, and (3) the store has no record of a stream of another version, but for those that this daemon has known for longer than a stream lives. All records are read for that, once for all lookups that wait meanwhile. Otherwise, and if the store fails, refusal stays.

Why it works: a stream of another version has a record before its first event reaches the caller, whichever daemon began it and whether its engines are still listed, so (3) finds it. The risk left is the one that lookups by the attempt have: a record that took longer than 0.25 s and never came to be written.

--- a/hemlockd/internal/streamversions/streamversions.go
+++ b/hemlockd/internal/streamversions/streamversions.go
@@ -6,7 +6,8 @@
 // another version began, written before its first event reaches the caller. So a stream without a
 // record was begun by the base version. The base moves to another version once that has been the only
 // one listed for longer than any stream lives. While this daemon is not sure of the base it records
-// every stream. Where the store cannot tell, the answer is "unknown", never a guess.
+// every stream. Where the store cannot tell, the answer is "unknown", never a guess. If a caller does not say
+// which attempt began its stream, the version is known only where no stream of another one can be alive.
 //
 // # Usage
 //
@@ -15,7 +16,7 @@
 //	v.Begin("models", attempt, "v2")        // when the call is sent to the engine
 //	err := v.Recorded(ctx, attempt)         // before the first event is forwarded
 //	v.End(attempt)                          // the caller has the whole stream
-//	version, err := v.Lookup(ctx, "models", attempt)
+//	version, err := v.Lookup(ctx, "models", attempt) // attempt is empty if the caller does not say
 package streamversions
 
 import (
@@ -74,7 +75,7 @@
 
 // UnknownError reports that it cannot be told which version began a stream.
 type UnknownError struct {
-	// Attempt is the ID of the attempt that began the stream.
+	// Attempt is the ID of the attempt that began the stream; empty if the caller does not say.
 	Attempt string
 	// Err is the failure of the store, or nil if the store does not know either.
 	Err error
@@ -104,6 +105,8 @@
 	writer *writer
 	ctx    context.Context
 
+	scans scans
+
 	mu       sync.Mutex
 	services map[string]*service
 	streams  map[string]*stream
@@ -216,7 +219,8 @@
 	}
 }
 
-// Lookup returns the version that began a stream. It fails with an *UnknownError.
+// Lookup returns the version that began a stream; attempt is empty if the caller does not say which. It fails with an
+// *UnknownError.
 func (v *Versions) Lookup(ctx context.Context, name, attempt string) (string, error) {
 	v.mu.Lock()
 	st := v.streams[attempt]
@@ -224,11 +228,14 @@
 	if st != nil {
 		return st.software, nil
 	}
+	metrics.Add("lookups", 1)
+	var software string
+	var err error
 	if attempt == "" {
-		return "", &UnknownError{}
+		software, err = v.lookupAny(ctx, name)
+	} else {
+		software, err = v.lookupStored(ctx, name, attempt)
 	}
-	metrics.Add("lookups", 1)
-	software, err := v.lookupStored(ctx, name, attempt)
 	if err != nil {
 		metrics.Add("unknown", 1)
 		return "", &UnknownError{Attempt: attempt, Err: err}
--- a/hemlockd/internal/streamversions/streamversions_test.go
+++ b/hemlockd/internal/streamversions/streamversions_test.go
@@ -88,7 +88,10 @@
 func (f *fakeStore) Read(context.Context, directory.Topic) (directory.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var page directory.Page
+	if f.down {
+		return directory.Page{}, errDown
+	}
+	page := directory.Page{Revision: directory.Revision{Era: f.era, Version: f.version}}
 	for k, e := range f.entries {
 		if k == key(directory.Streams, e.Key) {
 			page.Entries = append(page.Entries, e)
@@ -374,8 +377,10 @@
 			if f.time.Clock().Now()-beganMs[attempt] > testLifetime {
 				continue
 			}
-			if got, err := f.lookup(daemon, attempt); err == nil && got != want {
-				return fmt.Sprintf("%s at daemon %d: %q, want %q", attempt, daemon, got, want)
+			for _, named := range []string{attempt, ""} { // the caller may not say which attempt began its stream
+				if got, err := f.lookup(daemon, named); err == nil && got != want {
+					return fmt.Sprintf("%s, named %q at daemon %d: %q, want %q", attempt, named, daemon, got, want)
+				}
 			}
 		}
 	}
