--- a/hemlockd/e2e/usersplatform_deployment_test.go
+++ b/hemlockd/e2e/usersplatform_deployment_test.go
@@ -67,6 +67,7 @@
 	Parts                                       []string // IDs of the parts of the prompt
 	Crashed                                     bool     // the server crashed while it ran the request
 	AtMs                                        int64
+	EndMs                                       int64 // 0: the server still works on the request
 }
 
 // testHost is the host name of all routes of the test deployments.
--- a/standin/internal/usersplatform/server.go
+++ b/standin/internal/usersplatform/server.go
@@ -87,6 +87,8 @@
 	Crashed bool `json:"crashed,omitempty"`
 	// AtMs is the time of arrival in Unix milliseconds.
 	AtMs int64 `json:"atMs"`
+	// EndMs is the time at which the server stopped to work on the request, in Unix milliseconds; 0: it still works.
+	EndMs int64 `json:"endMs,omitempty"`
 }
 
 // Server is one server of the platform, on a loopback port of its own.
@@ -368,7 +370,7 @@
 	case arrival.Phase == "decode":
 		s.stream(w, r, fault)
 	default:
-		s.servePlain(w, body, fault)
+		s.servePlain(w, r, body, fault)
 	}
 }
 
@@ -380,6 +382,9 @@
 }
 
 func (s *Server) end(a *Arrival) {
+	s.platform.mu.Lock()
+	a.EndMs = time.Now().UnixMilli()
+	s.platform.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.activeRequests--
--- a/standin/internal/usersplatform/streams.go
+++ b/standin/internal/usersplatform/streams.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,13 +19,17 @@
 	return ok
 }
 
-func (s *Server) servePlain(w http.ResponseWriter, body []byte, fault ServerFault) {
-	time.Sleep(plainCallDuration)
+// servePlain answers a plain call after plainCallDuration, or after the time that its caller tells the stand-in.
+func (s *Server) servePlain(w http.ResponseWriter, r *http.Request, body []byte, fault ServerFault) {
+	time.Sleep(headerInterval(r.Header, plainCallDuration))
 	if fault.DropResponses {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Server-Seal", "seal-"+s.spec.ID)
 	_, _ = fmt.Fprintf(w, "answer of %d bytes asked", len(body))
+	if n, err := strconv.Atoi(r.Header.Get(bytesHeader)); err == nil {
+		_, _ = io.WriteString(w, strings.Repeat(".", n))
+	}
 }
 
 func (s *Server) prefill(w http.ResponseWriter) {
@@ -77,25 +82,31 @@
 	return fmt.Sprintf("piece %d", number)
 }
 
-// Headers with which a caller tells the stand-in how long its stream is, whatever it told the daemon.
+// Headers with which a caller tells the stand-in how long its answer is, whatever it told the daemon.
 const (
 	eventsHeader   = "X-Standin-Events"   // number of events
-	intervalHeader = "X-Standin-Interval" // time between two events in ms
+	intervalHeader = "X-Standin-Interval" // time between two events, or before the answer to a plain call, in ms
+	bytesHeader    = "X-Standin-Bytes"    // number of bytes added to the answer to a plain call
 )
 
+// headerInterval returns the time that intervalHeader names, or the default.
+func headerInterval(h http.Header, byDefault time.Duration) time.Duration {
+	if ms, err := strconv.Atoi(h.Get(intervalHeader)); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return byDefault
+}
+
 // streamShape returns how many events a stream has and the time between them: one event for each
 // tokensPerEvent output tokens that X-Token-Count requests, unless the caller tells otherwise.
 func streamShape(h http.Header) (number int, interval time.Duration) {
 	_, out, _ := strings.Cut(h.Get("X-Token-Count"), ",")
 	tokens, _ := strconv.Atoi(out)
-	number, interval = tokens/tokensPerEvent, eventInterval
+	number = tokens / tokensPerEvent
 	if n, err := strconv.Atoi(h.Get(eventsHeader)); err == nil {
 		number = min(number, n)
 	}
-	if ms, err := strconv.Atoi(h.Get(intervalHeader)); err == nil {
-		interval = time.Duration(ms) * time.Millisecond
-	}
-	return number, interval
+	return number, headerInterval(h, eventInterval)
 }
 
 // stream sends the events of a stream, starting after Last-Event-Id.
