Test of crashing parts waits until a restarted server is listed

Cause: a server starts before its entry is written, and the test looked for the entry as soon as the server ran. It failed once beside 17 busy processes: "old entry listed: false, new: false". Change: waitFor waits for the entry as well, within the same 5 s. The check of the test stays: it fails if the entry does not come.

--- a/standin/internal/usersplatform/crashparts_test.go
+++ b/standin/internal/usersplatform/crashparts_test.go
@@ -106,11 +106,11 @@
 func (p *testPlatform) waitFor(id string) *Server {
 	p.t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if s := p.server(id); s != nil {
+		if s := p.server(id); s != nil && p.listed(id) { // a server starts before its entry is written
 			return s
 		}
 	}
-	p.t.Fatalf("server %s did not start", id)
+	p.t.Fatalf("server %s did not start, or is not listed", id)
 	return nil
 }
 
