TestUnknownRouteAndShutdown: a plain call that does not fit is refused

The test asked for status 200 of a call that may take 1.5 s, 100 ms before the exit. Since such a call is refused when another daemon serves, so that its answer isn't lost. The test now asks for the refusal without a run there, and for status 200 and the closed connection while 3 s are left: both checks stay, and one is added.

--- a/hemlockd/internal/dispatch/dispatch_test.go
+++ b/hemlockd/internal/dispatch/dispatch_test.go
@@ -144,6 +144,10 @@
 	if answer, _ := s.ask("s", "/once/x"); answer.Code != http.StatusServiceUnavailable || s.upstreams.runs["s"] != 0 {
 		t.Errorf("stream that would not finish before the shutdown: status %d, %d runs", answer.Code, s.upstreams.runs["s"])
 	}
+	if answer, _ := s.ask("l", "/lookup/x"); answer.Code != http.StatusServiceUnavailable || answer.Header().Get("Connection") != "close" || s.upstreams.runs["l"] != 0 {
+		t.Errorf("call that may not be answered before the shutdown: status %d, Connection %q, %d runs", answer.Code, answer.Header().Get("Connection"), s.upstreams.runs["l"])
+	}
+	s.dispatcher.Drain(s.dispatcher.opts.Clock.Now() + 3000)
 	answer, _ := s.ask("b", "/lookup/x")
 	if answer.Code != http.StatusOK || answer.Header().Get("Connection") != "close" {
 		t.Errorf("status %d, Connection %q while draining", answer.Code, answer.Header().Get("Connection"))
