--- a/hemlockd/e2e/usersplatform_enginestop_duties_test.go
+++ b/hemlockd/e2e/usersplatform_enginestop_duties_test.go
@@ -17,7 +17,6 @@
 func TestPlatformStoppingDaemonLeavesRoleOrdersToOthers(t *testing.T) {
 	for _, daemons := range []int{1, 2} {
 		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
-			t.Parallel()
 			leaveRoleOrders(t, daemons)
 		})
 	}
