SIGHUP stays caught until the process is gone

What callers saw: nothing directly; the last lines and verdicts of a stopping daemon were lost.

Cause: the end of the settings watch, first among the parts that close, released the signal, whose default ends the process.

Change: the end of the watch leaves the signal caught; nobody acts on it then.

--- a/hemlockd/internal/app/settingswatch.go
+++ b/hemlockd/internal/app/settingswatch.go
@@ -36,7 +36,7 @@
 }
 
 // watchSettings starts to watch the settings file and returns the function that
-// stops the watch.
+// stops the watch. The signals stay caught: an uncaught one would end the process while it shuts down.
 func watchSettings(log *zap.Logger, path string, signals chan os.Signal, apply func(platform.Settings)) func() {
 	w := &settingsWatch{log: log, path: path, signals: signals, apply: apply}
 	if info, err := os.Stat(path); err == nil {
@@ -44,10 +44,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.run(ctx)
-	return func() {
-		signal.Stop(w.signals)
-		cancel()
-	}
+	return cancel
 }
 
 func (w *settingsWatch) run(ctx context.Context) {
