Changes of the settings file during the start, or read half written, come into force

What callers saw: with a GraceS that was changed so and never came into force, streams cut at the old time.

Cause: the watch took the file's modification time when it began, after the settings had been read; and it compared the time alone, which is as coarse as the tick of the file system's clock.

Change: the first check reads the file in any case and applies it only if it differs from what is in force; the size is compared, too. A file that is only touched is no longer applied again; SIGHUP applies it in any case.

--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -117,7 +117,7 @@
 	if err := d.wire(); err != nil {
 		return err
 	}
-	d.onClose(watchSettings(log, o.SettingsPath, o.ReloadSignals, d.reload))
+	d.onClose(watchSettings(log, o.SettingsPath, o.ReloadSignals, settings, d.reload))
 	log.Info("daemon is serving", zap.String("callers", settings.Callers), zap.String("dataCentre", settings.DataCentre),
 		zap.String("daemons", settings.Daemons))
 	var err error
--- a/hemlockd/internal/app/settingswatch.go
+++ b/hemlockd/internal/app/settingswatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -17,12 +18,20 @@
 // checked: the file may change without a signal.
 const settingsInterval = clock.Second
 
+// Causes of a reload.
+const (
+	causeSignal = "signal"
+	causeFile   = "file"
+)
+
 // settingsWatch reloads the settings file after a signal or a change of the file.
 type settingsWatch struct {
 	log      *zap.Logger
 	path     string
 	signals  chan os.Signal
-	modified time.Time
+	inForce  platform.Settings
+	modified time.Time // modification time and size of the file as it was last read; zero: not yet
+	size     int64
 	// apply applies the settings that can change while the daemon runs.
 	apply func(platform.Settings)
 }
@@ -37,11 +46,10 @@
 
 // watchSettings starts to watch the settings file and returns the function that
 // stops the watch. The signals stay caught: an uncaught one would end the process while it shuts down.
-func watchSettings(log *zap.Logger, path string, signals chan os.Signal, apply func(platform.Settings)) func() {
-	w := &settingsWatch{log: log, path: path, signals: signals, apply: apply}
-	if info, err := os.Stat(path); err == nil {
-		w.modified = info.ModTime()
-	}
+//
+// The file is read at the first check in any case: it may have changed since the settings in force were read.
+func watchSettings(log *zap.Logger, path string, signals chan os.Signal, inForce platform.Settings, apply func(platform.Settings)) func() {
+	w := &settingsWatch{log: log, path: path, signals: signals, inForce: inForce, apply: apply}
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.run(ctx)
 	return cancel
@@ -55,11 +63,11 @@
 		case <-ctx.Done():
 			return
 		case <-w.signals:
-			w.reload("signal")
+			w.reload(causeSignal)
 		case <-ticker.C:
-			if info, err := os.Stat(w.path); err == nil && !info.ModTime().Equal(w.modified) {
-				w.modified = info.ModTime()
-				w.reload("file")
+			if info, err := os.Stat(w.path); err == nil && (!info.ModTime().Equal(w.modified) || info.Size() != w.size) {
+				w.modified, w.size = info.ModTime(), info.Size()
+				w.reload(causeFile)
 			}
 		}
 	}
@@ -73,6 +81,10 @@
 		w.log.Error("settings are wrong; the old ones stay in force", zap.String("cause", cause), zap.Error(err))
 		return
 	}
+	if cause == causeFile && reflect.DeepEqual(settings, w.inForce) {
+		return
+	}
+	w.inForce = settings
 	w.apply(settings)
 	w.log.Info("settings are read again", zap.String("cause", cause))
 }
--- a/hemlockd/internal/app/settingswatch_test.go
+++ b/hemlockd/internal/app/settingswatch_test.go
@@ -26,7 +26,7 @@
 func watchedGrace(t *testing.T, path string, started platform.Settings) <-chan clock.Millis {
 	t.Helper()
 	applied := make(chan clock.Millis, 9)
-	t.Cleanup(watchSettings(zap.NewNop(), path, make(chan os.Signal), func(s platform.Settings) { applied <- s.ShutdownGraceMs }))
+	t.Cleanup(watchSettings(zap.NewNop(), path, make(chan os.Signal), started, func(s platform.Settings) { applied <- s.ShutdownGraceMs }))
 	return applied
 }
 
