A grace period raised after the end of requests is ignored, one lowered too far leaves time for answers

Cause, found by reading the new code: raised in the 0.25 s after requests in flight have been ended, the grace period kept the daemon running, and it took requests that it ended at once. Lowered below the time that has passed, it ended the wait for their answers at once.

Change: Dispatcher.Drain tells whether requests have been ended; then the grace period stays. The last answers have their time in any case.

--- a/hemlockd/e2e/usersplatform_exitsignals_test.go
+++ b/hemlockd/e2e/usersplatform_exitsignals_test.go
@@ -156,3 +156,51 @@
 		t.Errorf("%d of %d callers have sent a request that was not answered", sum.unanswered, len(callers))
 	}
 }
+
+// Guards against the answers that a daemon gives at its exit being lost beside more bytes of their callers: another request,
+// or a part of one, sent shortly before the exit and while the answer is written.
+func TestPlatformLastAnswersAreWholeBesideUnreadBytes(t *testing.T) {
+	const grace = 4
+	p := deployUsersPlatform(t, 1)
+	d := p.daemons[0]
+	p.setGrace(d, grace)
+	p.signal(d, syscall.SIGHUP)
+	for _, id := range []string{"i-desk1", "i-desk2"} {
+		p.injectServerFault(id, map[string]any{"mute": true})
+	}
+	text := func(id string) string {
+		return "POST /order/x HTTP/1.1\r\nHost: " + testHost + "\r\nX-Attempt-Id: " + id + "\r\nX-Deadline-Ms: 7000\r\nContent-Length: 8\r\n\r\nan order"
+	}
+	var all sync.WaitGroup
+	signalled := make(chan struct{})
+	for i := range 40 {
+		c := p.dialSmall(d)
+		all.Go(func() {
+			id := fmt.Sprint("mute", i)
+			mustWrite(t, c, text(id))
+			<-signalled
+			go func() { // until the connection is closed
+				for n := 0; ; n++ {
+					time.Sleep(time.Duration(5+i) * time.Millisecond)
+					if _, err := io.WriteString(c, text(fmt.Sprint(id, "-", n))[:10+i]); err != nil || i < 10 {
+						return
+					}
+				}
+			}()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Errorf("%s: no answer: %v", id, err)
+				return
+			}
+			if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode < http.StatusInternalServerError {
+				t.Errorf("%s: status %d, %v", id, resp.StatusCode, err)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	p.signal(d, syscall.SIGTERM)
+	close(signalled)
+	all.Wait()
+	p.exitsBefore(d, began, grace*time.Second)
+}
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -112,7 +112,7 @@
 func RunOnPlatform(ctx, hard context.Context, o PlatformOptions, log *zap.Logger) error {
 	settings := o.Settings
 	d := &platformDaemon{log: log, settings: settings, metricsPort: o.MetricsPort, controlBytes: o.ControlBytesPerSecond, clk: clock.System(), failed: make(chan error, 2), registerAgain: make(chan struct{}, 1), stopping: make(chan struct{})}
-	d.stop = &stopTimes{graceMs: settings.ShutdownGraceMs, exit: func(left clock.Millis) { d.dispatcher.Drain(d.clk.Now() + left) }}
+	d.stop = &stopTimes{graceMs: settings.ShutdownGraceMs, exit: func(left clock.Millis) bool { return d.dispatcher.Drain(d.clk.Now() + left) }}
 	defer d.close()
 	if err := d.wire(); err != nil {
 		return err
--- a/hemlockd/internal/app/stoptimes.go
+++ b/hemlockd/internal/app/stoptimes.go
@@ -12,7 +12,8 @@
 // may change at any time.
 type stopTimes struct {
 	// exit is called with the time left until requests in flight end, when the shutdown begins and when that time changes.
-	exit func(left clock.Millis)
+	// It returns false if they have been ended.
+	exit func(left clock.Millis) bool
 
 	mu      sync.Mutex
 	graceMs clock.Millis
@@ -27,9 +28,10 @@
 	if graceMs == s.graceMs {
 		return
 	}
+	before := s.graceMs
 	s.graceMs = graceMs
-	if !s.began.IsZero() {
-		s.applyLocked()
+	if !s.began.IsZero() && !s.applyLocked() {
+		s.graceMs = before
 	}
 }
 
@@ -44,11 +46,14 @@
 	return ctx, cancel
 }
 
-// applyLocked sets the times that follow from the grace period.
-func (s *stopTimes) applyLocked() {
-	left := s.spanLocked() - clock.Millis(time.Since(s.began).Milliseconds())
-	s.exit(left)
+// applyLocked sets the times that follow from the grace period. It returns false if it is too late for that.
+func (s *stopTimes) applyLocked() bool {
+	left := max(0, s.spanLocked()-clock.Millis(time.Since(s.began).Milliseconds()))
+	if !s.exit(left) {
+		return false
+	}
 	s.timer.Reset((left + lastAnswersTime).Duration())
+	return true
 }
 
 // spanLocked returns the time from the signal until requests in flight end.
--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -28,18 +28,22 @@
 // Drain prepares for the daemon's exit at the time until: answers close the callers'
 // connections, so that callers reconnect to other daemons, and streams that may take
 // longer are refused.
-// Requests in flight are ended exitMargin before that time. It may be called again with another time.
-func (d *Dispatcher) Drain(until clock.Millis) {
+// Requests in flight are ended exitMargin before that time. It may be called again with another time, and returns
+// false if they have been ended already.
+func (d *Dispatcher) Drain(until clock.Millis) bool {
 	now := d.opts.Clock.Now()
 	s := &shutdown{beganMs: now, exitMs: until}
 	d.drainMu.Lock()
 	defer d.drainMu.Unlock()
 	if before := d.shutdown.Load(); before != nil {
 		s.beganMs = before.beganMs
-		d.exitTimer.Stop()
+		if !d.exitTimer.Stop() {
+			return false
+		}
 	}
 	d.shutdown.Store(s)
 	d.exitTimer = time.AfterFunc((until - exitMargin - now).Duration(), d.exit)
+	return true
 }
 
 // draining reports whether the daemon is shutting down, and when it will exit.
--- a/hemlockd/internal/dispatch/shutdown_test.go
+++ b/hemlockd/internal/dispatch/shutdown_test.go
@@ -146,3 +146,29 @@
 		t.Errorf("status %d, cut %v, answer %q", answer.Code, cut, answer.Body.String())
 	}
 }
+
+// TestExitMayBePutOffAndBroughtForward guards against streams that end at the time of the exit that was set first: they must
+// end at the time that was set last, and not again once they have been ended.
+func TestExitMayBePutOffAndBroughtForward(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, then clock.Millis
+		whole       bool
+	}{"put off": {200, 5000, true}, "brought forward": {5000, 200, false}} {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(noFaults)
+			s.slowEngines(100 * time.Millisecond)
+			time.AfterFunc(100*time.Millisecond, func() {
+				s.drainFor(c.first)
+				if !s.dispatcher.Drain(s.dispatcher.opts.Clock.Now() + c.then) {
+					t.Error("the exit can't be moved")
+				}
+			})
+			if _, cut := s.ask("r", "/once/x"); cut == c.whole {
+				t.Errorf("cut off: %v", cut)
+			}
+			if !c.whole && s.dispatcher.Drain(s.dispatcher.opts.Clock.Now()+c.first) {
+				t.Error("the exit is put off after it has ended the requests")
+			}
+		})
+	}
+}
