A stopping daemon does not wait for callers that have their answer and go on sending

Cause, found by reading the new code: a closed connection lingered for as long as its caller sent.

Evidence: TestDrainEndsConnectionsOfCallersThatKeepSending, not drained within 3 s before.

Change: half a second after the caller has acknowledged all of its answer, the connection is closed in any case.

Result: the test passes.

--- a/hemlockd/internal/app/linger.go
+++ b/hemlockd/internal/app/linger.go
@@ -17,14 +17,16 @@
 	// lingerChecks is the number of such intervals without bytes from a caller that has all of its answer, after
 	// which a connection is closed.
 	lingerChecks = 2
+	// lingerTime bounds the time for which a caller that has all of its answer may go on sending.
+	lingerTime = 500 * clock.Millisecond
 	// lingerBufferBytes is the size of the buffer for the bytes that are discarded.
-	lingerBufferBytes = 1 << 10
+	lingerBufferBytes = 4 << 10
 )
 
 // Close implements [net.Conn]. While the port is stopping, answers tell callers that their connections are closed, and
 // callers may have sent more by then. The kernel resets a connection that is closed with unread bytes, and drops what it
 // has not delivered yet. So the sending side is closed first, and what comes is discarded until the caller closes its side
-// or has received all.
+// or has received all and is silent.
 func (c *conn) Close() error {
 	if !c.p.stopping.Load() {
 		return c.Conn.Close()
@@ -72,16 +74,25 @@
 func (c *conn) linger() {
 	defer func() { _ = c.endLinger() }()
 	discarded := make([]byte, lingerBufferBytes)
+	var received time.Time // when the caller was first seen to have all of its answer
 	for checks := 0; checks < lingerChecks; {
-		if c.Conn.SetReadDeadline(time.Now().Add(lingerInterval.Duration())) != nil {
+		now := time.Now()
+		if c.Conn.SetReadDeadline(now.Add(lingerInterval.Duration())) != nil {
 			return
 		}
-		switch _, err := c.Conn.Read(discarded); {
-		case err == nil:
-			checks = 0
-		case !errors.Is(err, os.ErrDeadlineExceeded):
+		_, err := c.Conn.Read(discarded)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return
-		case c.allReceived():
+		}
+		switch {
+		case !c.allReceived():
+			continue
+		case received.IsZero():
+			received = now
+		case now.Sub(received) > lingerTime.Duration():
+			return
+		}
+		if err != nil {
 			checks++
 		}
 	}
