--- a/hemlockd/e2e/usersplatform_exit_test.go
+++ b/hemlockd/e2e/usersplatform_exit_test.go
@@ -242,3 +242,42 @@
 		}
 	}
 }
+
+// Guards against requests that the exit ends and that no line names, because more end at once than lines a second are
+// written.
+func TestPlatformEachRequestThatTheExitEndsHasALine(t *testing.T) {
+	const grace, callers = 4, 300
+	p := deployUsersPlatform(t, 1)
+	d := p.daemons[0]
+	p.setGrace(d, grace)
+	p.signal(d, syscall.SIGHUP)
+	for _, id := range []string{"i-desk1", "i-desk2"} {
+		p.injectServerFault(id, map[string]any{"mute": true})
+	}
+	answers := make(chan platformResponse, callers)
+	for i := range callers {
+		go func() {
+			answers <- p.send(d, fmt.Sprint("mute", i), "/order/x", "an order", map[string]string{"X-Deadline-Ms": "7500"})
+		}()
+	}
+	time.Sleep(500 * time.Millisecond)
+	began := time.Now()
+	p.signal(d, syscall.SIGTERM)
+	answered := 0
+	for range callers {
+		if a := <-answers; a.err == nil && a.status >= http.StatusInternalServerError {
+			answered++
+		}
+	}
+	took := p.exitsBefore(d, began, grace*time.Second)
+	named := 0
+	for i := range callers {
+		if strings.Contains(d.log.String(), fmt.Sprintf(`"request":"mute%d"`, i)) {
+			named++
+		}
+	}
+	t.Logf("exit %v after SIGTERM", took)
+	if answered != callers || named != callers {
+		t.Errorf("%d of %d requests are answered, %d named", answered, callers, named)
+	}
+}
