--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -112,12 +112,12 @@
 func RunOnPlatform(ctx, hard context.Context, o PlatformOptions, log *zap.Logger) error {
 	settings := o.Settings
 	d := &platformDaemon{log: log, settings: settings, metricsPort: o.MetricsPort, controlBytes: o.ControlBytesPerSecond, clk: clock.System(), failed: make(chan error, 2), registerAgain: make(chan struct{}, 1), stopping: make(chan struct{})}
-	d.stop = &stopTimes{graceMs: settings.ShutdownGraceMs, exit: func(left clock.Millis) { d.dispatcher.Drain(d.clk.Now() + left) }}
+	d.stop = &stopTimes{graceMs: settings.ShutdownGraceMs, exit: func(left clock.Millis) bool { return d.dispatcher.Drain(d.clk.Now() + left) }}
 	defer d.close()
 	if err := d.wire(); err != nil {
 		return err
 	}
-	d.onClose(watchSettings(log, o.SettingsPath, o.ReloadSignals, d.reload))
+	d.onClose(watchSettings(log, o.SettingsPath, o.ReloadSignals, settings, d.reload))
 	log.Info("daemon is serving", zap.String("callers", settings.Callers), zap.String("dataCentre", settings.DataCentre),
 		zap.String("daemons", settings.Daemons))
 	var err error
--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -39,20 +39,23 @@
 // connections, so that callers reconnect to other daemons, and requests that may take
 // longer are refused.
 // Requests in flight are ended exitMargin before that time, and those whose body is still being sent
-// uploadMargin before it. It may be called again with another time.
-func (d *Dispatcher) Drain(until clock.Millis) {
+// uploadMargin before it. It may be called again with another time, and returns false if they have been ended already.
+func (d *Dispatcher) Drain(until clock.Millis) bool {
 	now := d.opts.Clock.Now()
 	s := &shutdown{beganMs: now, exitMs: until}
 	d.drainMu.Lock()
 	defer d.drainMu.Unlock()
 	if before := d.shutdown.Load(); before != nil {
 		s.beganMs = before.beganMs
-		d.exitTimer.Stop()
+		if !d.exitTimer.Stop() {
+			return false
+		}
 		d.uploadsTimer.Stop()
 	}
 	d.shutdown.Store(s)
 	d.exitTimer = time.AfterFunc((until - exitMargin - now).Duration(), d.exit)
 	d.uploadsTimer = time.AfterFunc((until - uploadMargin - now).Duration(), d.endUploads)
+	return true
 }
 
 // draining reports whether the daemon is shutting down, and when it will exit.
