A stopping daemon goes by the pace that it has observed, whoever is the keeper now

What callers saw: a stream that the engines are too slow for, by what the daemon itself had seen, was accepted during its stop and cut off.

Cause: the callers' port asked by the settings alone, and the keeper that had observed the engines was, since it left, no longer asked.

Change: the callers' port asks the group of its own keeper, if there is one, and only while the daemon shuts down.

Why it works: the observations of a group stay when another daemon becomes its keeper.

--- a/common/admission/longest.go
+++ b/common/admission/longest.go
@@ -14,16 +14,9 @@
 	paceWeight = 0.3
 )
 
-// LongestMs returns how long a request may take from its placement until all its output tokens have been generated, on
-// engines that are as fast as the settings say and serve as many requests as they may.
-func LongestMs(model settings.Model, policy settings.Policy, promptTokens, outputTokens int) clock.Millis {
-	g := &Group{options: DefaultOptions(), model: model, policy: policy}
-	return g.LongestMs(promptTokens, outputTokens, 0)
-}
-
 // LongestMs returns how long a request may take from its placement at the time now until all its output tokens have been
-// generated: behind the shortest backlog of a prefill engine, and on the slowest decode engine, by its settings or as
-// observed.
+// generated: behind the shortest backlog of a prefill engine, and on the slowest decode engine with a full batch, by the
+// settings or as observed.
 func (g *Group) LongestMs(promptTokens, outputTokens int, now clock.Millis) clock.Millis {
 	pace, backlog := g.stepMs(g.MaxBatch()), math.Inf(1)
 	for _, e := range g.engines {
--- a/common/admission/longest_test.go
+++ b/common/admission/longest_test.go
@@ -16,9 +16,6 @@
 	g := NewGroup(DefaultOptions(), model, policy, rand.New(rand.NewPCG(1, 2)))
 	g.SetEngines([]Engine{{Name: "p", Kind: settings.KindPrefill, Up: true}, {Name: "d", Kind: settings.KindDecode, Up: true}})
 	bySettings := clock.Millis(paceAllowance * (20 + 100*14))
-	if got := LongestMs(model, policy, 0, 100); got != bySettings {
-		t.Errorf("by the settings: %d ms, want %d", got, bySettings)
-	}
 	if got := g.LongestMs(0, 100, 0); got != bySettings {
 		t.Errorf("unobserved: %d ms, want %d", got, bySettings)
 	}
--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -9,7 +9,6 @@
 	"slices"
 	"time"
 
-	"hemlockmux.example/common/admission"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/completions"
 	"hemlockmux.example/common/prefix"
@@ -51,8 +50,7 @@
 	if p := e.c.Keeper.CheckParts(&call, true); p != nil {
 		return p
 	}
-	needed := admission.LongestMs(e.tree.System.Models[call.Model], e.tree.System.Policy, call.PromptTokens, call.OutputTokens)
-	if p := e.shutdownRefusal(needed); p != nil {
+	if p := e.shutdownRefusal(func() clock.Millis { return e.c.Keeper.Longest(e.tree, call) }); p != nil {
 		return p
 	}
 	release, p := e.admit()
--- a/hemlockd/internal/callers/services.go
+++ b/hemlockd/internal/callers/services.go
@@ -35,7 +35,10 @@
 	if p != nil {
 		return p
 	}
-	if p := e.shutdownRefusal(services.Longest(e.c.env.Config, e.tree.System.Services[call.Service], call)); p != nil {
+	longest := func() clock.Millis {
+		return services.Longest(e.c.env.Config, e.tree.System.Services[call.Service], call)
+	}
+	if p := e.shutdownRefusal(longest); p != nil {
 		return p
 	}
 	release, p := e.admit()
--- a/hemlockd/internal/callers/shutdown.go
+++ b/hemlockd/internal/callers/shutdown.go
@@ -11,8 +11,12 @@
 
 // shutdownRefusal returns the refusal of a request that may take longer than the daemon has left because it shuts down, or
 // nil.
-func (e *exchange) shutdownRefusal(needed clock.Millis) *problem.Problem {
-	p := e.c.env.Shutdown.Refusal(needed+answerReserve, e.c.env.Clock.Now())
+func (e *exchange) shutdownRefusal(longest func() clock.Millis) *problem.Problem {
+	now := e.c.env.Clock.Now()
+	if _, begun := e.c.env.Shutdown.Left(now); !begun {
+		return nil
+	}
+	p := e.c.env.Shutdown.Refusal(longest()+answerReserve, now)
 	if p != nil {
 		metrics.Add("shutdownRefused", 1)
 	}
--- a/hemlockd/internal/keeper/shutdown.go
+++ b/hemlockd/internal/keeper/shutdown.go
@@ -4,6 +4,7 @@
 	"hemlockmux.example/common/admission"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/problem"
+	"hemlockmux.example/common/settings"
 	"hemlockmux.example/hemlockd/internal/process"
 )
 
@@ -18,6 +19,24 @@
 	r.neededByMs = r.keeper.env.Clock.Now() + left
 }
 
+// Longest returns how long a call may take once it has been placed, by the settings and by what has been observed of the
+// engines of its group here, whoever is their keeper now.
+func (k *Keeper) Longest(tree *settings.Tree, call Call) clock.Millis {
+	name := GroupName(tree, k.env.Config.DataCentre, call.Model, call.PrefixHashes)
+	k.mu.Lock()
+	g, ok := k.groups[name]
+	k.mu.Unlock()
+	if !ok {
+		g = &group{admission: admission.NewGroup(admission.DefaultOptions(), tree.System.Models[call.Model], tree.System.Policy, nil)}
+	}
+	return g.longest(call, k.env.Clock.Now())
+}
+
+func (g *group) longest(call Call, now clock.Millis) (needed clock.Millis) {
+	g.withLock(func(a *admission.Group) { needed = a.LongestMs(call.PromptTokens, call.OutputTokens, now) })
+	return needed
+}
+
 // shutdownRefusal returns the refusal of a run that may take longer than this daemon or the one that received the request
 // has left before it exits, or nil. What an engine may have begun is continued.
 func (r *Run) shutdownRefusal() *problem.Problem {
@@ -32,8 +51,7 @@
 	if !bounded || r.dispatched {
 		return nil
 	}
-	var needed clock.Millis
-	r.group.withLock(func(g *admission.Group) { needed = g.LongestMs(r.call.PromptTokens, r.call.OutputTokens, now) })
+	needed := r.group.longest(r.call, now)
 	if needed <= left {
 		return nil
 	}
