Red test: drainMs raised in the daemon's file has no effect on its stop

A stream of 4 s runs at a real daemon; drainMs is raised from 2 to 7 s in its file, SIGTERM follows.

--- a/hemlockd/e2e/own_stop_both_test.go
+++ b/hemlockd/e2e/own_stop_both_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -84,3 +85,40 @@
 		t.Errorf("exit code %d", code)
 	}
 }
+
+// Guards against a drainMs that was raised in the daemon's file before its stop, without effect: requests in flight are cut off
+// as if it had not been raised.
+func TestOwnDoorStopGoesByTheFilesDrainMs(t *testing.T) {
+	for name, test := range map[string]struct {
+		file  func(text string) string
+		whole bool
+	}{
+		"raised":        {func(text string) string { return replaceOnce(text, "drainMs = 2000", "drainMs = 7000") }, true},
+		"file is wrong": {func(text string) string { return replaceOnce(text, "drainMs = 2000", "drainMs = 7000\nnoSuchKey = 1") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const tokens = 400 // 4 s
+			d := deployOwnStop(t, 1)
+			m := d.daemons[0]
+			done := make(chan response, 1)
+			go func() { done <- m.stream("file", tokens) }()
+			d.eventually("the stream runs", 5*time.Second, func() bool { return m.metric("daemon", "keeperRuns") == 1 })
+			text, err := os.ReadFile(m.configPath)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(m.configPath, []byte(test.file(string(text))), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			m.signal(syscall.SIGTERM)
+			a := <-done
+			if defect := checkStream(a, tokens); (defect == "") != test.whole || a.err != nil {
+				t.Errorf("stream: %q, error %v; want whole %v", defect, a.err, test.whole)
+			}
+			d.eventually("the daemon has exited", 10*time.Second, m.exited)
+			if code := m.cmd.ProcessState.ExitCode(); code != 0 {
+				t.Errorf("exit code %d", code)
+			}
+		})
+	}
+}
