drainMs is read from the daemon's file again when it is told to stop

What callers saw: streams that were cut off although the operator had raised drainMs before the stop.

Cause: the daemon's file is read at the start only, and SIGHUP is ignored.

Evidence: TestOwnDoorStopGoesByTheFilesDrainMs, red.

Change: SIGTERM reads the file again for drainMs. If it has an error, that is logged and the value of the start stays. Nothing else of the file is applied.

Why it works: drainMs is used at the stop only.

--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	cfg, err := process.LoadConfig("hemlockd.toml")
-//	err = app.Run(ctx, hard, cfg, log)
+//	err = app.Run(ctx, hard, "hemlockd.toml", cfg, log)
 package app
 
 import (
@@ -71,8 +71,8 @@
 }
 
 // Run runs a daemon until ctx is done or a port fails, then shuts it down
-// gracefully. The end of hard ends the wait for requests in flight.
-func Run(ctx, hard context.Context, cfg process.Config, log *zap.Logger) error {
+// gracefully, within the DrainMs that the file at path has then. The end of hard ends the wait for requests in flight.
+func Run(ctx, hard context.Context, path string, cfg process.Config, log *zap.Logger) error {
 	env := process.Environment{Log: log, Clock: clock.System(), Config: cfg, Invariants: invariant.New(log), Shutdown: process.NewShutdown()}
 	env.Incarnation = env.Clock.Now()
 	d, closeDaemon, err := New(env)
@@ -85,7 +85,7 @@
 	case err = <-d.failed:
 		log.Error("port failed; shutting down", zap.Error(err))
 	}
-	d.drain(hard)
+	d.drain(hard, d.drainMs(path))
 	closeDaemon()
 	log.Info("daemon has stopped")
 	return err
@@ -268,12 +268,22 @@
 	return d.keeper.Active() > 0 || d.handOff.InFlight() > 0 || d.services.InFlight() > 0
 }
 
+// drainMs returns the DrainMs of the daemon's file as it is now, or of the one in use if it has an error.
+func (d *Daemon) drainMs(path string) clock.Millis {
+	cfg, err := process.LoadConfig(path)
+	if err != nil {
+		d.env.Log.Warn("the daemon's file can't be used; drainMs stays", zap.Error(err))
+		return d.env.Config.DrainMs
+	}
+	return cfg.DrainMs
+}
+
 // drain takes the daemon out of service and waits for the requests in flight, at
-// most the configured time or until hard is done. Those that are left then are ended with the reason.
-func (d *Daemon) drain(hard context.Context) {
+// most drainMs or until hard is done. Those that are left then are ended with the reason.
+func (d *Daemon) drain(hard context.Context, drainMs clock.Millis) {
 	d.env.Log.Info("draining", zap.Int("open", d.recorder.OpenCount()))
-	ending := min(endTime, d.env.Config.DrainMs/2)
-	d.env.Shutdown.Begin(d.env.Clock.Now() + notReadyTime + d.env.Config.DrainMs - ending)
+	ending := min(endTime, drainMs/2)
+	d.env.Shutdown.Begin(d.env.Clock.Now() + notReadyTime + drainMs - ending)
 	d.callers.Drain()
 	d.operators.Drain()
 	d.daemons.Leave()
@@ -281,7 +291,7 @@
 	case <-time.After(notReadyTime.Duration()):
 	case <-hard.Done():
 	}
-	ctx, cancel := context.WithTimeout(hard, (d.env.Config.DrainMs - ending).Duration())
+	ctx, cancel := context.WithTimeout(hard, (drainMs - ending).Duration())
 	defer cancel()
 	err := d.awaitRequests(ctx)
 	open := d.recorder.OpenCount()
--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -40,7 +40,7 @@
 			}
 			defer func() { _ = log.Sync() }()
 			soft, hard := stopContexts()
-			return Run(soft, hard, cfg, log)
+			return Run(soft, hard, c.String("config"), cfg, log)
 		},
 	}
 }
