Daemons learn the pace of engines from each other's runs

What callers saw: a daemon that has just started places streams at engines that are full with those of others, a stopping one among them. The engines preempt or refuse, and streams that were accepted are slowed down beyond the exit.

Cause: how far another daemon's run has come is estimated from the engine's pace, which was known only from own streams. Before the first one, 1 ms a token was assumed, or the mean of other engines; at a slower engine runs seemed nearly complete.

Change: two full states of a daemon, at least 0.25 s apart, give a sample of the pace at which its run goes on.

Why it works: the daemon that has the run counts its events, and its full states come every 0.5 s.

--- a/hemlockd/internal/capacity/view.go
+++ b/hemlockd/internal/capacity/view.go
@@ -41,6 +41,9 @@
 	// paceWeight is the weight of a new sample in the moving average of an engine's
 	// decode time per token.
 	paceWeight = 0.2
+	// minHeardSpan is the shortest time between two states of another daemon's run from which a pace follows: messages take
+	// differently long.
+	minHeardSpan = 250 * clock.Millisecond
 )
 
 // Engine describes a decode engine.
@@ -166,6 +169,29 @@
 	return all
 }
 
+// observePace records a sample of the decode time per token, in ms.
+func (e *engine) observePace(msPerToken float64, now clock.Millis) {
+	e.samples++
+	e.msPerToken += max(paceWeight, 1/float64(e.samples)) * (msPerToken - e.msPerToken)
+	if e.observed() {
+		e.slowest.observe(e.msPerToken, e.msPerToken, now)
+	}
+}
+
+// hearPaceLocked records the pace of an engine from what another daemon says of a run there, now and before. A daemon that has
+// served no stream knows of no other.
+func (v *View) hearPaceLocked(owner string, r Run, now clock.Millis) {
+	e := v.engines[r.Engine]
+	if e == nil {
+		return
+	}
+	before, ok := e.runs[owner][r.ID]
+	more := r.GeneratedTokens - before.GeneratedTokens
+	if ok && before.Decoding && more > 0 && r.GeneratedTokens < r.MaxTokens && now-before.observedMs >= minHeardSpan {
+		e.observePace(float64(now-before.observedMs)/float64(more), now)
+	}
+}
+
 // observed reports whether msPerToken is that of the engine itself, and not a few events' only.
 func (e *engine) observed() bool { return float64(e.samples)*paceWeight >= 1 }
 
@@ -218,12 +244,7 @@
 		return
 	}
 	if more := generated - r.GeneratedTokens; r.Decoding && more > 0 && now > r.observedMs {
-		pace := float64(now-r.observedMs) / float64(more)
-		e.samples++
-		e.msPerToken += max(paceWeight, 1/float64(e.samples)) * (pace - e.msPerToken)
-		if e.observed() {
-			e.slowest.observe(e.msPerToken, e.msPerToken, now)
-		}
+		e.observePace(float64(now-r.observedMs)/float64(more), now)
 	}
 	if !r.Decoding && v.prefillEngineCountLocked(e.Service, e.Software) == 0 {
 		e.slowestStart.observe(float64(now-r.observedMs), 0, now)
@@ -288,6 +309,9 @@
 func (v *View) Replace(owner string, runs []Run, now clock.Millis) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	for _, r := range runs {
+		v.hearPaceLocked(owner, r, now)
+	}
 	for _, e := range v.engines {
 		delete(e.runs, owner)
 	}
