--- a/hemlockd/e2e/usersplatform_exit_test.go
+++ b/hemlockd/e2e/usersplatform_exit_test.go
@@ -243,41 +243,66 @@
 	}
 }
 
-// Guards against requests that the exit ends and that no line names, because more end at once than lines a second are
-// written.
-func TestPlatformEachRequestThatTheExitEndsHasALine(t *testing.T) {
-	const grace, callers = 4, 300
-	p := deployUsersPlatform(t, 1)
-	d := p.daemons[0]
-	p.setGrace(d, grace)
-	p.signal(d, syscall.SIGHUP)
+// holdCalls has the plain service take any number of calls and answer none.
+func (p *usersPlatform) holdCalls(slots int) {
+	p.t.Helper()
 	for _, id := range []string{"i-desk1", "i-desk2"} {
-		p.injectServerFault(id, map[string]any{"mute": true})
-	}
-	answers := make(chan platformResponse, callers)
-	for i := range callers {
-		go func() {
-			answers <- p.send(d, fmt.Sprint("mute", i), "/order/x", "an order", map[string]string{"X-Deadline-Ms": "7500"})
-		}()
-	}
-	time.Sleep(500 * time.Millisecond)
-	began := time.Now()
-	p.signal(d, syscall.SIGTERM)
-	answered := 0
-	for range callers {
-		if a := <-answers; a.err == nil && a.status >= http.StatusInternalServerError {
-			answered++
+		p.callAdmin(http.MethodPost, "/servers/"+id+"/crash?gone=1", nil)
+		mute := id + "-mute"
+		p.callAdmin(http.MethodPost, "/servers", map[string]any{"id": mute, "service": "desk", "zone": "a", "slots": slots})
+		p.injectServerFault(mute, map[string]any{"mute": true})
+		for _, d := range p.daemons {
+			p.eventually(5*time.Second, "the server is listed", func() bool { return strings.Contains(d.log.String(), mute) })
 		}
 	}
-	took := p.exitsBefore(d, began, grace*time.Second)
-	named := 0
-	for i := range callers {
-		if strings.Contains(d.log.String(), fmt.Sprintf(`"request":"mute%d"`, i)) {
-			named++
-		}
+}
+
+// Guards against requests that the exit ends and that no line names, because more end at once than lines a second are
+// written; and against a daemon that is killed over many of them, also at a tenth of a core.
+func TestPlatformEachRequestThatTheExitEndsHasALine(t *testing.T) {
+	const grace, callers = 4, 300
+	troubles := map[string]func(p *usersPlatform, d *platformDaemon){
+		"no trouble":        func(*usersPlatform, *platformDaemon) {},
+		"a tenth of a core": func(p *usersPlatform, d *platformDaemon) { go p.throttle(d) },
 	}
-	t.Logf("exit %v after SIGTERM", took)
-	if answered != callers || named != callers {
-		t.Errorf("%d of %d requests are answered, %d named", answered, callers, named)
+	for name, trouble := range troubles {
+		t.Run(name, func(t *testing.T) {
+			p := deployUsersPlatform(t, 1)
+			d := p.daemons[0]
+			p.setGrace(d, grace)
+			p.signal(d, syscall.SIGHUP)
+			p.holdCalls(callers)
+			answers := make(chan platformResponse, callers)
+			for i := range callers {
+				go func() {
+					answers <- p.send(d, fmt.Sprint("mute", i), "/order/x", "an order", map[string]string{"X-Deadline-Ms": "7500"})
+				}()
+			}
+			time.Sleep(time.Second)
+			if n := len(answers); n > 0 {
+				t.Fatalf("%d requests are answered before the exit", n)
+			}
+			trouble(p, d)
+			began := time.Now()
+			p.signal(d, syscall.SIGTERM)
+			answered := 0
+			for range callers {
+				if a := <-answers; a.err == nil && a.status >= http.StatusInternalServerError {
+					answered++
+				}
+			}
+			last := time.Since(began)
+			took := p.exitsBefore(d, began, grace*time.Second)
+			named := 0
+			for i := range callers {
+				if strings.Contains(d.log.String(), fmt.Sprintf(`"msg":"request","daemon":"%s","request":"mute%d"`, d.name, i)) {
+					named++
+				}
+			}
+			t.Logf("last answer %v after SIGTERM, exit %v", last, took)
+			if answered != callers || named != callers {
+				t.Errorf("%d of %d requests are answered, %d named", answered, callers, named)
+			}
+		})
 	}
 }
