Each request that the exit ends has its line

Cause: lines of requests that were not served are bounded to 200 a second, and the exit ends more at once.

Evidence: TestPlatformEachRequestThatTheExitEndsHasALine: 210 of 300.

Change: requests that the exit ends are not bounded; the buffer of the log still is.

--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -348,7 +348,7 @@
 	duringShutdown := x.noteShutdown()
 	x.d.latencies.recordRequest(x, end)
 	served := x.reason == reasonServed && x.status < http.StatusInternalServerError
-	if !x.d.logLimits.allow(served) {
+	if !x.cutByShutdown() && !x.d.logLimits.allow(served) {
 		metrics.Add("linesLeftOut", 1)
 		return
 	}
