A daemon that starts does not abort the runs of daemons that it does not know yet

What callers saw: while daemons were replaced, streams and completions at the other daemons that were older than 1.5 s ended with upstreamFailed or crashSuspect.

Cause: each daemon aborts at its engines what no live daemon claims. A daemon that has just started knows no other daemon, takes itself for the keeper of all engines, and took the runs of all others for orphans at its first look.

Change: a run of a daemon that is not known counts as alive for the first 30 s after the start. A run is dead if its daemon is considered dead, or a later run of that daemon is known; if an earlier one is, the later is taken for alive.

Why it works: within 30 s a daemon knows all others of its data centre; orphans of known daemons are aborted as before.

--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -238,15 +238,23 @@
 	return membership.Owner(key, names) == d.env.Config.Name
 }
 
-// Alive reports whether the run of a daemon with this ID is known and not considered
-// dead.
+// unknownRunTime is how long after its start a daemon takes runs of daemons that it does not know for alive.
+const unknownRunTime = 30 * clock.Second
+
+// Alive reports whether the run of a daemon with this ID may be alive. It is not if this daemon considers it dead, or
+// knows a later run of that daemon. A daemon that has just started does not know the others yet, so an unknown run counts
+// as alive for unknownRunTime.
 func (d *Daemons) Alive(runID string) bool {
+	name, started, ok := parseRunID(runID)
+	if !ok {
+		return false
+	}
 	for _, v := range d.Views() {
-		if v.State != membership.Dead && RunID(v.Member) == runID {
-			return true
+		if v.Name == name {
+			return v.Started < started || v.Started == started && v.State != membership.Dead
 		}
 	}
-	return false
+	return d.env.Clock.Now() < d.env.Incarnation+unknownRunTime
 }
 
 // Address returns the address of a daemon, if it is known.
--- a/hemlockd/internal/daemons/probe.go
+++ b/hemlockd/internal/daemons/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,6 +34,13 @@
 	return m.Name + "~" + strconv.FormatInt(int64(m.Started), 36)
 }
 
+// parseRunID returns the name and the start time in a run's ID.
+func parseRunID(id string) (name string, started clock.Millis, ok bool) {
+	name, text, found := strings.Cut(id, "~")
+	ms, err := strconv.ParseInt(text, 36, 64)
+	return name, clock.Millis(ms), found && err == nil
+}
+
 // runProbes probes peers in every period, and immediately after a settings change.
 func (d *Daemons) runProbes() {
 	defer d.done.Done()
