--- a/hemlockd/e2e/usersplatform_plainstop_takeup_test.go
+++ b/hemlockd/e2e/usersplatform_plainstop_takeup_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -103,3 +104,54 @@
 	time.Sleep(500 * time.Millisecond)
 	refused("the second has left, and the first is back", "again at the first", p.daemons[1])
 }
+
+// Guards against streams that nobody takes up by their last event alone because two versions have been in service since the
+// daemons started, and against taking them up at the wrong one (LOST, ORDER): all daemons are killed and know nothing.
+func TestPlatformStreamsOfTwoVersionsAreTakenUpByTheirLastEventAlone(t *testing.T) {
+	p := deployUsersPlatform(t, 3)
+	for _, id := range []string{"i-new1", "i-new2"} {
+		p.addEngine(id, "decode", "v2")
+	}
+	p.addEngine("i-newpre", "prefill", "v2")
+	time.Sleep(time.Second)
+	const events = 60
+	ask := func(d *platformDaemon, attempt, prompt string, after int) platformResponse {
+		header := map[string]string{"X-Model": "m", "X-Token-Count": fmt.Sprintf("100,%d", 10*events), "X-Prompt-Prefix": "aa:50,bb:50", "X-Length-Hint": strconv.Itoa(10 * events)}
+		if after > 0 {
+			header["Last-Event-Id"] = strconv.Itoa(after)
+		}
+		return p.send(d, attempt, "/resumable/x", prompt, header)
+	}
+	var running sync.WaitGroup
+	var broken [12]brokenStream
+	for i := range broken {
+		b := &broken[i]
+		b.attempt, b.events = fmt.Sprint("begun-", i), events
+		running.Go(func() { b.body = ask(p.daemons[i%3], b.attempt, "prompt of "+b.attempt, 0).body })
+	}
+	time.Sleep(450 * time.Millisecond)
+	for _, d := range p.daemons {
+		_ = d.cmd.Process.Kill()
+	}
+	running.Wait()
+	p.startAgain()
+	begun, whole := map[string]int{}, 0
+	for i, b := range broken {
+		last, versions := receivedEvents(b.body)
+		if last == 0 || last == events {
+			continue
+		}
+		for v := range versions {
+			begun[v]++
+		}
+		a := ask(p.daemons[(i+1)%3], "again-"+b.attempt, "prompt of "+b.attempt, last)
+		if a.status == http.StatusServiceUnavailable {
+			continue
+		}
+		b.checkJoined(t, a)
+		whole++
+	}
+	if begun[""] == 0 || begun["v2"] == 0 || whole < 10 {
+		t.Errorf("streams begun by version: %v, %d went on", begun, whole)
+	}
+}
