A stream that its caller takes up with Last-Event-Id alone is found by its request

What callers saw: streams that were taken up by their last event were refused wherever two software versions were or had been in service, or no base version had been stored yet, though the engines of their version were there.

Cause: without the attempt that began it, nothing told one stream from another.

Change: a record has the digest of its request too, which is the same for all attempts of it. The version is the only one among the records of that digest, this daemon's own streams of it, and the base, if there is one, which streams without a record have. Before there is a base every stream has a record. After a restore of the store nothing is told until the base counts again.

Why it works: each stream of a version other than the base has a record with its digest before its first event, so a second version that may be meant is seen, and refused.

--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -30,6 +30,7 @@
 	"hemlockmux.example/hemlockd/internal/peers"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
+	"hemlockmux.example/hemlockd/internal/streamversions"
 	"hemlockmux.example/hemlockd/internal/suspects"
 	"hemlockmux.example/hemlockd/internal/upstreamgate"
 )
@@ -82,7 +83,7 @@
 // StreamVersions knows which software version began a stream that a caller may take up.
 type StreamVersions interface {
 	// Begin records that an engine with a version is about to begin a stream.
-	Begin(service, attempt, software string)
+	Begin(begun streamversions.Stream, software string)
 	// Recorded waits until any daemon would find the version.
 	Recorded(ctx context.Context, attempt string) error
 	// OnlyWithoutRecord returns the version at which streams should begin while no records can be
@@ -91,7 +92,7 @@
 	// End records that the caller has the whole stream.
 	End(attempt string)
 	// Lookup returns the version that began a stream, or an error if that is not known.
-	Lookup(ctx context.Context, service, attempt string) (string, error)
+	Lookup(ctx context.Context, begun streamversions.Stream) (string, error)
 }
 
 // Verdicts stores the outcomes of requests.
--- a/hemlockd/internal/dispatch/software.go
+++ b/hemlockd/internal/dispatch/software.go
@@ -6,6 +6,7 @@
 
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/routing"
+	"hemlockmux.example/hemlockd/internal/streamversions"
 )
 
 const (
@@ -18,12 +19,17 @@
 // resumes reports whether the request goes on with a stream that an earlier one began.
 func (m *modelRun) resumes() bool { return m.route.Resumable && m.call.ResumeAfter != "" }
 
+// streamOf returns the request's stream as one that an attempt has begun.
+func (m *modelRun) streamOf(attempt string) streamversions.Stream {
+	return streamversions.Stream{Service: m.service, Attempt: attempt, Digest: m.digest}
+}
+
 // findSoftware finds the version that the request's stream must go on at. It refuses the request and
 // returns false if that is not known or no engine of it is listed.
 func (m *modelRun) findSoftware() bool {
 	ctx, cancel := context.WithTimeout(m.ctx, lookupTimeout.Duration())
 	defer cancel()
-	software, err := m.d.opts.StreamVersions.Lookup(ctx, m.service, m.call.Resumed)
+	software, err := m.d.opts.StreamVersions.Lookup(ctx, m.streamOf(m.call.Resumed))
 	if err != nil {
 		m.refusalBasis = err.Error()
 		m.respondError(http.StatusServiceUnavailable, reasonVersionUnknown, capacityRetryAfter+jitter(capacityRetryAfter))
@@ -73,7 +79,7 @@
 // been forwarded before or nobody may take the stream up.
 func (m *modelRun) beginStream(u routing.Upstream) {
 	if m.route.Resumable && m.stream.lastEventID == "" {
-		m.d.opts.StreamVersions.Begin(m.service, m.call.ID, u.Software)
+		m.d.opts.StreamVersions.Begin(m.streamOf(m.call.ID), u.Software)
 	}
 }
 
--- a/hemlockd/internal/streamversions/anystream.go
+++ b/hemlockd/internal/streamversions/anystream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 
 	"hemlockmux.example/common/clock"
@@ -46,23 +47,29 @@
 	return s.page, seen, nil
 }
 
-// lookupAny returns the only version of which a stream of a service can be alive. That is the base, if this daemon has
-// seen no other version listed for as long as a stream lives, and no record of another one is younger than that. The
-// records tell of streams of versions that only other daemons have seen, or this one before it was started again: each
-// is written before the first event of its stream reaches the caller.
-func (v *Versions) lookupAny(ctx context.Context, name string) (string, error) {
+// recordSeparator separates the parts of a record's value.
+const recordSeparator = "\x00"
+
+// entry returns the record of a stream that an attempt has begun.
+func (s *stream) entry(attempt string) directory.Entry {
+	return directory.Entry{Key: attempt, Value: []byte(s.software + recordSeparator + s.digest)}
+}
+
+// parseRecord returns the version and the digest of a record. The digest is empty in records of earlier daemons.
+func parseRecord(e directory.Entry) (software, digest string) {
+	software, digest, _ = strings.Cut(string(e.Value), recordSeparator)
+	return software, digest
+}
+
+// lookupUnnamed returns the version that began a stream of which the caller does not name the attempt, if no stream of
+// another version can be meant. Streams that have no record were begun by the base, whichever daemon began them and
+// whether their engines are still listed.
+func (v *Versions) lookupUnnamed(ctx context.Context, begun Stream) (string, error) {
 	now := v.o.Clock.Now()
-	only, ok := v.onlySeen(name, now)
-	if !ok {
-		return "", errSeveral
-	}
-	b, err := v.readBase(ctx, name)
+	b, err := v.readBase(ctx, begun.Service)
 	if err != nil {
 		return "", err
 	}
-	if !b.valid || b.software != only {
-		return "", errNoBase
-	}
 	page, seen, err := v.scans.since(ctx, v.o, now)
 	if err != nil {
 		return "", err
@@ -70,16 +77,66 @@
 	if page.Revision.Era != b.revision.Era {
 		return "", errUnsure
 	}
+	if !b.valid && b.revision.Era > 0 {
+		return "", errNoBase // the store has come back from an older copy, and may have lost records
+	}
+	all, own := v.versionsOfOwn(begun)
 	for _, e := range page.Entries {
-		if string(e.Value) != only && now-seen[e.Key] <= v.lifetime() {
-			return "", errSeveral
+		if now-seen[e.Key] > v.lifetime() {
+			continue // nobody takes it up any more
+		}
+		software, digest := parseRecord(e)
+		all[software] = true
+		if digest == begun.Digest || digest == "" {
+			own[software] = true
+		}
+	}
+	if b.valid {
+		all[b.software] = true
+	}
+	if len(own) > 0 {
+		if b.valid {
+			own[b.software] = true
 		}
+		return theOnly(own)
+	}
+	// The request may have another digest than the one that began its stream.
+	if only, ok := v.onlySeen(begun.Service, now); !ok || !b.valid || only != b.software {
+		return "", errNoBase
 	}
-	return only, nil
+	return theOnly(all)
+}
+
+// theOnly returns the only one of versions.
+func theOnly(versions map[string]bool) (software string, err error) {
+	if len(versions) > 1 {
+		return "", errSeveral
+	}
+	for software = range versions {
+	}
+	return software, nil
+}
+
+// versionsOfOwn returns the versions of the streams of a service that this daemon has begun lately, and of those that belong
+// to a request.
+func (v *Versions) versionsOfOwn(begun Stream) (all, own map[string]bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	all, own = map[string]bool{}, map[string]bool{}
+	for _, st := range v.streams {
+		if st.service != begun.Service {
+			continue
+		}
+		all[st.software] = true
+		if st.digest == begun.Digest {
+			own[st.software] = true
+		}
+	}
+	return all, own
 }
 
 // onlySeen returns the version of a service's engines, if it is the only one that this daemon has seen for as long as a
-// stream lives, or since it has started, and the only one of its own streams.
+// stream lives, or since it has started.
 func (v *Versions) onlySeen(name string, now clock.Millis) (software string, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -92,10 +149,5 @@
 			return "", false
 		}
 	}
-	for _, st := range v.streams {
-		if st.service == name && st.software != s.listed[0] {
-			return "", false
-		}
-	}
 	return s.listed[0], true
 }
--- a/hemlockd/internal/streamversions/streamversions.go
+++ b/hemlockd/internal/streamversions/streamversions.go
@@ -7,16 +7,17 @@
 // record was begun by the base version. The base moves to another version once that has been the only
 // one listed for longer than any stream lives. While this daemon is not sure of the base it records
 // every stream. Where the store cannot tell, the answer is "unknown", never a guess. If a caller does not say
-// which attempt began its stream, the version is known only where no stream of another one can be alive.
+// which attempt began its stream, the version is known only where no stream of another one can be meant.
 //
 // # Usage
 //
 //	v, closeVersions := streamversions.New(options)
 //	v.Observe(map[string][]string{"models": {"v1", "v2"}})
-//	v.Begin("models", attempt, "v2")        // when the call is sent to the engine
-//	err := v.Recorded(ctx, attempt)         // before the first event is forwarded
-//	v.End(attempt)                          // the caller has the whole stream
-//	version, err := v.Lookup(ctx, "models", attempt) // attempt is empty if the caller does not say
+//	stream := streamversions.Stream{Service: "models", Attempt: attempt, Digest: digest}
+//	v.Begin(stream, "v2")           // when the call is sent to the engine
+//	err := v.Recorded(ctx, attempt) // before the first event is forwarded
+//	v.End(attempt)                  // the caller has the whole stream
+//	version, err := v.Lookup(ctx, stream)
 package streamversions
 
 import (
@@ -89,10 +90,19 @@
 // Unwrap returns the cause.
 func (e *UnknownError) Unwrap() error { return e.Err }
 
+// Stream is a stream that a caller may take up.
+type Stream struct {
+	Service string
+	// Attempt is the ID of the attempt that began it; empty if the caller that takes it up does not say.
+	Attempt string
+	// Digest is the same for all attempts of one request.
+	Digest string
+}
+
 // stream is a stream that this daemon has begun lately.
 type stream struct {
-	service, software string
-	beganMs           clock.Millis
+	service, digest, software string
+	beganMs                   clock.Millis
 	// record is the pending write of the record, or nil if none is needed or it is done.
 	record *write
 	// recorded is set once a record has been written or is about to be.
@@ -153,18 +163,19 @@
 
 // Begin records that an engine with a version is about to begin a stream. If another one was about to
 // before, and no event has been forwarded, that is replaced.
-func (v *Versions) Begin(name, attempt, software string) {
+func (v *Versions) Begin(begun Stream, software string) {
+	name, attempt := begun.Service, begun.Attempt
 	now := v.o.Clock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s, ok := v.services[name]
-	st := &stream{service: name, software: software, beganMs: now}
+	st := &stream{service: name, digest: begun.Digest, software: software, beganMs: now}
 	if before, again := v.streams[attempt]; again {
 		st.recorded = before.recorded
 	}
 	if st.recorded || !ok || !s.impliesWithoutRecord(software) {
 		st.recorded = true
-		st.record = v.writer.add(directory.Entry{Key: attempt, Value: []byte(software)})
+		st.record = v.writer.add(st.entry(attempt))
 	}
 	v.streams[attempt] = st
 	if len(v.streams) > maxRemembered {
@@ -219,43 +230,41 @@
 	}
 }
 
-// Lookup returns the version that began a stream; attempt is empty if the caller does not say which. It fails with an
-// *UnknownError.
-func (v *Versions) Lookup(ctx context.Context, name, attempt string) (string, error) {
+// Lookup returns the version that began a stream. It fails with an *UnknownError.
+func (v *Versions) Lookup(ctx context.Context, begun Stream) (string, error) {
 	v.mu.Lock()
-	st := v.streams[attempt]
+	st := v.streams[begun.Attempt]
 	v.mu.Unlock()
 	if st != nil {
 		return st.software, nil
 	}
 	metrics.Add("lookups", 1)
-	var software string
-	var err error
-	if attempt == "" {
-		software, err = v.lookupAny(ctx, name)
-	} else {
-		software, err = v.lookupStored(ctx, name, attempt)
+	lookup := v.lookupStored
+	if begun.Attempt == "" {
+		lookup = v.lookupUnnamed
 	}
+	software, err := lookup(ctx, begun)
 	if err != nil {
 		metrics.Add("unknown", 1)
-		return "", &UnknownError{Attempt: attempt, Err: err}
+		return "", &UnknownError{Attempt: begun.Attempt, Err: err}
 	}
 	return software, nil
 }
 
 // lookupStored returns what the store tells of a stream. The record is read after the base: it is written
 // before the first event, and the base moves only when no stream of the one before is left.
-func (v *Versions) lookupStored(ctx context.Context, name, attempt string) (string, error) {
-	b, err := v.readBase(ctx, name)
+func (v *Versions) lookupStored(ctx context.Context, begun Stream) (string, error) {
+	b, err := v.readBase(ctx, begun.Service)
 	if err != nil {
 		return "", err
 	}
-	record, err := v.o.Store.Entry(ctx, directory.Streams, attempt)
+	record, err := v.o.Store.Entry(ctx, directory.Streams, begun.Attempt)
 	if err != nil {
 		return "", err
 	}
 	if record.Revision.Version != 0 {
-		return string(record.Value), nil
+		software, _ := parseRecord(record)
+		return software, nil
 	}
 	if !b.valid || record.Revision.Era != b.revision.Era {
 		return "", errNoBase
@@ -270,7 +279,7 @@
 	defer v.mu.Unlock()
 	for attempt, st := range v.streams {
 		if st.recorded {
-			v.writer.add(directory.Entry{Key: attempt, Value: []byte(st.software)})
+			v.writer.add(st.entry(attempt))
 		}
 	}
 	for _, s := range v.services {
