A stopping daemon closes idle connections at once

What callers would see: a request on a kept connection that crosses its close is read and never answered, so that its caller can't tell that it has not run.

Cause: since every connection of a stopping daemon lingers when it is closed, and what comes is read and discarded; that is wanted behind an answer, not on an idle connection.

Evidence: TestDrainReadsNothingFromIdleConnectionsItHasClosed, red without the change: the connection is read on.

Change: an idle connection whose caller has received all is closed as before.

Why it works: the kernel then resets what crosses the close without the process having read it.

--- a/hemlockd/internal/app/linger.go
+++ b/hemlockd/internal/app/linger.go
@@ -26,9 +26,10 @@
 // Close implements [net.Conn]. While the port is stopping, answers tell callers that their connections are closed, and
 // callers may have sent more by then. The kernel resets a connection that is closed with unread bytes, and drops what it
 // has not delivered yet. So the sending side is closed first, and what comes is discarded until the caller closes its side
-// or has received all and is silent.
+// or has received all and is silent. A request that crosses the close of an idle connection is not read: its caller can
+// tell that it has not run.
 func (c *conn) Close() error {
-	if !c.p.stopping.Load() {
+	if !c.p.stopping.Load() || c.isIdle() && c.allReceived() {
 		return c.Conn.Close()
 	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
@@ -54,6 +55,13 @@
 	return first
 }
 
+// isIdle reports whether the connection has no request.
+func (c *conn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.awaitsRequest() && !c.begun
+}
+
 func (c *conn) isLingering() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
