--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -182,28 +181,6 @@
 	return strconv.FormatUint(h.Sum64(), 36)
 }
 
-// readBody reads the request's body. If that fails, it answers the caller and returns
-// false.
-func (x *exchange) readBody(limits routing.Limits) bool {
-	limit := limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := x.readAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.respondError(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.uploadCut = true
-		x.respondError(http.StatusServiceUnavailable, reasonShutdown, x.d.shutdownRetryAfter())
-	case err != nil:
-		x.respondError(http.StatusBadRequest, reasonBadRequest, 0)
-	}
-	x.call.Body = body
-	return err == nil
-}
-
 // callerGone reports whether the caller has stopped waiting for the answer. When the daemon exits, it ends the writes to
 // callers that don't read: their contexts are done then, too.
 func (x *exchange) callerGone() bool {
--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -67,23 +65,6 @@
 	return s.exitMs, true
 }
 
-// readAll reads the request's body. If the daemon is about to exit before the end of the body, the error is
-// [os.ErrDeadlineExceeded].
-func (x *exchange) readAll(body io.Reader) ([]byte, error) {
-	conn := http.NewResponseController(x.w)
-	stopped := make(chan struct{})
-	stop := context.AfterFunc(x.d.uploadsEnd, func() {
-		defer close(stopped)
-		_ = conn.SetReadDeadline(time.Now().Add(lastReadTime.Duration())) // fails only if the connection is closed
-	})
-	read, err := io.ReadAll(body)
-	if !stop() {
-		<-stopped
-		_ = conn.SetReadDeadline(time.Time{})
-	}
-	return read, err
-}
-
 // refuseTooLong refuses the request if the daemon is shutting down and the request may take longer than is left, unless an
 // upstream may have begun it: what has been accepted is continued. needed returns how long it may take; without it, or if
 // that is not known, it is as long as its own limit allows. It returns true if it has refused.
