A stop without a grace period in the settings waits for requests in flight

Cause, found by reading: the timer that ends the wait is created with the grace period, which is 0 then, and set to the right time only after the dispatcher has been told.

Evidence: TestStopWithoutGracePeriodWaits, red.

Change: the timer is created with the time that holds without a grace period.

--- a/hemlockd/internal/app/stoptimes.go
+++ b/hemlockd/internal/app/stoptimes.go
@@ -41,7 +41,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.began = time.Now()
-	s.timer = time.AfterFunc(s.graceMs.Duration(), cancel)
+	s.timer = time.AfterFunc((s.spanLocked() + shutdownReserve).Duration(), cancel) // until it is set for the first time
 	s.applyLocked()
 	return ctx, cancel
 }
