Bodies are read again once the exit is put off

Cause, found by reading: uploads end 300 ms before the exit by a context that stays done. With GraceS raised in the 250 ms after that, each later request whose body took over 20 ms was refused until the new exit.

Evidence: TestUploadsAreReadOnceTheExitIsPutOff, red.

Change: an exit that is put off after uploads have ended begins with a new context. Uploads that were ended stay so.

--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -151,17 +151,16 @@
 	// are answered then, or their connections would be closed without an answer.
 	exiting context.Context
 	exit    context.CancelFunc
-	// uploadsEnd is done some time before: requests whose body has not come to its end are answered then.
-	uploadsEnd context.Context
-	endUploads context.CancelFunc
-	open       openRequests
+	// uploads holds when requests whose body has not come to its end are answered: some time before.
+	uploads atomic.Pointer[uploads]
+	open    openRequests
 }
 
 // New returns a dispatcher.
 func New(o Options) *Dispatcher {
 	d := &Dispatcher{opts: o, health: newHealth(o.Clock), logLimits: newRequestLogLimits(), latencies: newLatencies()}
 	d.exiting, d.exit = context.WithCancel(context.Background())
-	d.uploadsEnd, d.endUploads = context.WithCancel(context.Background())
+	d.uploads.Store(newUploads())
 	return d
 }
 
--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -32,6 +32,18 @@
 	lastReadTime = 20 * clock.Millisecond
 )
 
+// uploads tells when the reading of bodies ends.
+type uploads struct {
+	ended context.Context
+	end   context.CancelFunc
+}
+
+func newUploads() *uploads {
+	u := &uploads{}
+	u.ended, u.end = context.WithCancel(context.Background())
+	return u
+}
+
 // shutdown holds the times of the daemon's shutdown.
 type shutdown struct{ beganMs, exitMs clock.Millis }
 
@@ -50,11 +62,13 @@
 		if !d.exitTimer.Stop() {
 			return false
 		}
-		d.uploadsTimer.Stop()
+		if !d.uploadsTimer.Stop() { // those that come from now on are read until the new time
+			d.uploads.Store(newUploads())
+		}
 	}
 	d.shutdown.Store(s)
 	d.exitTimer = time.AfterFunc((until - exitMargin - now).Duration(), d.exit)
-	d.uploadsTimer = time.AfterFunc((until - uploadMargin - now).Duration(), d.endUploads)
+	d.uploadsTimer = time.AfterFunc((until - uploadMargin - now).Duration(), d.uploads.Load().end)
 	return true
 }
 
@@ -72,7 +86,7 @@
 func (x *exchange) readAll(body io.Reader) ([]byte, error) {
 	conn := http.NewResponseController(x.w)
 	stopped := make(chan struct{})
-	stop := context.AfterFunc(x.d.uploadsEnd, func() {
+	stop := context.AfterFunc(x.d.uploads.Load().ended, func() {
 		defer close(stopped)
 		_ = conn.SetReadDeadline(time.Now().Add(lastReadTime.Duration())) // fails only if the connection is closed
 	})
--- a/hemlockd/internal/dispatch/uploadsend_test.go
+++ b/hemlockd/internal/dispatch/uploadsend_test.go
@@ -15,7 +15,7 @@
 	server := httptest.NewServer(s.dispatcher)
 	defer server.Close()
 	s.drainFor(uploadMargin + 10)
-	<-s.dispatcher.uploadsEnd.Done()
+	<-s.dispatcher.uploads.Load().ended.Done()
 	if !s.dispatcher.Drain(s.dispatcher.opts.Clock.Now() + 10_000) {
 		t.Fatal("the exit can't be put off")
 	}
