The longest duration counts prompts that an engine reads itself for want of prefill engines of its version

Cause, found by reading: prefill engines of any version let a placed stream count as prefilled, but a stream goes on only at engines of one version, and without prefill engines of that its decode engine reads the prompt. A stopping daemon accepted it as 242 ms, where the engine had just taken 3 s for such a prompt.

Change: prefill engines count by version, as in dispatch and in Progress.

--- a/hemlockd/internal/capacity/longest.go
+++ b/hemlockd/internal/capacity/longest.go
@@ -110,21 +110,18 @@
 	if r.Decoding {
 		return 0
 	}
-	pace, separate := initialPrefillMsPerToken, false
+	if e := v.engines[r.Engine]; e != nil && r.Prefill == "" && v.prefillEngineCountLocked(e.Service, e.Software) > 0 {
+		return fetchAllowanceMs // it has been processed
+	}
+	pace := initialPrefillMsPerToken
 	for _, p := range v.prefillEngines {
 		if p.Service == r.Service {
-			pace, separate = max(pace, p.msPerToken), true
+			pace = max(pace, p.msPerToken)
 		}
 	}
-	if separate && r.Engine != "" && r.Prefill == "" { // it has been processed
-		return fetchAllowanceMs
-	}
 	longest := v.limits.MaxPrefillBacklogMs + ownPrefillFactor*pace*float64(r.PromptTokens)
-	if separate {
-		return longest
-	}
-	for _, e := range v.engines { // the engines read prompts themselves, one after another
-		if e.Service == r.Service && r.mayUse(e.Software) && (r.Engine == "" || r.Engine == e.ID) {
+	for _, e := range v.engines { // those without prefill engines of their version read prompts themselves, one after another
+		if e.Service == r.Service && r.mayUse(e.Software) && (r.Engine == "" || r.Engine == e.ID) && v.prefillEngineCountLocked(e.Service, e.Software) == 0 {
 			longest = max(longest, e.slowestStart.at(0, now))
 		}
 	}
