A scan of stream records that ended with its caller is not shared

Cause, found by reading: lookups that wait share the next scan, and its failure. It runs in the context of one of them; that one's caller may leave, or its 400 ms may be over while the others have time.

Evidence: TestScanOfACallerThatLeavesIsNotShared, red.

Change: such a failure is that lookup's alone; the next one that waits reads the records itself.

Result: the test passes; so do the others of the package but TestUnnamedStreamWithoutItsRecordIsNotTakenForTheBase, which stays red (1 of 1 runs).

--- a/hemlockd/internal/streamversions/anystream.go
+++ b/hemlockd/internal/streamversions/anystream.go
@@ -31,9 +31,14 @@
 	if s.beganMs > after {
 		return s.page, s.seenMs, s.err
 	}
-	s.beganMs = o.Clock.Now()
-	if s.page, s.err = o.Store.Read(ctx, directory.Streams); s.err != nil {
-		return directory.Page{}, nil, s.err
+	began := o.Clock.Now()
+	page, err := o.Store.Read(ctx, directory.Streams)
+	if err != nil && ctx.Err() != nil { // the time of this lookup is over, not that of the others
+		return directory.Page{}, nil, err
+	}
+	s.beganMs, s.page, s.err = began, page, err
+	if err != nil {
+		return directory.Page{}, nil, err
 	}
 	seen := make(map[string]clock.Millis, len(s.page.Entries)) // a new one: lookups may still have the one before
 	for _, e := range s.page.Entries {
