Own door: a stopping daemon closes connections without a reset

Cause: makes connections linger on the users' platform only; the own door's port was not told that it stops.

Evidence: TestOwnDoorAnswerIsWholeBesideUnreadBytes, red.

Change: the drain of the own door makes its callers' port linger from the signal on.

--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -284,6 +284,7 @@
 	d.env.Log.Info("draining", zap.Int("open", d.recorder.OpenCount()))
 	ending := min(endTime, drainMs/2)
 	d.env.Shutdown.Begin(d.env.Clock.Now() + notReadyTime + drainMs - ending)
+	d.callersPort.startStop()
 	d.callers.Drain()
 	d.operators.Drain()
 	d.gate.Limits.Leave()
