Whole requests are answered if the process is paused when uploads end

Cause, found by reading: the read deadline that ends uploads is set for each request, also once its body has been read. If it passes before it is lifted, net/http ends the request's context, and the caller counted as gone.

Evidence: TestWholeRequestIsAnsweredWhenUploadsEnd, red.

Change: where the deadline was set, the context no longer tells whether the caller is there; if it is done, the request is refused.

--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -92,8 +92,8 @@
 	// neededMs and leftMs are the time that the request was expected to take and the time until the daemon's
 	// exit when it was admitted or refused during the shutdown; 0 otherwise.
 	neededMs, leftMs clock.Millis
-	// uploadCut is set if the shutdown has ended the reading of the body. The request's context is done then, though the
-	// caller is there.
+	// uploadCut is set if the shutdown has ended the reading of the body, or was about to. The request's context may be
+	// done then, though the caller is there.
 	uploadCut bool
 	// silentMs is the time without an event before the last stream that ended early.
 	silentMs clock.Millis
--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -94,6 +95,10 @@
 	if !stop() {
 		<-stopped
 		_ = conn.SetReadDeadline(time.Time{})
+		x.uploadCut = true
+		if err == nil && x.r.Context().Err() != nil { // the deadline has passed after the end of the body
+			err = os.ErrDeadlineExceeded
+		}
 	}
 	return read, err
 }
