--- a/hemlockd/e2e/own_stop_linger_test.go
+++ b/hemlockd/e2e/own_stop_linger_test.go
@@ -40,7 +40,9 @@
 // slowAnswer asks for a stream, sends next while it runs, reads the answer once it has been written, and returns what is wrong with it.
 func (m *daemon) slowAnswer(name, next string, tokens int) string {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer) })
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer)
+		})
 	}}
 	c, err := dialer.Dial("tcp", m.callers)
 	if err != nil {
