Test of owed plain calls: the count of attempts is atomic

Under -race, TestPlainCallThatIsOwedGoesOnDuringTheShutdown failed in 1 of 1 runs: two attempts run beside one another and count without a lock. The race is the test's own. What is checked stays; it passes under -race, 1 of 1 runs.

--- a/hemlockd/internal/dispatch/plainstop_test.go
+++ b/hemlockd/internal/dispatch/plainstop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,27 +40,27 @@
 // one upstream has broken off or is slow, another one answers in time.
 func TestPlainCallThatIsOwedGoesOnDuringTheShutdown(t *testing.T) {
 	for name, first := range map[string]int{"broken": faultLostAfterRun, "slow": faultNone} {
-		sent := 0
+		var sent atomic.Int32 // attempts run beside one another
 		s := newSetup(func(name string, _ int) int {
-			if name == "fault in run" && sent == 1 {
+			if name == "fault in run" && sent.Load() == 1 {
 				return first
 			}
 			return noFaults(name, 0)
 		})
 		s.upstreams.send = func(*calls.Call, routing.Upstream, calls.Delivery) error {
-			if sent++; sent == 1 {
+			if sent.Add(1) == 1 {
 				s.drainFor(1000)
 			}
 			return nil
 		}
 		s.upstreams.plain = func(ctx context.Context) (*calls.Reply, error) {
-			if sent == 1 {
+			if sent.Load() == 1 {
 				return slowPlain(ctx, 3*time.Second, "slow")
 			}
 			return slowPlain(ctx, time.Millisecond, "whole")
 		}
 		if answer, cut := s.ask("owed", "/lookup/x"); cut || answer.Body.String() != "whole" {
-			t.Errorf("%s: status %d, cut %v, sent to %d upstreams", name, answer.Code, cut, sent)
+			t.Errorf("%s: status %d, cut %v, sent to %d upstreams", name, answer.Code, cut, sent.Load())
 		}
 	}
 }
