A stopping daemon takes a stream without an output limit for as long as its own time allows

Cause: an output limit that is not given, or can't be read, counts as one token, by which a stopping daemon accepted the stream.

Evidence: TestStreamOfUnknownLengthIsRefusedAtTheShutdown, red.

Change: its longest duration is not known then; its own limit counts.

--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -132,6 +132,9 @@
 	if m.d.callersHaveNoOther() {
 		return m.d.opts.View.ExpectedDuration(m.run, m.now())
 	}
+	if m.call.Prompt.MaxOutputTokens == 0 { // not given
+		return 0, false
+	}
 	return m.d.opts.View.LongestDuration(m.run, m.now())
 }
 
