SIGINT in a stop ends requests with an answer on the users' platform

Cause: SIGINT ended the wait, but not the requests: their connections were closed by the exit.

Evidence: TestPlatformInterruptedStopIsTold, red.

Change: SIGINT ends requests in flight at once, as the end of the grace period does, with the same time for their answers.

--- a/hemlockd/e2e/usersplatform_interrupt_test.go
+++ b/hemlockd/e2e/usersplatform_interrupt_test.go
@@ -12,7 +12,9 @@
 	p := deployUsersPlatform(t, 1)
 	d := p.daemons[0]
 	done := make(chan platformResponse, 1)
-	go func() { done <- p.send(d, "waits", "/order/x", "a body", map[string]string{"X-Standin-Interval": "4000"}) }()
+	go func() {
+		done <- p.send(d, "waits", "/order/x", "a body", map[string]string{"X-Standin-Interval": "4000"})
+	}()
 	time.Sleep(300 * time.Millisecond)
 	p.signal(d, syscall.SIGTERM)
 	time.Sleep(300 * time.Millisecond)
--- a/hemlockd/internal/app/stoptimes.go
+++ b/hemlockd/internal/app/stoptimes.go
@@ -35,15 +35,28 @@
 	}
 }
 
-// begin begins the shutdown. The returned context ends when the wait for requests in flight does, or with hard.
+// begin begins the shutdown. The returned context ends when the wait for requests in flight does. The end of hard ends requests at
+// once.
 func (s *stopTimes) begin(hard context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(hard)
+	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.began = time.Now()
 	s.timer = time.AfterFunc((s.spanLocked() + shutdownReserve).Duration(), cancel) // until it is set for the first time
 	s.applyLocked()
-	return ctx, cancel
+	stop := context.AfterFunc(hard, s.endRequests)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// endRequests ends requests in flight as if the grace period ended with the time for their answers.
+func (s *stopTimes) endRequests() {
+	s.mu.Lock()
+	began := s.began
+	s.mu.Unlock()
+	s.setGrace(clock.Millis(time.Since(began).Milliseconds()) + shutdownReserve)
 }
 
 // applyLocked sets the times that follow from the grace period. It returns false if it is too late for that.
