--- a/hemlockd/internal/dispatch/plainstop_test.go
+++ b/hemlockd/internal/dispatch/plainstop_test.go
@@ -40,7 +40,7 @@
 // one upstream has broken off or is slow, another one answers in time.
 func TestPlainCallThatIsOwedGoesOnDuringTheShutdown(t *testing.T) {
 	for name, first := range map[string]int{"broken": faultLostAfterRun, "slow": faultNone} {
-		var sent atomic.Int32 // attempts run beside one another
+		var sent atomic.Int32
 		s := newSetup(func(name string, _ int) int {
 			if name == "fault in run" && sent.Load() == 1 {
 				return first
