--- a/hemlockd/internal/dispatch/body.go
+++ b/hemlockd/internal/dispatch/body.go
@@ -38,7 +38,7 @@
 func (x *exchange) readAll(body io.Reader) ([]byte, error) {
 	conn := http.NewResponseController(x.w)
 	stopped := make(chan struct{})
-	stop := context.AfterFunc(x.d.uploadsEnd, func() {
+	stop := context.AfterFunc(x.d.uploads.Load().ended, func() {
 		defer close(stopped)
 		_ = conn.SetReadDeadline(time.Now().Add(lastReadTime.Duration())) // fails only if the connection is closed
 	})
@@ -46,6 +46,10 @@
 	if !stop() {
 		<-stopped
 		_ = conn.SetReadDeadline(time.Time{})
+		x.uploadCut = true
+		if err == nil && x.r.Context().Err() != nil { // the deadline has passed after the end of the body
+			err = os.ErrDeadlineExceeded
+		}
 	}
 	return read, err
 }
--- a/hemlockd/internal/dispatch/shutdown.go
+++ b/hemlockd/internal/dispatch/shutdown.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -30,6 +31,18 @@
 	lastReadTime = 20 * clock.Millisecond
 )
 
+// uploads tells when the reading of bodies ends.
+type uploads struct {
+	ended context.Context
+	end   context.CancelFunc
+}
+
+func newUploads() *uploads {
+	u := &uploads{}
+	u.ended, u.end = context.WithCancel(context.Background())
+	return u
+}
+
 // shutdown holds the times of the daemon's shutdown.
 type shutdown struct{ beganMs, exitMs clock.Millis }
 
@@ -48,11 +61,13 @@
 		if !d.exitTimer.Stop() {
 			return false
 		}
-		d.uploadsTimer.Stop()
+		if !d.uploadsTimer.Stop() { // those that come from now on are read until the new time
+			d.uploads.Store(newUploads())
+		}
 	}
 	d.shutdown.Store(s)
 	d.exitTimer = time.AfterFunc((until - exitMargin - now).Duration(), d.exit)
-	d.uploadsTimer = time.AfterFunc((until - uploadMargin - now).Duration(), d.endUploads)
+	d.uploadsTimer = time.AfterFunc((until - uploadMargin - now).Duration(), d.uploads.Load().end)
 	return true
 }
 
@@ -94,6 +109,9 @@
 	if m.d.callersHaveNoOther() {
 		return m.d.opts.View.ExpectedDuration(m.run, m.now())
 	}
+	if m.call.Prompt.MaxOutputTokens == 0 { // not given
+		return 0, false
+	}
 	return m.d.opts.View.LongestDuration(m.run, m.now())
 }
 
