A daemon that has just started doesn't take up unnamed streams of the base

What callers could see: a stream joined from two software versions (ORDER), where the record of a stream could not be written in time, its version has left the list, and a daemon that has just started is asked to go on with it.

Cause: "no other version seen since the start" was taken for "no other version seen for as long as a stream lives", and records are not always written before the first event: after 250 ms without the store an event is forwarded all the same.

Change: the daemon must have watched the list for as long as a stream lives. Streams that are found by their request's record are not concerned.

Why it works: a daemon that has watched that long has seen the version of any stream that is alive, recorded or not.

--- a/hemlockd/internal/streamversions/anystream.go
+++ b/hemlockd/internal/streamversions/anystream.go
@@ -140,13 +140,13 @@
 	return all, own
 }
 
-// onlySeen returns the version of a service's engines, if it is the only one that this daemon has seen for as long as a
-// stream lives, or since it has started.
+// onlySeen returns the version of a service's engines, if this daemon has watched them for as long as a stream lives and has
+// seen no other one.
 func (v *Versions) onlySeen(name string, now clock.Millis) (software string, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.services[name]
-	if s == nil || len(s.listed) != 1 {
+	if s == nil || len(s.listed) != 1 || now-s.watchedSinceMs <= v.lifetime() {
 		return "", false
 	}
 	for other, at := range s.seenMs {
