--- a/hemlockd/e2e/usersplatform_enginestop_duties_test.go
+++ b/hemlockd/e2e/usersplatform_enginestop_duties_test.go
@@ -28,11 +28,7 @@
 	p := deployUsersPlatform(t, daemons)
 	time.Sleep(5 * time.Second) // until the leases may be taken
 	leaving, loaded := p.daemons[0], p.daemons[daemons-1]
-	stop := func() {
-		if err := leaving.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-			t.Fatal(err)
-		}
-	}
+	stop := func() { p.signal(leaving, syscall.SIGTERM) }
 	if daemons > 1 {
 		stop()
 		time.Sleep(200 * time.Millisecond)
--- a/hemlockd/e2e/usersplatform_enginestop_runs_test.go
+++ b/hemlockd/e2e/usersplatform_enginestop_runs_test.go
@@ -3,34 +3,12 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// signalStop sends SIGTERM to a daemon.
-func (p *usersPlatform) signalStop(d *platformDaemon) {
-	p.t.Helper()
-	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		p.t.Fatal(err)
-	}
-}
-
-// knowEachOther waits until the daemons have heard from each other.
-func (p *usersPlatform) knowEachOther() {
-	p.t.Helper()
-	n := len(p.daemons)
-	p.eventually(5*time.Second, "the daemons know each other", func() bool {
-		heard := 0
-		for _, d := range p.daemons {
-			heard += strings.Count(d.log.String(), "first message received from another daemon")
-		}
-		return heard == n*(n-1)
-	})
-}
-
 // checkWhole checks that a stream was served whole.
 func (p *usersPlatform) checkWhole(what string, events int, a platformResponse) {
 	p.t.Helper()
@@ -91,7 +69,7 @@
 		}
 		return n == 8
 	})
-	p.signalStop(leaving)
+	p.signal(leaving, syscall.SIGTERM)
 	large := stopStream{hintEvents: 270, limitEvents: 270, events: 1, interval: time.Millisecond}
 	for i, began := 0, time.Now(); time.Since(began) < 4*time.Second; i++ {
 		id := fmt.Sprint("large-", i)
@@ -140,7 +118,7 @@
 			for _, e := range []string{"i-dec1", "i-dec2"} {
 				p.injectServerFault(e, map[string]any{}) // for later streams
 			}
-			p.signalStop(d)
+			p.signal(d, syscall.SIGTERM)
 			time.Sleep(time.Second)
 			for _, a := range p.arrivals("owed") {
 				if a.Ran && lose != nil {
@@ -174,7 +152,7 @@
 		})
 	}
 	p.injectStoreFault("silent", p.daemons...)
-	p.signalStop(d)
+	p.signal(d, syscall.SIGTERM)
 	var all sync.WaitGroup
 	answers := make(chan platformResponse, 10)
 	for i := range cap(answers) {
--- a/hemlockd/e2e/usersplatform_enginestop_together_test.go
+++ b/hemlockd/e2e/usersplatform_enginestop_together_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -77,9 +78,9 @@
 	time.Sleep(3 * time.Second)
 	first, second := p.daemons[0], p.daemons[1]
 	t.Log("first signal ", time.Now().Format("05.000"))
-	p.signalStop(first)
+	p.signal(first, syscall.SIGTERM)
 	time.Sleep(time.Second)
-	p.signalStop(second)
+	p.signal(second, syscall.SIGTERM)
 	<-first.exited
 	p.injectStoreFault("silent", first)
 	p.start(first)
@@ -88,7 +89,7 @@
 	p.waitReady(first)
 	t.Log("first ready again ", time.Now().Format("05.000"))
 	p.callAdmin(http.MethodPost, "/servers/i-dec3/drain", nil)
-	p.signalStop(first) // as soon as it is ready
+	p.signal(first, syscall.SIGTERM) // as soon as it is ready
 	time.Sleep(1500 * time.Millisecond)
 	p.callAdmin(http.MethodPost, "/servers/i-dec3/unlist", nil)
 	<-first.exited
@@ -109,7 +110,7 @@
 func TestPlatformDaemonStoppedBeforeItsFirstListAnswersAll(t *testing.T) {
 	p := deployUsersPlatform(t, 1)
 	d := p.daemons[0]
-	p.signalStop(d)
+	p.signal(d, syscall.SIGTERM)
 	<-d.exited
 	p.injectStoreFault("silent", d)
 	p.start(d)
@@ -126,7 +127,7 @@
 		all.Go(c.run)
 	}
 	p.eventually(5*time.Second, "the daemon answers", func() bool { mu.Lock(); defer mu.Unlock(); return refused > 0 })
-	p.signalStop(d)
+	p.signal(d, syscall.SIGTERM)
 	<-d.exited
 	all.Wait()
 	t.Logf("%d served, %d refused", served, refused)
--- a/hemlockd/e2e/usersplatform_grace_test.go
+++ b/hemlockd/e2e/usersplatform_grace_test.go
@@ -32,28 +32,6 @@
 	}
 }
 
-// signal sends a signal to the daemon's process.
-func (p *usersPlatform) signal(d *platformDaemon, s syscall.Signal) {
-	p.t.Helper()
-	if err := d.cmd.Process.Signal(s); err != nil {
-		p.t.Error(err)
-	}
-}
-
-// exitsBefore waits until the daemon has exited by itself, or kills it after the span since began. It returns
-// when the daemon exited after began.
-func (p *usersPlatform) exitsBefore(d *platformDaemon, began time.Time, span time.Duration) time.Duration {
-	p.t.Helper()
-	select {
-	case <-d.exited:
-	case <-time.After(time.Until(began.Add(span))):
-		p.t.Errorf("%s runs %v after SIGTERM and is killed", d.name, span)
-		_ = d.cmd.Process.Kill()
-		<-d.exited
-	}
-	return time.Since(began)
-}
-
 // Guards against a daemon that stops by the GraceS of its start although it was changed since: raised, the daemon cut
 // streams off that had time to end; lowered, it was killed with streams in flight (LOST).
 func TestPlatformChangedGraceIsInForce(t *testing.T) {
--- a/hemlockd/e2e/usersplatform_plainstop_calls_test.go
+++ b/hemlockd/e2e/usersplatform_plainstop_calls_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -22,22 +21,6 @@
 	return fmt.Sprintf("%s sent %v after SIGTERM with a deadline of %v", c.route, c.after, c.deadline)
 }
 
-// terminate sends SIGTERM.
-func (p *usersPlatform) terminate(d *platformDaemon) {
-	p.t.Helper()
-	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		p.t.Fatal(err)
-	}
-}
-
-// waitPeers waits until the daemon knows all others.
-func (p *usersPlatform) waitPeers(d *platformDaemon) {
-	p.t.Helper()
-	p.eventually(5*time.Second, "the daemons know each other", func() bool {
-		return strings.Count(d.log.String(), "first message received from another daemon") == len(p.daemons)-1
-	})
-}
-
 // checkRefusedAtStop checks that an answer refuses a call in a way that its caller can follow, and that the call has
 // not been sent on.
 func (p *usersPlatform) checkRefusedAtStop(what, attempt string, a platformResponse, took time.Duration) {
@@ -60,11 +43,11 @@
 func TestPlatformStoppingDaemonRefusesPlainCallsThatMayNotFit(t *testing.T) {
 	p := deployUsersPlatform(t, 2)
 	d := p.daemons[0]
-	p.waitPeers(d)
+	p.knowEachOther()
 	for _, id := range []string{"i-desk1", "i-desk2"} {
 		p.injectServerFault(id, map[string]any{"mute": true})
 	}
-	p.terminate(d)
+	p.signal(d, syscall.SIGTERM)
 	signalled := time.Now()
 	var all sync.WaitGroup
 	for _, c := range []lateCall{
@@ -87,8 +70,8 @@
 func TestPlatformStoppingDaemonServesPlainCallsThatFit(t *testing.T) {
 	p := deployUsersPlatform(t, 2)
 	d := p.daemons[0]
-	p.waitPeers(d)
-	p.terminate(d)
+	p.knowEachOther()
+	p.signal(d, syscall.SIGTERM)
 	signalled := time.Now()
 	for _, c := range []lateCall{
 		{"order", 100 * time.Millisecond, 6 * time.Second}, {"lookup", 200 * time.Millisecond, 6 * time.Second},
--- a/hemlockd/e2e/usersplatform_plainstop_conns_test.go
+++ b/hemlockd/e2e/usersplatform_plainstop_conns_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -85,7 +86,7 @@
 		p.addServer(id, "models", "decode")
 	}
 	d := p.daemons[0]
-	p.waitPeers(d)
+	p.knowEachOther()
 	time.Sleep(500 * time.Millisecond)
 	spans := []time.Duration{100 * time.Millisecond, time.Second, 2700 * time.Millisecond, 3 * time.Second, 5 * time.Second, 7 * time.Second}
 	var ready, all sync.WaitGroup
@@ -136,7 +137,7 @@
 	}
 	ready.Wait()
 	time.Sleep(200 * time.Millisecond)
-	p.terminate(d)
+	p.signal(d, syscall.SIGTERM)
 	signalled := time.Now()
 	go func() {
 		for range 2 * 3 * len(spans) {
--- a/hemlockd/e2e/usersplatform_plainstop_uploads_test.go
+++ b/hemlockd/e2e/usersplatform_plainstop_uploads_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -136,7 +137,7 @@
 	const expects = "Expect: 100-continue\r\n"
 	p := deployUsersPlatform(t, 2)
 	d := p.daemons[0]
-	p.waitPeers(d)
+	p.knowEachOther()
 	var uploads []*upload
 	for _, u := range []slowUpload{
 		{name: "length ends in time", framing: length, ends: 3 * time.Second, deadline: 6 * time.Second, status: http.StatusOK},
@@ -151,7 +152,7 @@
 		uploads = append(uploads, u.begin(t, d))
 	}
 	time.Sleep(200 * time.Millisecond)
-	p.terminate(d)
+	p.signal(d, syscall.SIGTERM)
 	signalled := time.Now()
 	var all sync.WaitGroup
 	for _, u := range uploads {
--- a/hemlockd/e2e/usersplatform_stops_test.go
+++ b/hemlockd/e2e/usersplatform_stops_test.go
@@ -80,9 +80,7 @@
 	first := stopStream{hintEvents: 130, limitEvents: 130, events: 130, interval: 25 * time.Millisecond}
 	p := deployUsersPlatform(t, daemons)
 	d := p.daemons[0]
-	p.eventually(5*time.Second, "the daemons know each other", func() bool {
-		return strings.Count(d.log.String(), "first message received from another daemon") == daemons-1
-	})
+	p.knowEachOther()
 	var all sync.WaitGroup
 	results := make(chan lateStream, 3)
 	signalled := make(chan struct{})
@@ -103,9 +101,7 @@
 	}
 	p.eventually(5*time.Second, "the first stream runs", func() bool { return p.runCount("first") > 0 })
 	time.Sleep(200 * time.Millisecond) // its answer begins before the signal, and keeps the connection open
-	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
+	p.signal(d, syscall.SIGTERM)
 	close(signalled)
 	all.Wait()
 	close(results)
