--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -42,8 +42,8 @@
 	// shutdownListenTime is how long after the signal to stop new connections are still
 	// accepted: the balancer needs that long to see that the daemon is not ready.
 	shutdownListenTime = 2800 * clock.Millisecond
-	// shutdownReserve is how long before the kill the wait for requests in flight ends. At a tenth of a core, it took 0.26 s
-	// to answer 100 requests that were ended, and 0.1 s more until the process had exited.
+	// shutdownReserve is how long before the kill the wait for requests in flight ends: a process with a small share of a core
+	// has to answer them and to exit.
 	shutdownReserve = 450 * clock.Millisecond
 	// lastAnswersTime is the time for answering the requests that are ended then. It is used up only if it is needed.
 	lastAnswersTime = 300 * clock.Millisecond
