One copy of the fault that breaks the first stream; a clearer name

The tests of dispatch had it twice. In linger.go the count that the kernel gives is of bytes that are not acknowledged, sent or not. No behaviour, check or expectation is changed.

--- a/hemlockd/internal/app/linger.go
+++ b/hemlockd/internal/app/linger.go
@@ -116,9 +116,9 @@
 	if err != nil {
 		return true
 	}
-	unsent := 0
-	if controlErr := raw.Control(func(fd uintptr) { unsent, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); controlErr != nil || err != nil {
+	unacknowledged := 0
+	if controlErr := raw.Control(func(fd uintptr) { unacknowledged, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); controlErr != nil || err != nil {
 		return true
 	}
-	return unsent == 0
+	return unacknowledged == 0
 }
--- a/hemlockd/internal/dispatch/dispatch_test.go
+++ b/hemlockd/internal/dispatch/dispatch_test.go
@@ -115,20 +115,7 @@
 // caller must still get every event once.
 func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
 	sent := 0
-	s := newSetup(func(name string, n int) int {
-		switch name {
-		case "fault in prefill":
-			return 7
-		case "fault in decode":
-			if sent++; sent == 1 {
-				return faultTruncatedBody
-			}
-			return faultNone
-		case "cut":
-			return n / 2
-		}
-		return 0
-	})
+	s := newSetup(breakFirstStream(&sent))
 	answer, cut := s.ask("r", "/resumable/x")
 	if cut || answer.Body.String() != eventsAfter(0) {
 		t.Errorf("cut %v, answer %q", cut, answer.Body.String())
--- a/hemlockd/internal/dispatch/fakes_test.go
+++ b/hemlockd/internal/dispatch/fakes_test.go
@@ -369,3 +369,21 @@
 	s.dispatcher.ServeHTTP(recorder, r)
 	return recorder, false
 }
+
+// breakFirstStream chooses faults that break the first stream in the middle of an event. sent counts the decode calls.
+func breakFirstStream(sent *int) func(string, int) int {
+	return func(name string, n int) int {
+		switch name {
+		case "fault in prefill":
+			return 7
+		case "fault in decode":
+			if *sent++; *sent == 1 {
+				return faultTruncatedBody
+			}
+			return faultNone
+		case "cut":
+			return n / 2
+		}
+		return 0
+	}
+}
--- a/hemlockd/internal/dispatch/shutdown_test.go
+++ b/hemlockd/internal/dispatch/shutdown_test.go
@@ -122,20 +122,7 @@
 // left of it may be too long for a new request, but it is owed.
 func TestBrokenStreamGoesOnDuringTheShutdown(t *testing.T) {
 	sent := 0
-	s := newSetup(func(name string, n int) int {
-		switch name {
-		case "fault in prefill":
-			return 7
-		case "fault in decode":
-			if sent++; sent == 1 {
-				return faultTruncatedBody
-			}
-			return faultNone
-		case "cut":
-			return n / 2
-		}
-		return 0
-	})
+	s := newSetup(breakFirstStream(&sent))
 	s.upstreams.send = func(_ *calls.Call, _ routing.Upstream, d calls.Delivery) error {
 		if d.Phase == calls.PhaseDecode && sent == 0 {
 			s.drainFor(800)
