--- a/review/stand-2/lib.sh
+++ b/review/stand-2/lib.sh
@@ -7,6 +7,7 @@
 WORK=$(mktemp -d)
 PIDS=()
 HOST_NAME=t.example
+SEED=127.0.0.41 # machine that the settings name as the seed
 
 # cant_run says why a case can't run and ends the script with status 2.
 cant_run() {
@@ -63,7 +64,8 @@
 	[ "${#PORTS[@]}" -eq 4 ] || cant_run "no free ports"
 }
 
-# write_settings NAME IP GRACE_S writes the settings file of a daemon, with the figures of aps-poleworks.
+# write_settings NAME IP GRACE_S LEASE_MS writes the settings file of a daemon, the rest with the figures of
+# aps-poleworks. The file is replaced at once.
 write_settings() {
 	cat >"$WORK/$1.toml.new" <<END
 NodeName = "$1"
@@ -74,7 +76,7 @@
 Zone = "brandon-a"
 Region = "manitoba"
 InternalPorts = [${PORTS[0]}, ${PORTS[0]}]
-Seeds = ["127.0.0.11:${PORTS[3]}"]
+Seeds = ["$SEED:${PORTS[3]}"]
 Bootstrap = true
 Discovery = "platform"
 Entry = "virtual_ip"
@@ -116,7 +118,7 @@
 TransitMs = 400
 RetryAfterS = 3
 FencingRequired = false
-LeaseMs = 3000
+LeaseMs = $4
 ThawSlackMs = 300
 [Platform]
 Address = "$STORE"
--- a/review/stand-2/tool.go
+++ b/review/stand-2/tool.go
@@ -1,19 +1,26 @@
-// Command tool helps the scripts of the review. It finds free ports, stands in for clients that send
-// requests over kept connections, and for the part of the platform that kills a process above its
-// memory limit. It knows no names of the platform: scripts pass them as flags.
+// Command tool helps the scripts of the review. It finds free ports, and it stands in for model servers
+// that take orders and for clients of streams. The names of the platform come from names.json beside it,
+// whose path is in the variable REVIEW_NAMES.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
 )
 
+// names are what the platform calls its calls and headers.
+type names struct {
+	RowsTx, Report, Order, Handle, HoldTake, HoldDrop                                                       string
+	Attempt, Deadline, Expect, Instance, Seal, NotRun, Stage, Source, Tokens, Parts, Hint, Model, LastEvent string
+}
+
 func main() {
-	commands := map[string]func(args []string) error{"ports": ports, "clients": clients, "watch": watch, "desk": desk}
+	commands := map[string]func(args []string) error{"ports": ports, "engines": engines, "streams": streams}
 	if len(os.Args) < 2 || commands[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: tool ports|clients|watch|desk ...")
+		fmt.Fprintln(os.Stderr, "usage: tool ports|engines|streams ...")
 		os.Exit(2)
 	}
 	if err := commands[os.Args[1]](os.Args[2:]); err != nil {
@@ -22,6 +29,17 @@
 	}
 }
 
+// loadNames reads the names.
+func loadNames() (names, error) {
+	var n names
+	raw, err := os.ReadFile(os.Getenv("REVIEW_NAMES"))
+	if err != nil {
+		return n, err
+	}
+	err = json.Unmarshal(raw, &n)
+	return n, err
+}
+
 // ports prints as many ports as asked for that are free on all addresses.
 func ports(args []string) error {
 	n, err := strconv.Atoi(args[0])
