--- a/hemlockd/e2e/deployment_test.go
+++ b/hemlockd/e2e/deployment_test.go
@@ -80,6 +80,7 @@
 	vmListMs    int      // interval of reads of the VM list, default 500
 	unconverged bool     // do not wait until the daemons see each other
 	team        string   // TOML lines added to the team's file
+	program     string   // path of the daemons' program, default: the one that TestMain has built
 }
 
 func (o *options) setDefaults() {
@@ -115,6 +116,7 @@
 	callers    string // host:port on which it serves callers
 	operators  string // host:port on which it serves operators
 	advertise  string // host:port that it advertises to other daemons: the relay's
+	listen     string // host:port of the port for other daemons itself
 	configPath string
 	relay      *relay // carries the connections of other daemons to this one
 }
@@ -202,8 +204,8 @@
 		process: &process{t: d.t, name: fmt.Sprintf("%s-%d", dc, n)}, deployment: d, dataCentre: dc,
 		callers: d.ports.nextAddress(ip), operators: d.ports.nextAddress(ip), advertise: d.ports.nextAddress(ip),
 	}
-	listen := d.ports.nextAddress(ip)
-	m.relay = newRelay(d.t, m.advertise, listen, d.partitions, dc)
+	m.listen = d.ports.nextAddress(ip)
+	m.relay = newRelay(d.t, m.advertise, m.listen, d.partitions, dc)
 	m.configPath = d.writeFile(m.name+".toml", fmt.Sprintf(`name = %q
 dataCentre = %q
 callers = %q
@@ -220,7 +222,7 @@
 probeMs = %d
 vmListMs = %d
 %s
-`, m.name, dc, m.callers, m.operators, listen, m.advertise, table, objects, vms, daemonKey, settings.HashKey(operatorKey),
+`, m.name, dc, m.callers, m.operators, m.listen, m.advertise, table, objects, vms, daemonKey, settings.HashKey(operatorKey),
 		cmp.Or(d.opts.loadMs, 200), cmp.Or(d.opts.probeMs, 200), cmp.Or(d.opts.vmListMs, 500), d.opts.daemon))
 	return m
 }
@@ -281,7 +283,10 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	p.cmd = exec.Command(filepath.Join(binaryDir, program), args...)
+	if !filepath.IsAbs(program) {
+		program = filepath.Join(binaryDir, program)
+	}
+	p.cmd = exec.Command(program, args...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
@@ -327,7 +332,7 @@
 
 func (m *daemon) start() {
 	m.logPath = filepath.Join(m.deployment.dir, m.name+".log")
-	m.run("hemlockd", "--config", m.configPath)
+	m.run(cmp.Or(m.deployment.opts.program, "hemlockd"), "--config", m.configPath)
 	m.waitHealthy()
 }
 
--- a/hemlockd/e2e/usersplatform_deployment_test.go
+++ b/hemlockd/e2e/usersplatform_deployment_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -29,6 +30,15 @@
 	configVersion int
 	daemonFlags   []string // additional flags of daemons that start from now on
 	probes        int      // orders sent by reaches
+	options       platformOptions
+}
+
+// platformOptions are the properties of a deployment that most tests leave as they are.
+type platformOptions struct {
+	daemons      int    // number of daemons
+	program      string // path of the daemons' program; "": the one that TestMain has built
+	limits       string // lines of [Limits] in the daemons' settings
+	maxBodyBytes int    // longest body of a request; 0: 65,536
 }
 
 // platformDaemon is one daemon of a usersPlatform.
@@ -77,7 +87,13 @@
 // centre and waits until the daemons are ready.
 func deployUsersPlatform(t *testing.T, daemons int) *usersPlatform {
 	t.Helper()
-	p := &usersPlatform{t: t, dir: t.TempDir()}
+	return deployUsersPlatformWith(t, platformOptions{daemons: daemons})
+}
+
+// deployUsersPlatformWith is deployUsersPlatform with options.
+func deployUsersPlatformWith(t *testing.T, o platformOptions) *usersPlatform {
+	t.Helper()
+	p := &usersPlatform{t: t, dir: t.TempDir(), options: o}
 	standin := exec.Command(filepath.Join(binaryDir, "standin"), "users-platform")
 	standin.Stderr = os.Stderr
 	out, err := standin.StdoutPipe()
@@ -101,7 +117,7 @@
 	p.addServer("i-desk1", "desk", "")
 	p.addServer("i-desk2", "desk", "")
 	ports := freePorts(t, 5)
-	for i := range daemons {
+	for i := range o.daemons {
 		p.addDaemon(fmt.Sprintf("front-a-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), ports, p.openStoreAddress())
 	}
 	for _, d := range p.daemons {
@@ -141,6 +157,8 @@
 Front = "%s:%d"
 Ready = "%s:%d"
 Control = "%s:%d"
+[Limits]
+%s
 [Bounds]
 GraceS = 8
 DrainMs = 3000
@@ -150,7 +168,7 @@
 LeaseMs = 3000
 [Platform]
 Address = %q
-`, name, ip, ports[0], ports[0], ports[3], ip, ports[1], ip, ports[2], ip, ports[3], d.storeAddress)
+`, name, ip, ports[0], ports[0], ports[3], ip, ports[1], ip, ports[2], ip, ports[3], p.options.limits, d.storeAddress)
 	if err := os.WriteFile(d.configPath, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
@@ -163,7 +181,8 @@
 	if d.log == nil {
 		d.log = &lockedBuffer{}
 	}
-	d.cmd = exec.Command(filepath.Join(binaryDir, "hemlockd"), append([]string{"platform"}, p.daemonFlags...)...)
+	program := cmp.Or(p.options.program, filepath.Join(binaryDir, "hemlockd"))
+	d.cmd = exec.Command(program, append([]string{"platform"}, p.daemonFlags...)...)
 	// Under the race detector a process would sleep for 1 s at its exit.
 	d.cmd.Env = append(os.Environ(), "HEMLOCKMUX_BOOT="+d.configPath, "GORACE="+os.Getenv("GORACE")+" atexit_sleep_ms=0")
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
@@ -247,7 +266,7 @@
 				"Slots": 8, "KvCapacity": 4000, "Stride": 10, "KvHoldS": 0.5, "SwapS": 1.0,
 			}},
 		},
-		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": cmp.Or(p.options.maxBodyBytes, 65536), "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
 }
 
