Heads and connections are bounded before they are parsed

What callers saw: a daemon that held 100 requests within the limits, of heads made of short lines, took 278 MB of 96; heads over MaxHeaderBytes or without an end took 1.9 to 6.8 GB, and 300 silent connections 308 sockets of 200. On its machine it would have been killed, and all its callers with it.

Cause: the ports took the library's limit of 1 MB a head, MaxHeaderBytes and HeaderTimeoutMs of the configuration were read and never used, and nothing counted what heads cost: a line of four bytes takes some 650 bytes with the copies made of it. Nothing added up what all connections hold, so that any limit of one head is too much times enough clients.

Change: intake.Guard wraps the connections of all ports of both doors below net/http. It counts bytes and lines of a head as they arrive, and takes their cost from one budget of half of MemoryMb; three fifths of that are for what is larger than usual, so that large heads can't shut out the others. Over the limit 431; without memory 503 with Retry-After, and where the head is small a verdict (noMemory). A new connection takes the place of the one that has been idle longest. Why it works: the bound holds before the parser allocates, and the sum of all connections is limited, not each of them.

--- a/common/problem/problem.go
+++ b/common/problem/problem.go
@@ -47,6 +47,7 @@
 	IdempotencyKeyReused  Reason = "idempotencyKeyReused"
 	TeamLimit             Reason = "teamLimit"
 	Overloaded            Reason = "overloaded"
+	NoMemory              Reason = "noMemory"
 	NoUpstream            Reason = "noUpstream"
 	UpstreamFailed        Reason = "upstreamFailed"
 	UpstreamLimited       Reason = "upstreamLimited"
@@ -75,6 +76,7 @@
 	UpstreamSilent: http.StatusGatewayTimeout, CrashSuspect: http.StatusUnprocessableEntity,
 	PlatformUnavailable: http.StatusServiceUnavailable, OutcomeUnknown: http.StatusConflict,
 	NotReady:             http.StatusServiceUnavailable,
+	NoMemory:             http.StatusServiceUnavailable,
 	UpstreamLimited:      http.StatusServiceUnavailable,
 	UpstreamsPaused:      http.StatusServiceUnavailable,
 	UpstreamsLeaving:     http.StatusServiceUnavailable,
--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -26,6 +26,7 @@
 	"hemlockmux.example/hemlockd/internal/daemons"
 	"hemlockmux.example/hemlockd/internal/engines"
 	"hemlockmux.example/hemlockd/internal/handoff"
+	"hemlockmux.example/hemlockd/internal/intake"
 	"hemlockmux.example/hemlockd/internal/keeper"
 	"hemlockmux.example/hemlockd/internal/limits"
 	"hemlockmux.example/hemlockd/internal/membership"
@@ -49,6 +50,8 @@
 	endTime = 500 * clock.Millisecond
 	// idleTimeout is how long an idle connection is kept open.
 	idleTimeout = 2 * clock.Minute
+	// operatorConns is the number of connections that the port for operators has places for.
+	operatorConns = 32
 )
 
 // Daemon is a running daemon with all its parts.
@@ -64,6 +67,7 @@
 	gate          *upstreamgate.Gate
 	operators     *operators.Operators
 	callers       *callers.Callers
+	intake        *intake.Budget // what callers may make the daemon hold
 	callersPort   *port
 	operatorsPort *port
 	failed        chan error
@@ -112,6 +116,9 @@
 // wire constructs and starts all parts, each after those that it depends on.
 func (d *Daemon) wire() error {
 	env, cfg := d.env, d.env.Config
+	capacity := intake.Capacity{MemoryBytes: int64(cfg.MemoryMB) * megabyte, Descriptors: cfg.MaxDescriptors}
+	d.intake = intake.NewBudget(capacity)
+	limitMemory(capacity)
 	table, closeTable := platform.NewTable(cfg.Table, cfg.PlatformToken, cfg.PlatformTimeoutMs)
 	d.onClose(closeTable)
 	objects, closeObjects := platform.NewObjects(cfg.Objects, cfg.Bucket, cfg.PlatformToken, cfg.PlatformTimeoutMs)
@@ -188,10 +195,10 @@
 		Configuration: d.configuration, Store: d.store, Objects: objects, Daemons: d.daemons,
 		Keeper: k, Services: svc, Gate: d.gate, Parts: parts, Verdicts: recorder,
 	})
-	if d.operatorsPort, err = d.listen("operators", cfg.Operators, d.operators.Handler()); err != nil {
+	if d.operatorsPort, err = d.listen("operators", cfg.Operators, d.operators.Handler(), nil, intake.NewPortBudget(operatorConns)); err != nil {
 		return err
 	}
-	if d.callersPort, err = d.listen("callers", cfg.Callers, d.callers.Handler()); err != nil {
+	if d.callersPort, err = d.listen("callers", cfg.Callers, d.callers.Handler(), http.HandlerFunc(d.callers.Refuse), d.intake); err != nil {
 		return err
 	}
 	d.publish()
@@ -230,9 +237,18 @@
 	}
 }
 
+// guard returns a guard of a port whose connections may take what the budget has; refuse answers what goes beyond it.
+func (d *Daemon) guard(name string, maxHeadBytes int, refuse http.Handler, budget *intake.Budget) *intake.Guard {
+	heads := intake.Heads{MaxBytes: maxHeadBytes, TimeoutMs: d.env.Config.HeaderTimeoutMs}
+	return intake.NewGuard(intake.Options{
+		Log: d.env.Log, Port: name, Budget: budget, Heads: func() intake.Heads { return heads }, Refuse: refuse, WholeSeconds: true,
+	})
+}
+
 // listen opens a port that is closed when the daemon stops.
-func (d *Daemon) listen(name, address string, handler http.Handler) (*port, error) {
-	p, closePort, err := openPort(d.env.Log, name, address, handler, idleTimeout, d.failed)
+func (d *Daemon) listen(name, address string, handler, refuse http.Handler, budget *intake.Budget) (*port, error) {
+	guard := d.guard(name, d.env.Config.MaxHeaderBytes, refuse, budget)
+	p, closePort, err := openPort(d.env.Log, name, address, handler, guard, idleTimeout, d.failed)
 	if err == nil {
 		d.onClose(closePort)
 	}
--- a/hemlockd/internal/app/conn.go
+++ b/hemlockd/internal/app/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/intake"
 )
 
 const (
@@ -29,7 +30,7 @@
 // connection may wait for a request. A request that has been sent within that time is
 // read, even if this process is late in reading it.
 type conn struct {
-	net.Conn
+	*intake.Conn
 
 	p        *port
 	mu       sync.Mutex
@@ -94,15 +95,6 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// CloseWrite closes the sending side, for net/http, which does so to let callers read
-// an answer that they got before they had sent all of their request.
-func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
 // setState notes the connection's state as the server sees it.
 func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
--- a/hemlockd/internal/app/drain.go
+++ b/hemlockd/internal/app/drain.go
@@ -7,12 +7,13 @@
 	"time"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/intake"
 )
 
 // drainPollInterval is the interval at which a drain looks for connections.
 const drainPollInterval = 10 * clock.Millisecond
 
-func (p *port) addConn(inner net.Conn) *conn {
+func (p *port) addConn(inner *intake.Conn) *conn {
 	c := &conn{Conn: inner, p: p, state: http.StateNew}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -26,12 +27,18 @@
 // connStateChanged is called by the server when the state of a connection has changed.
 func (p *port) connStateChanged(nc net.Conn, state http.ConnState) {
 	c := nc.(*conn)
+	c.Conn.SetState(state)
 	c.setState(state)
 	if state == http.StateClosed && !c.isLingering() || state == http.StateHijacked {
 		p.forget(c)
 	}
 }
 
+// connContext makes what a connection may hold known to the handlers of its requests.
+func (p *port) connContext(ctx context.Context, nc net.Conn) context.Context {
+	return nc.(*conn).Conn.Context(ctx)
+}
+
 func (p *port) forget(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/hemlockd/internal/app/drain_test.go
+++ b/hemlockd/internal/app/drain_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/intake"
 )
 
 const (
@@ -97,11 +98,18 @@
 	t.Helper()
 	p := &testPort{t: t, listener: &announcingListener{l, make(chan struct{}, 99)}, failed: make(chan error, 1)}
 	var closePort func()
-	p.port, closePort = servePort(zap.NewNop(), "callers", p.listener, handler, 30*clock.Second, p.failed)
+	p.port, closePort = servePort(zap.NewNop(), "callers", p.listener, handler, testGuard(), 30*clock.Second, p.failed)
 	t.Cleanup(closePort)
 	return p
 }
 
+// testGuard returns a guard whose limits no test meets.
+func testGuard() *intake.Guard {
+	return intake.NewGuard(intake.Options{
+		Log: zap.NewNop(), Port: "test", Budget: intake.NewPortBudget(1000), Heads: func() intake.Heads { return intake.Heads{MaxBytes: 1 << 20} },
+	})
+}
+
 func serveAnswer(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, testAnswer) }
 
 // testCaller is one connection to a testPort.
--- a/hemlockd/internal/app/linger.go
+++ b/hemlockd/internal/app/linger.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"os"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -32,14 +31,10 @@
 	if !c.p.stopping.Load() || c.isIdle() && c.allReceived() {
 		return c.Conn.Close()
 	}
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
-		return c.Conn.Close()
-	}
 	if !c.startLinger() {
 		return nil
 	}
-	if half.CloseWrite() != nil { // the connection is broken
+	if c.CloseWrite() != nil { // the connection is broken
 		return c.endLinger()
 	}
 	go c.linger()
@@ -108,11 +103,7 @@
 
 // allReceived reports whether the caller's kernel has acknowledged all bytes sent, or that is not known.
 func (c *conn) allReceived() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return true
 	}
--- a/hemlockd/internal/app/listener.go
+++ b/hemlockd/internal/app/listener.go
@@ -50,7 +50,10 @@
 		switch {
 		case err == nil:
 			l.empty = 0
-			return l.p.addConn(inner), nil
+			if guarded := l.p.guard.Accept(inner); guarded != nil {
+				return l.p.addConn(guarded), nil
+			}
+			continue
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		}
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -19,6 +19,7 @@
 	"hemlockmux.example/hemlockd/internal/capacity"
 	inforce "hemlockmux.example/hemlockd/internal/directory"
 	"hemlockmux.example/hemlockd/internal/dispatch"
+	"hemlockmux.example/hemlockd/internal/intake"
 	"hemlockmux.example/hemlockd/internal/peers"
 	"hemlockmux.example/hemlockd/internal/prompts"
 	"hemlockmux.example/hemlockd/internal/retries"
@@ -66,6 +67,7 @@
 type platformDaemon struct {
 	log          *zap.Logger
 	settings     platform.Settings
+	intake       *intake.Budget // what callers may make the daemon hold
 	metricsPort  int
 	controlBytes int
 	view         *capacity.View
@@ -113,6 +115,8 @@
 	settings := o.Settings
 	d := &platformDaemon{log: log, settings: settings, metricsPort: o.MetricsPort, controlBytes: o.ControlBytesPerSecond, clk: clock.System(), failed: make(chan error, 2), registerAgain: make(chan struct{}, 1), stopping: make(chan struct{})}
 	d.stop = &stopTimes{graceMs: settings.ShutdownGraceMs, exit: func(left clock.Millis) bool { return d.dispatcher.Drain(d.clk.Now() + left) }}
+	d.intake = intake.NewBudget(capacityOf(settings))
+	limitMemory(capacityOf(settings))
 	defer d.close()
 	if err := d.wire(); err != nil {
 		return err
@@ -240,30 +244,51 @@
 	go d.runRegistration(ctx)
 	go d.blames.run(ctx)
 	go roleController.Run(ctx)
-	if d.ready, err = d.listen("ready", d.settings.Ready, http.HandlerFunc(d.serveReady)); err != nil {
+	if d.ready, err = d.listen("ready", d.settings.Ready, http.HandlerFunc(d.serveReady), nil, intake.NewPortBudget(controlConns)); err != nil {
 		return err
 	}
 	if d.metricsPort != 0 {
 		metrics := http.NewServeMux()
 		metrics.Handle("/metrics", expvar.Handler())
 		metrics.HandleFunc("/debug/pprof/profile", pprof.Profile)
-		if _, err = d.listen("metrics", net.JoinHostPort(d.settings.IP, strconv.Itoa(d.metricsPort)), metrics); err != nil {
+		if _, err = d.listen("metrics", net.JoinHostPort(d.settings.IP, strconv.Itoa(d.metricsPort)), metrics, nil, intake.NewPortBudget(controlConns)); err != nil {
 			return err
 		}
 	}
-	d.callers, err = d.listen("callers", d.settings.Callers, d.dispatcher)
+	d.callers, err = d.listen("callers", d.settings.Callers, d.dispatcher, http.HandlerFunc(d.dispatcher.Refuse), d.intake)
 	return err
 }
 
-// listen opens a port that is closed when the daemon stops.
-func (d *platformDaemon) listen(name, address string, handler http.Handler) (*port, error) {
-	p, closePort, err := openPort(d.log, name, address, handler, callerIdleTimeout, d.failed)
+// listen opens a port that is closed when the daemon stops. Its connections may take what the budget has; refuse answers
+// what goes beyond it.
+func (d *platformDaemon) listen(name, address string, handler, refuse http.Handler, budget *intake.Budget) (*port, error) {
+	guard := intake.NewGuard(intake.Options{Log: d.log, Port: name, Budget: budget, Heads: d.headLimits, Refuse: refuse})
+	p, closePort, err := openPort(d.log, name, address, handler, guard, callerIdleTimeout, d.failed)
 	if err == nil {
 		d.onClose(closePort)
 	}
 	return p, err
 }
 
+// headLimits returns the limits of heads in the configuration.
+func (d *platformDaemon) headLimits() intake.Heads {
+	limits := intake.Heads{MaxBytes: intake.DefaultMaxHeadBytes}
+	table := d.directory.Table()
+	if table == nil {
+		return limits
+	}
+	limits.TimeoutMs = table.Config.Limits.HeaderTimeoutMs
+	if n := table.Config.Limits.MaxHeaderBytes; n > 0 {
+		limits.MaxBytes = n
+	}
+	return limits
+}
+
+// capacityOf returns what the process may use.
+func capacityOf(settings platform.Settings) intake.Capacity {
+	return intake.Capacity{MemoryBytes: int64(settings.MemoryMB) * megabyte, Descriptors: settings.MaxDescriptors}
+}
+
 // serveReady answers the balancer's readiness checks.
 func (d *platformDaemon) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if d.isStopping() || !d.directory.Ready() {
@@ -319,10 +344,12 @@
 }
 
 // reload applies those of the new settings that can change while the daemon runs: the
-// seeds, the limits of changes, the retry budget and the grace period, also of a shutdown that has begun. Changed
+// seeds, the limits of changes, the retry budget, the memory and descriptors, and the grace period, also of a shutdown that has begun. Changed
 // addresses need a restart.
 func (d *platformDaemon) reload(settings platform.Settings) {
 	d.stop.setGrace(settings.ShutdownGraceMs)
+	d.intake.SetCapacity(capacityOf(settings))
+	limitMemory(capacityOf(settings))
 	d.addSeeds(settings.Seeds)
 	d.checkLimits(settings)
 	d.directory.SetLimits(directoryLimits(settings))
--- a/hemlockd/internal/app/port.go
+++ b/hemlockd/internal/app/port.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,16 +13,27 @@
 	"go.uber.org/zap"
 
 	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/intake"
 )
 
-// headerTimeout bounds the time that a caller may take to send a request's headers.
+// headerTimeout bounds the time that a caller may take to send a request's headers, if no shorter one is in force.
 const headerTimeout = 10 * clock.Second
 
+// controlConns is the number of connections that a port for the platform's or an operator's programs has places for.
+const controlConns = 16
+
+// megabyte is the unit of memory in settings.
+const megabyte = 1_000_000
+
+// limitMemory has the Go runtime collect garbage in time for the process to stay within its memory.
+func limitMemory(c intake.Capacity) { debug.SetMemoryLimit(c.CollectBytes()) }
+
 // port serves HTTP on one address.
 type port struct {
 	name     string
 	server   *http.Server
 	listener deadlineListener
+	guard    *intake.Guard
 	failed   chan<- error  // receives the error if the server ends without being closed
 	ended    chan struct{} // closed when no more connections are accepted
 
@@ -35,22 +47,22 @@
 
 // openPort opens a port and serves it. It returns the port and a function that
 // closes it.
-func openPort(log *zap.Logger, name, address string, handler http.Handler, idle clock.Millis, failed chan<- error) (*port, func(), error) {
+func openPort(log *zap.Logger, name, address string, handler http.Handler, guard *intake.Guard, idle clock.Millis, failed chan<- error) (*port, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
-	p, closePort := servePort(log, name, listener.(*net.TCPListener), handler, idle, failed)
+	p, closePort := servePort(log, name, listener.(*net.TCPListener), handler, guard, idle, failed)
 	return p, closePort, nil
 }
 
 // servePort serves a port on an open listener. It returns the port and a function
 // that closes it.
-func servePort(log *zap.Logger, name string, listener deadlineListener, handler http.Handler, idle clock.Millis, failed chan<- error) (*port, func()) {
-	p := &port{name: name, listener: listener, failed: failed, ended: make(chan struct{}), conns: map[*conn]struct{}{}}
+func servePort(log *zap.Logger, name string, listener deadlineListener, handler http.Handler, guard *intake.Guard, idle clock.Millis, failed chan<- error) (*port, func()) {
+	p := &port{name: name, listener: listener, guard: guard, failed: failed, ended: make(chan struct{}), conns: map[*conn]struct{}{}}
 	p.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idle.Duration(),
-		ErrorLog: zap.NewStdLog(log), ConnState: p.connStateChanged,
+		Handler: guard.Handler(handler), ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idle.Duration(),
+		ErrorLog: zap.NewStdLog(log), ConnState: p.connStateChanged, ConnContext: p.connContext,
 	}
 	go p.run()
 	return p, func() { _ = p.server.Close() }
--- a/hemlockd/internal/callers/callers.go
+++ b/hemlockd/internal/callers/callers.go
@@ -92,6 +92,16 @@
 	return r
 }
 
+// Refuse answers a request that the daemon has no memory for, before it is handled.
+func (c *Callers) Refuse(w http.ResponseWriter, r *http.Request) {
+	c.exchange(func(*exchange) *problem.Problem { return noMemory() })(w, r)
+}
+
+// noMemory returns the refusal of a request that the daemon has no memory for.
+func noMemory() *problem.Problem {
+	return problem.New(problem.NoMemory, "the daemon has no memory for this request now").WithRetryAfter(clock.Second)
+}
+
 // exchange is one request with the state of its response.
 type exchange struct {
 	c *Callers
--- a/hemlockd/internal/dispatch/dispatch.go
+++ b/hemlockd/internal/dispatch/dispatch.go
@@ -171,12 +171,23 @@
 
 // ServeHTTP implements [http.Handler].
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.handle(w, r, (*exchange).serve)
+}
+
+// Refuse answers a request that the daemon has no memory for, before it is handled. The caller of Refuse may have set the
+// header Retry-After.
+func (d *Dispatcher) Refuse(w http.ResponseWriter, r *http.Request) {
+	d.handle(w, r, func(x *exchange) { x.respondError(http.StatusServiceUnavailable, reasonNoMemory, 0) })
+}
+
+// handle has a request answered and records its end.
+func (d *Dispatcher) handle(w http.ResponseWriter, r *http.Request, answer func(*exchange)) {
 	x := &exchange{d: d, w: w, r: r, call: d.opts.ReadCall(r), arrivedMs: d.opts.Clock.Now(), outcome: calls.NotRun}
 	d.open.add(x.call.ID)
 	defer d.open.remove(x.call.ID)
 	defer x.conclude()
 	defer x.answerPanic()
-	x.serve()
+	answer(x)
 	if !x.answered {
 		x.abort(x.reason) // net/http would send an empty answer with status 200
 	}
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -25,6 +25,7 @@
 	reasonNoRoute     = "noRoute"
 	reasonBadRequest  = "badRequest"
 	reasonTooLarge    = "tooLarge"
+	reasonNoMemory    = "noMemory"
 	reasonNoUpstream  = "noUpstream"
 	reasonNoCapacity  = "noRoom"
 	reasonBusy        = "upstreamsBusy"
--- /dev/null
+++ b/hemlockd/internal/intake/intake_test.go
@@ -0,0 +1,217 @@
+package intake
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hemlockmux.example/common/clock"
+)
+
+// testServer is a server under guard.
+type testServer struct {
+	t       *testing.T
+	budget  *Budget
+	address string
+	handled chan string // the paths of the requests that were handled
+}
+
+// startServer starts a server that may use so many bytes and sockets.
+func startServer(t *testing.T, bytes, sockets int64) *testServer {
+	t.Helper()
+	s := &testServer{t: t, budget: &Budget{}, handled: make(chan string, 1000)}
+	s.budget.memory.limit.Store(bytes)
+	s.budget.large.limit.Store(bytes * 6 / 10)
+	s.budget.sockets.limit.Store(sockets)
+	guard := NewGuard(Options{
+		Log: zap.NewNop(), Port: "test", Budget: s.budget,
+		Heads: func() Heads { return Heads{MaxBytes: 16 << 10, TimeoutMs: 300 * clock.Millisecond} },
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: guard.Handler(http.HandlerFunc(s.serve)), ConnState: guard.ConnState, ConnContext: guard.ConnContext}
+	go server.Serve(guard.Listener(l))
+	t.Cleanup(func() { _ = server.Close() })
+	s.address = l.Addr().String()
+	return s
+}
+
+// serve answers with the length of the body, or with so many bytes as the path names, after /hold only when the caller
+// has left.
+func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
+	s.handled <- r.URL.Path
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Path == "/hold" {
+		<-r.Context().Done()
+		return
+	}
+	n, _ := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
+	_, _ = fmt.Fprintf(w, "%d%s", len(body), strings.Repeat(".", n))
+}
+
+func (s *testServer) dial() net.Conn {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// send sends text and returns the status of the answer, 0 if there is none, and its header.
+func send(conn net.Conn, text string) (int, http.Header) {
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.WriteString(conn, text); err != nil {
+		return 0, nil
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, resp.Header
+}
+
+// awaitReturned waits until all that was taken has been returned.
+func (s *testServer) awaitReturned() {
+	s.t.Helper()
+	for range 500 {
+		if s.budget.Used() == 0 && s.budget.large.used.Load() == 0 && s.budget.sockets.used.Load() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.t.Errorf("taken and not returned: %d bytes, %d of them for large ones, %d sockets",
+		s.budget.Used(), s.budget.large.used.Load(), s.budget.sockets.used.Load())
+}
+
+func lines(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "a%d:\n", i)
+	}
+	return b.String()
+}
+
+const begin = "GET / HTTP/1.1\r\nHost: x\r\n"
+
+func TestHeads(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"usual", begin + "\r\n", 200},
+		{"of many lines within the limit", begin + lines(2000) + "\r\n", 200},
+		{"over the limit", begin + lines(9000) + "\r\n", 431},
+		{"over the limit, one line", begin + "X: " + strings.Repeat("x", 40_000) + "\r\n\r\n", 431},
+		{"over the limit, without end", begin + lines(9000), 431},
+		{"without end", begin + lines(10), 0},
+		{"empty lines", strings.Repeat("\r\n", 10_000), 400},
+		{"of two requests at once", begin + "\r\n" + begin + "\r\n", 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startServer(t, 64<<20, 100)
+			conn := s.dial()
+			if status, _ := send(conn, c.text); status != c.status {
+				t.Errorf("status %d, want %d", status, c.status)
+			}
+			_ = conn.Close()
+			s.awaitReturned()
+		})
+	}
+}
+
+// One request of the largest size is served when there is nothing else, more of them are refused, and usual requests
+// are served beside them.
+func TestLargeHeadsDoNotShutOutUsualOnes(t *testing.T) {
+	s := startServer(t, 8<<20, 100)
+	for i := range 3 {
+		conn := s.dial()
+		_, _ = io.WriteString(conn, strings.Replace(begin, "/", "/hold", 1)+lines(2000)+"\r\n")
+		if i == 0 {
+			<-s.handled
+		}
+	}
+	refused := s.dial()
+	for range 100 { // until those that were admitted have been handled
+		time.Sleep(5 * time.Millisecond)
+	}
+	status, header := send(refused, begin+lines(3000)+"\r\n")
+	if retry, err := strconv.ParseFloat(header.Get("Retry-After"), 64); status != 503 || err != nil || retry <= 0 {
+		t.Errorf("a further large one: status %d, Retry-After %q, want 503 and a time", status, header.Get("Retry-After"))
+	}
+	if status, _ := send(s.dial(), begin+"\r\n"); status != 200 {
+		t.Errorf("a usual one: status %d", status)
+	}
+}
+
+// A request that comes with the body of the one before is counted too.
+func TestHeadThatCameWithTheBodyBefore(t *testing.T) {
+	s := startServer(t, 512<<10, 100)
+	conn := s.dial()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 5000)+begin+lines(550)+"\r\n")
+	reader := bufio.NewReader(conn)
+	for _, want := range []int{200, 503} {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("answer %v, %v, want %d", resp, err, want)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+}
+
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	s := startServer(t, 64<<20, 10)
+	first := s.dial()
+	if status, _ := send(first, begin+"\r\n"); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	for range 20 {
+		s.dial()
+	}
+	if status, _ := send(s.dial(), begin+"\r\n"); status != 200 {
+		t.Errorf("status %d beside silent connections", status)
+	}
+	if _, err := first.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection that has been idle longest is open")
+	}
+	if used := s.budget.sockets.used.Load(); used > 10 {
+		t.Errorf("%d sockets are taken of 10", used)
+	}
+}
+
+// Connections with a request do not give way: a new one is refused, and served when there is a place again.
+func TestConnectionsWithRequestsDoNotGiveWay(t *testing.T) {
+	s := startServer(t, 64<<20, 6)
+	held := []net.Conn{s.dial(), s.dial()}
+	for _, conn := range held {
+		_, _ = io.WriteString(conn, strings.Replace(begin, "/", "/hold", 1)+"\r\n")
+		<-s.handled
+	}
+	if status, _ := send(s.dial(), begin+"\r\n"); status != 503 && status != 0 {
+		t.Errorf("status %d, want none or 503", status)
+	}
+	_ = held[0].Close()
+	for range 100 {
+		if status, _ := send(s.dial(), begin+"\r\n"); status == 200 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("no request is served after a connection has been closed")
+}
--- a/hemlockd/internal/process/process.go
+++ b/hemlockd/internal/process/process.go
@@ -67,6 +67,10 @@
 	PollMs            clock.Millis `toml:"pollMs" doc:"Time between two polls of the settings' version by a polling daemon, in ms."`
 	VMListMs          clock.Millis `toml:"vmListMs" doc:"Time between two reads of the VM list, in ms."`
 	LoadMs            clock.Millis `toml:"loadMs" doc:"Time between two load reports of an engine, in ms."`
+	MemoryMB          int          `toml:"memoryMb" doc:"Memory of the process, in MB; callers may use half of it. 0: that of the machine."`
+	MaxDescriptors    int          `toml:"maxFds" doc:"File descriptors of the process; 200 are not for connections. 0: what the system allows."`
+	MaxHeaderBytes    int          `toml:"maxHeaderBytes" doc:"Longest head of a request, in bytes."`
+	HeaderTimeoutMs   clock.Millis `toml:"headerTimeoutMs" doc:"Longest time from the first to the last byte of a request's head, in ms."`
 	DrainMs           clock.Millis `toml:"drainMs" doc:"Longest time that a shutdown waits for requests in flight, in ms."`
 }
 
@@ -88,6 +92,7 @@
 	return Config{
 		Bucket: "hemlockmux", PlatformTimeoutMs: 2 * clock.Second, ProbeMs: 500, PollMs: clock.Second,
 		VMListMs: 2 * clock.Second, LoadMs: clock.Second, DrainMs: 60 * clock.Second,
+		MaxHeaderBytes: 64 << 10, HeaderTimeoutMs: 10 * clock.Second,
 	}
 }
 
@@ -108,6 +113,14 @@
 // MaxHeadBytes bounds the head of an upstream's answer.
 const MaxHeadBytes = 64 << 10
 
+// Bounds of the limits on callers.
+const (
+	minMemoryMB    = 64
+	minDescriptors = 300
+	minHeaderBytes = 4 << 10
+	maxHeaderBytes = 1 << 20
+)
+
 // minDaemonKeyBytes is the minimum length of the daemons' shared key, in bytes.
 const minDaemonKeyBytes = 16
 
@@ -170,10 +183,20 @@
 	for key, v := range map[string]clock.Millis{
 		"platformTimeoutMs": c.PlatformTimeoutMs, "probeMs": c.ProbeMs, "pollMs": c.PollMs,
 		"vmListMs": c.VMListMs, "loadMs": c.LoadMs, "drainMs": c.DrainMs,
+		"headerTimeoutMs": c.HeaderTimeoutMs,
 	} {
 		if v < 1 || v > clock.Hour {
 			errs = append(errs, fmt.Errorf("%s is %d, outside 1 to %d", key, v, clock.Hour))
 		}
 	}
+	if c.MemoryMB != 0 && c.MemoryMB < minMemoryMB {
+		errs = append(errs, fmt.Errorf("memoryMb is %d; use 0 or at least %d", c.MemoryMB, minMemoryMB))
+	}
+	if c.MaxDescriptors != 0 && c.MaxDescriptors < minDescriptors {
+		errs = append(errs, fmt.Errorf("maxFds is %d; use 0 or at least %d", c.MaxDescriptors, minDescriptors))
+	}
+	if c.MaxHeaderBytes < minHeaderBytes || c.MaxHeaderBytes > maxHeaderBytes {
+		errs = append(errs, fmt.Errorf("maxHeaderBytes is %d, outside %d to %d", c.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes))
+	}
 	return errs
 }
