Answers that are not read are given up, and what they hold is bounded

Change: a write without progress for unread-answer-ms (30 s; a setting of both doors, no caller waits that long) ends the connection; parts of 16 KB count as progress, so that a slow reader of a long answer goes on. The kernel's buffers are 64 KB each way. The buffer of an answer grows out of the budget, and where that ends the answer is forwarded as it comes.

--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -242,6 +242,7 @@
 	heads := intake.Heads{MaxBytes: maxHeadBytes, TimeoutMs: d.env.Config.HeaderTimeoutMs}
 	return intake.NewGuard(intake.Options{
 		Log: d.env.Log, Port: name, Budget: budget, Heads: func() intake.Heads { return heads }, Refuse: refuse, WholeSeconds: true,
+		UnreadAnswerMs: d.env.Config.UnreadAnswerMs,
 	})
 }
 
--- a/hemlockd/internal/app/command.go
+++ b/hemlockd/internal/app/command.go
@@ -9,6 +9,8 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"hemlockmux.example/common/clock"
+	"hemlockmux.example/hemlockd/internal/intake"
 	"hemlockmux.example/hemlockd/internal/logs"
 	"hemlockmux.example/hemlockd/internal/peers"
 	"hemlockmux.example/hemlockd/internal/process"
@@ -53,6 +55,7 @@
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: "check", Usage: "check the settings file and exit"},
 			&cli.IntFlag{Name: "control-bytes", Value: peers.DefaultBytesPerSecond, Usage: "maximum bytes a second sent to other daemons; above it, messages are dropped and runs ask the engine for a reservation first"},
+			&cli.IntFlag{Name: "unread-answer-ms", Value: int(intake.DefaultUnreadAnswerMs), Usage: "time after which an answer is given up whose caller reads nothing of it, in ms", Validator: checkUnreadAnswer},
 			&cli.IntFlag{Name: "metrics-port", Usage: "port that serves metrics at /metrics; 0: none"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -68,11 +71,14 @@
 			log, closeLog := logs.New(os.Stdout, settings.Name)
 			defer closeLog()
 			soft, hard := stopContexts()
-			return RunOnPlatform(soft, hard, PlatformOptions{SettingsPath: path, ReloadSignals: reloadSignals, Settings: settings, MetricsPort: c.Int("metrics-port"), ControlBytesPerSecond: c.Int("control-bytes")}, log)
+			return RunOnPlatform(soft, hard, PlatformOptions{SettingsPath: path, ReloadSignals: reloadSignals, Settings: settings, MetricsPort: c.Int("metrics-port"), ControlBytesPerSecond: c.Int("control-bytes"), UnreadAnswerMs: clock.Millis(c.Int("unread-answer-ms"))}, log)
 		},
 	}
 }
 
+// checkUnreadAnswer checks the flag unread-answer-ms.
+func checkUnreadAnswer(ms int) error { return intake.CheckUnreadAnswer(clock.Millis(ms)) }
+
 // stopSignals cancels one context at the first signal to stop and another one at the
 // first SIGINT after it. A repeated SIGTERM changes nothing: restarts overlap, and
 // whoever stops the process kills it after a grace period of their own.
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -68,6 +68,7 @@
 	log          *zap.Logger
 	settings     platform.Settings
 	intake       *intake.Budget // what callers may make the daemon hold
+	unreadMs     clock.Millis
 	metricsPort  int
 	controlBytes int
 	view         *capacity.View
@@ -104,6 +105,8 @@
 	MetricsPort int
 	// ControlBytesPerSecond bounds the control traffic sent to other daemons.
 	ControlBytesPerSecond int
+	// UnreadAnswerMs is the time after which an answer that its caller does not read is given up.
+	UnreadAnswerMs clock.Millis
 }
 
 // RunOnPlatform runs the daemon on the users' platform until ctx is done or a port
@@ -113,7 +116,7 @@
 // The settings are reloaded after a signal and when their file changes.
 func RunOnPlatform(ctx, hard context.Context, o PlatformOptions, log *zap.Logger) error {
 	settings := o.Settings
-	d := &platformDaemon{log: log, settings: settings, metricsPort: o.MetricsPort, controlBytes: o.ControlBytesPerSecond, clk: clock.System(), failed: make(chan error, 2), registerAgain: make(chan struct{}, 1), stopping: make(chan struct{})}
+	d := &platformDaemon{log: log, settings: settings, metricsPort: o.MetricsPort, controlBytes: o.ControlBytesPerSecond, unreadMs: o.UnreadAnswerMs, clk: clock.System(), failed: make(chan error, 2), registerAgain: make(chan struct{}, 1), stopping: make(chan struct{})}
 	d.stop = &stopTimes{graceMs: settings.ShutdownGraceMs, exit: func(left clock.Millis) bool { return d.dispatcher.Drain(d.clk.Now() + left) }}
 	d.intake = intake.NewBudget(capacityOf(settings))
 	limitMemory(capacityOf(settings))
@@ -262,7 +265,7 @@
 // listen opens a port that is closed when the daemon stops. Its connections may take what the budget has; refuse answers
 // what goes beyond it.
 func (d *platformDaemon) listen(name, address string, handler, refuse http.Handler, budget *intake.Budget) (*port, error) {
-	guard := intake.NewGuard(intake.Options{Log: d.log, Port: name, Budget: budget, Heads: d.headLimits, Refuse: refuse})
+	guard := intake.NewGuard(intake.Options{Log: d.log, Port: name, Budget: budget, Heads: d.headLimits, Refuse: refuse, UnreadAnswerMs: d.unreadMs})
 	p, closePort, err := openPort(d.log, name, address, handler, guard, callerIdleTimeout, d.failed)
 	if err == nil {
 		d.onClose(closePort)
--- a/hemlockd/internal/app/port.go
+++ b/hemlockd/internal/app/port.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -48,7 +49,8 @@
 // openPort opens a port and serves it. It returns the port and a function that
 // closes it.
 func openPort(log *zap.Logger, name, address string, handler http.Handler, guard *intake.Guard, idle clock.Millis, failed chan<- error) (*port, func(), error) {
-	listener, err := net.Listen("tcp", address)
+	config := net.ListenConfig{Control: intake.ControlSocket}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -161,13 +161,13 @@
 // than 200, or returns true if the request may be sent to another engine instead.
 func (m *modelRun) forwardNonStream(reply *calls.Reply) bool {
 	m.possibleRuns++
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes))
+	body, partial, err := m.bufferAnswer(reply.Body)
 	unsealed := !reply.Sealed && reply.Status < http.StatusMultipleChoices
 	if err != nil || unsealed || !validStatus(reply.Status) || impliesNotRun(reply.Status) || m.answered {
 		m.outcome = calls.Unknown
 		return m.prepareRetry()
 	}
-	m.deliver(&bufferedReply{reply: reply, body: body, partial: len(body) == maxBufferedBytes})
+	m.deliver(&bufferedReply{reply: reply, body: body, partial: partial})
 	return false
 }
 
--- a/hemlockd/internal/intake/budget.go
+++ b/hemlockd/internal/intake/budget.go
@@ -19,8 +19,9 @@
 	// headLineBytes and headByteFactor are the memory of a line of a head, with the copies that are made of it,
 	// and that of each of its bytes.
 	headLineBytes, headByteFactor = 768, 4
-	// usualHeadBytes is what a head may have in the part of the budget that large ones can't use up.
-	usualHeadBytes = 32 << 10
+	// usualHeadBytes and usualAnswerBytes are what a head and the buffer of an answer may have in the part of the budget
+	// that large ones can't use up.
+	usualHeadBytes, usualAnswerBytes = 32 << 10, 16 << 10
 )
 
 const (
@@ -134,8 +135,8 @@
 	begun bool
 	// used is the memory taken for the request, and large the part of it from that for large ones.
 	used, large int64
-	// head is what the request's head has taken.
-	head int64
+	// head and answer are what the request's head and the buffer of its answer have taken.
+	head, answer int64
 }
 
 // open takes the place of a connection.
@@ -225,6 +226,16 @@
 	return a.begun && a.raise(&a.head, n, usualHeadBytes)
 }
 
+// TakeAnswer takes n more bytes for what is buffered of the request's answer. It returns false if there is too little.
+func (a *Account) TakeAnswer(n int64) bool {
+	if a == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.raise(&a.answer, a.answer+n, usualAnswerBytes)
+}
+
 // endRequest returns what the request has taken.
 func (a *Account) endRequest() {
 	a.mu.Lock()
@@ -239,7 +250,7 @@
 	if a.begun {
 		b.sockets.giveBack(requestSockets)
 	}
-	a.begun, a.used, a.large, a.head = false, 0, 0, 0
+	a.begun, a.used, a.large, a.head, a.answer = false, 0, 0, 0, 0
 }
 
 // close returns all that the connection has taken. It may be called more than once.
--- a/hemlockd/internal/intake/budget_test.go
+++ b/hemlockd/internal/intake/budget_test.go
@@ -14,7 +14,7 @@
 		pick := func() *Account { return accounts[rapid.IntRange(0, len(accounts)-1).Draw(t, "account")] }
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			n := rapid.Int64Range(0, 1<<20).Draw(t, "bytes")
-			switch step := rapid.IntRange(0, 4).Draw(t, "step"); {
+			switch step := rapid.IntRange(0, 5).Draw(t, "step"); {
 			case step == 0 || len(accounts) == 0:
 				if a := (&Account{budget: b}); a.open() {
 					accounts = append(accounts, a)
@@ -24,8 +24,10 @@
 			case step == 2:
 				pick().takeHead(n)
 			case step == 3:
-				pick().endRequest()
+				pick().TakeAnswer(n)
 			case step == 4:
+				pick().endRequest()
+			case step == 5:
 				pick().close()
 			}
 			for name, q := range map[string]*quantity{"memory": &b.memory, "large": &b.large, "sockets": &b.sockets} {
--- a/hemlockd/internal/intake/conn.go
+++ b/hemlockd/internal/intake/conn.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"hemlockmux.example/common/clock"
 )
 
@@ -25,6 +27,11 @@
 	// refusalWriteTime and refusalReadTime bound the time for sending a refusal, and for discarding what the client
 	// goes on to send: with unread bytes the kernel would reset the connection, and the refusal with it.
 	refusalWriteTime, refusalReadTime = 100 * clock.Millisecond, 500 * clock.Millisecond
+	// writePartBytes is the size of the parts in which an answer must make progress.
+	writePartBytes = 16 << 10
+	// socketBufferBytes is the size of the kernel's buffers of a connection, each way. Without it the kernel lets a
+	// client that sends ahead, or does not read, fill some megabytes.
+	socketBufferBytes = 64 << 10
 )
 
 // refusal is a reason to refuse a request before it is handled.
@@ -36,6 +43,7 @@
 var (
 	refusalNoPlace  = refusal{http.StatusServiceUnavailable, "connectionsRefused"}
 	refusalNoMemory = refusal{http.StatusServiceUnavailable, "headsRefused"}
+	refusalUnread   = refusal{counter: "answersUnread"} // the answer is given up
 	refusalTooLarge = refusal{http.StatusRequestHeaderFieldsTooLarge, "headsTooLarge"}
 )
 
@@ -61,6 +69,18 @@
 	headBytes, headLines int
 	// readDeadline is what the user of the connection has set, headDeadline that for the head; zero: none.
 	readDeadline, headDeadline time.Time
+
+	writeMu       sync.Mutex
+	writeDeadline time.Time // what the user of the connection has set
+}
+
+// ControlSocket limits the kernel's buffers of a socket. It is for [net.ListenConfig].
+func ControlSocket(_, _ string, raw syscall.RawConn) error {
+	// A system that does not allow it has limits of its own.
+	return raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
+	})
 }
 
 // Context adds the connection's account to a context, see [Of].
@@ -218,6 +238,45 @@
 	}
 }
 
+// Write implements [net.Conn]. It fails if a part makes no progress for the guard's UnreadAnswerMs.
+func (c *Conn) Write(b []byte) (written int, err error) {
+	for {
+		part := b[written:min(len(b), written+writePartBytes)]
+		own := time.Now().Add(c.guard.o.UnreadAnswerMs.Duration())
+		if err := c.limitWrite(own); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(own) {
+			c.guard.note(refusalUnread, c.RemoteAddr().String())
+		}
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// limitWrite sets the deadline of the next write.
+func (c *Conn) limitWrite(own time.Time) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return c.Conn.SetWriteDeadline(earlier(own, c.writeDeadline))
+}
+
+// SetWriteDeadline implements [net.Conn].
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements [net.Conn].
+func (c *Conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
 // SetReadDeadline implements [net.Conn].
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/hemlockd/internal/intake/intake.go
+++ b/hemlockd/internal/intake/intake.go
@@ -1,9 +1,11 @@
-// Package intake bounds what clients can make a daemon hold, whatever they send: connections and heads of requests.
+// Package intake bounds what clients can make a daemon hold, whatever they send: connections, heads of
+// requests, and answers that they do not read.
 //
 // A [Guard] wraps the connections of a port below net/http. It counts the bytes and lines of each head as
 // they arrive, before they are parsed, and refuses the request once they exceed the port's limits or the
 // daemon's [Budget]. A request that finds no place, and whose head is not large, is refused by the port's own handler
-// for that, which can record it. A request that is refused has not been handled.
+// for that, which can record it. What a request holds of its answer is taken from the same budget by its handler, see
+// [Of]. A request that is refused has not been handled.
 //
 // Small heads are served as long as there is any memory; large ones get a part of the budget
 // only, so that they can't shut out the others. An idle connection is closed if a new one needs its place.
@@ -20,6 +22,7 @@
 	"container/list"
 	"context"
 	"expvar"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -40,6 +43,10 @@
 	// minRetryAfter is the shortest time after which a client that is refused for want of memory may come back, and the
 	// range of what is added to it.
 	minRetryAfter = 300 * clock.Millisecond
+	// DefaultUnreadAnswerMs is the time without any progress after which an answer is given up.
+	DefaultUnreadAnswerMs = 30 * clock.Second
+	// minUnreadAnswerMs and maxUnreadAnswerMs bound that time in the settings.
+	minUnreadAnswerMs, maxUnreadAnswerMs = clock.Second, clock.Hour
 	// DefaultMaxHeadBytes is the longest head where the settings name no limit.
 	DefaultMaxHeadBytes = 64 << 10
 )
@@ -62,6 +69,8 @@
 	Budget *Budget
 	// Heads returns the limits of heads that are in force.
 	Heads func() Heads
+	// UnreadAnswerMs is the time after which a write without progress fails; 0: DefaultUnreadAnswerMs.
+	UnreadAnswerMs clock.Millis
 	// Refuse answers requests that are refused after their head was read, with status 503; nil: an empty answer. The
 	// header Retry-After is set.
 	Refuse http.Handler
@@ -81,6 +90,9 @@
 
 // NewGuard returns a guard of a port.
 func NewGuard(o Options) *Guard {
+	if o.UnreadAnswerMs <= 0 {
+		o.UnreadAnswerMs = DefaultUnreadAnswerMs
+	}
 	g := &Guard{o: o, lines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesPerSecond)}
 	g.idle.Init()
 	return g
@@ -95,6 +107,14 @@
 	return strconv.FormatFloat(float64(ms)/float64(clock.Second), 'f', 3, 64)
 }
 
+// CheckUnreadAnswer returns an error if a time may not be set as UnreadAnswerMs.
+func CheckUnreadAnswer(span clock.Millis) error {
+	if span < minUnreadAnswerMs || span > maxUnreadAnswerMs {
+		return fmt.Errorf("the time for an unread answer is %d ms, outside %d to %d", span, minUnreadAnswerMs, maxUnreadAnswerMs)
+	}
+	return nil
+}
+
 // Accept takes a new connection under guard. It returns nil if there is no place for it; the connection is
 // closed then.
 func (g *Guard) Accept(inner net.Conn) *Conn {
--- a/hemlockd/internal/intake/intake_test.go
+++ b/hemlockd/internal/intake/intake_test.go
@@ -25,17 +25,18 @@
 }
 
 // startServer starts a server that may use so many bytes and sockets.
-func startServer(t *testing.T, bytes, sockets int64) *testServer {
+func startServer(t *testing.T, bytes, sockets int64, unreadMs clock.Millis) *testServer {
 	t.Helper()
 	s := &testServer{t: t, budget: &Budget{}, handled: make(chan string, 1000)}
 	s.budget.memory.limit.Store(bytes)
 	s.budget.large.limit.Store(bytes * 6 / 10)
 	s.budget.sockets.limit.Store(sockets)
 	guard := NewGuard(Options{
-		Log: zap.NewNop(), Port: "test", Budget: s.budget,
+		Log: zap.NewNop(), Port: "test", Budget: s.budget, UnreadAnswerMs: unreadMs,
 		Heads: func() Heads { return Heads{MaxBytes: 16 << 10, TimeoutMs: 300 * clock.Millisecond} },
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{Control: ControlSocket}
+	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -124,7 +125,7 @@
 		{"of two requests at once", begin + "\r\n" + begin + "\r\n", 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := startServer(t, 64<<20, 100)
+			s := startServer(t, 64<<20, 100, 0)
 			conn := s.dial()
 			if status, _ := send(conn, c.text); status != c.status {
 				t.Errorf("status %d, want %d", status, c.status)
@@ -138,7 +139,7 @@
 // One request of the largest size is served when there is nothing else, more of them are refused, and usual requests
 // are served beside them.
 func TestLargeHeadsDoNotShutOutUsualOnes(t *testing.T) {
-	s := startServer(t, 8<<20, 100)
+	s := startServer(t, 8<<20, 100, 0)
 	for i := range 3 {
 		conn := s.dial()
 		_, _ = io.WriteString(conn, strings.Replace(begin, "/", "/hold", 1)+lines(2000)+"\r\n")
@@ -161,7 +162,7 @@
 
 // A request that comes with the body of the one before is counted too.
 func TestHeadThatCameWithTheBodyBefore(t *testing.T) {
-	s := startServer(t, 512<<10, 100)
+	s := startServer(t, 512<<10, 100, 0)
 	conn := s.dial()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
 	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 5000)+begin+lines(550)+"\r\n")
@@ -176,7 +177,7 @@
 }
 
 func TestIdleConnectionsGiveWay(t *testing.T) {
-	s := startServer(t, 64<<20, 10)
+	s := startServer(t, 64<<20, 10, 0)
 	first := s.dial()
 	if status, _ := send(first, begin+"\r\n"); status != 200 {
 		t.Fatalf("status %d", status)
@@ -197,7 +198,7 @@
 
 // Connections with a request do not give way: a new one is refused, and served when there is a place again.
 func TestConnectionsWithRequestsDoNotGiveWay(t *testing.T) {
-	s := startServer(t, 64<<20, 6)
+	s := startServer(t, 64<<20, 6, 0)
 	held := []net.Conn{s.dial(), s.dial()}
 	for _, conn := range held {
 		_, _ = io.WriteString(conn, strings.Replace(begin, "/", "/hold", 1)+"\r\n")
@@ -215,3 +216,33 @@
 	}
 	t.Error("no request is served after a connection has been closed")
 }
+
+// An answer of which nothing is read is given up. One that is read slowly is not.
+func TestUnreadAnswers(t *testing.T) {
+	const answerBytes = 4 << 20
+	s := startServer(t, 64<<20, 100, 400*clock.Millisecond)
+	request := fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: x\r\n\r\n", answerBytes)
+	unread := s.dial()
+	_, _ = io.WriteString(unread, request)
+	slow := s.dial()
+	_, _ = io.WriteString(slow, request)
+	n := 0
+	for buffer := make([]byte, answerBytes/20); n < answerBytes; {
+		time.Sleep(20 * time.Millisecond)
+		read, err := slow.Read(buffer)
+		n += read
+		if err != nil {
+			t.Fatalf("the slow reader has got %d bytes: %v", n, err)
+		}
+	}
+	_ = slow.Close()
+	s.awaitReturned() // the other one is still open
+}
+
+func TestCheckUnreadAnswer(t *testing.T) {
+	for span, ok := range map[clock.Millis]bool{0: false, 999: false, 1000: true, DefaultUnreadAnswerMs: true, clock.Hour: true, clock.Hour + 1: false} {
+		if err := CheckUnreadAnswer(span); (err == nil) != ok {
+			t.Errorf("%d ms: %v", span, err)
+		}
+	}
+}
--- a/hemlockd/internal/process/process.go
+++ b/hemlockd/internal/process/process.go
@@ -71,6 +71,7 @@
 	MaxDescriptors    int          `toml:"maxFds" doc:"File descriptors of the process; 200 are not for connections. 0: what the system allows."`
 	MaxHeaderBytes    int          `toml:"maxHeaderBytes" doc:"Longest head of a request, in bytes."`
 	HeaderTimeoutMs   clock.Millis `toml:"headerTimeoutMs" doc:"Longest time from the first to the last byte of a request's head, in ms."`
+	UnreadAnswerMs    clock.Millis `toml:"unreadAnswerMs" doc:"Time after which an answer is given up whose reader takes nothing of it, in ms."`
 	DrainMs           clock.Millis `toml:"drainMs" doc:"Longest time that a shutdown waits for requests in flight, in ms."`
 }
 
@@ -92,7 +93,7 @@
 	return Config{
 		Bucket: "hemlockmux", PlatformTimeoutMs: 2 * clock.Second, ProbeMs: 500, PollMs: clock.Second,
 		VMListMs: 2 * clock.Second, LoadMs: clock.Second, DrainMs: 60 * clock.Second,
-		MaxHeaderBytes: 64 << 10, HeaderTimeoutMs: 10 * clock.Second,
+		MaxHeaderBytes: 64 << 10, HeaderTimeoutMs: 10 * clock.Second, UnreadAnswerMs: 30 * clock.Second,
 	}
 }
 
@@ -183,7 +184,7 @@
 	for key, v := range map[string]clock.Millis{
 		"platformTimeoutMs": c.PlatformTimeoutMs, "probeMs": c.ProbeMs, "pollMs": c.PollMs,
 		"vmListMs": c.VMListMs, "loadMs": c.LoadMs, "drainMs": c.DrainMs,
-		"headerTimeoutMs": c.HeaderTimeoutMs,
+		"headerTimeoutMs": c.HeaderTimeoutMs, "unreadAnswerMs": c.UnreadAnswerMs,
 	} {
 		if v < 1 || v > clock.Hour {
 			errs = append(errs, fmt.Errorf("%s is %d, outside 1 to %d", key, v, clock.Hour))
