Bodies of requests take their memory from the budget

Cause: each body was read into a buffer that grows by a quarter at a time, with the old one beside it, and nothing added up what all bodies hold.

Change: intake.ReadBody, for both doors. A body with a length gets its room at once, one in chunks doubles it, and each time the memory is taken from the budget of callers: the first 128 KB of each from what is there for all, the rest from the part for large ones. Without memory the request is refused with 503 (noMemory, not run) and the connection closed. A body said to be over the limit is refused before it is read. At the own door a body counts three times, for its parsed form.

--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -15,6 +14,7 @@
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/handoff"
+	"hemlockmux.example/hemlockd/internal/intake"
 	"hemlockmux.example/hemlockd/internal/keeper"
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/services"
@@ -30,6 +30,8 @@
 	// defaultMaxTokens is the maximum number of output tokens of a request that does
 	// not set max_tokens.
 	defaultMaxTokens = 128
+	// parsedBodyFactor times the length of a body is what it takes with its parsed form.
+	parsedBodyFactor = 3
 	// maxHandOffs bounds the number of daemons that are tried in turn for one request.
 	maxHandOffs = 3
 )
@@ -76,7 +78,16 @@
 	limit := e.tree.System.Policy.MaxBodyBytes
 	ended := e.c.env.Shutdown.Ended()
 	defer context.AfterFunc(ended, func() { _ = e.controller.SetReadDeadline(time.Now()) })()
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, limit))
+	body, err := intake.ReadBody(e.r.Context(), http.MaxBytesReader(e.w, e.r.Body, limit), e.r.ContentLength, limit)
+	if err == nil && !intake.Of(e.r.Context()).TakeBody(parsedBodyFactor*int64(len(body))) {
+		err = intake.ErrNoMemory
+	}
+	if err != nil {
+		e.w.Header().Set("Connection", "close") // the body may not have been read to its end
+	}
+	if errors.Is(err, intake.ErrNoMemory) {
+		return nil, noMemory()
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, problem.New(problem.BodyTooLarge, "the body is longer than %d bytes", limit)
--- a/hemlockd/internal/dispatch/body.go
+++ b/hemlockd/internal/dispatch/body.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"hemlockmux.example/common/routing"
+	"hemlockmux.example/hemlockd/internal/intake"
 )
 
 // readBody reads the request's body. If that fails, it answers the caller and returns
@@ -18,10 +18,14 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := x.readAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.readAll(limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, intake.ErrNoMemory):
+		x.closeUnread()
+		x.respondError(http.StatusServiceUnavailable, reasonNoMemory, busyRetryAfter+jitter(busyRetryAfter))
 	case errors.As(err, &tooLarge):
+		x.closeUnread()
 		x.respondError(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.uploadCut = true
@@ -33,16 +37,19 @@
 	return err == nil
 }
 
-// readAll reads the request's body. If the daemon is about to exit before the end of the body, the error is
+// closeUnread has the connection closed after an answer to a request whose body has not been read to its end.
+func (x *exchange) closeUnread() { x.w.Header().Set("Connection", "close") }
+
+// readAll reads the request's body, of at most limit bytes. If the daemon is about to exit before the end of the body, the error is
 // [os.ErrDeadlineExceeded].
-func (x *exchange) readAll(body io.Reader) ([]byte, error) {
+func (x *exchange) readAll(limit int64) ([]byte, error) {
 	conn := http.NewResponseController(x.w)
 	stopped := make(chan struct{})
 	stop := context.AfterFunc(x.d.uploads.Load().ended, func() {
 		defer close(stopped)
 		_ = conn.SetReadDeadline(time.Now().Add(lastReadTime.Duration())) // fails only if the connection is closed
 	})
-	read, err := io.ReadAll(body)
+	read, err := intake.ReadBody(x.r.Context(), http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
 	if !stop() {
 		<-stopped
 		_ = conn.SetReadDeadline(time.Time{})
--- a/hemlockd/internal/intake/budget.go
+++ b/hemlockd/internal/intake/budget.go
@@ -19,9 +19,9 @@
 	// headLineBytes and headByteFactor are the memory of a line of a head, with the copies that are made of it,
 	// and that of each of its bytes.
 	headLineBytes, headByteFactor = 768, 4
-	// usualHeadBytes and usualAnswerBytes are what a head and the buffer of an answer may have in the part of the budget
-	// that large ones can't use up.
-	usualHeadBytes, usualAnswerBytes = 32 << 10, 16 << 10
+	// usualHeadBytes, usualBodyBytes and usualAnswerBytes are what a head, a body and the buffer of an answer may have in
+	// the part of the budget that large ones can't use up.
+	usualHeadBytes, usualBodyBytes, usualAnswerBytes = 32 << 10, 128 << 10, 16 << 10
 )
 
 const (
@@ -135,8 +135,8 @@
 	begun bool
 	// used is the memory taken for the request, and large the part of it from that for large ones.
 	used, large int64
-	// head and answer are what the request's head and the buffer of its answer have taken.
-	head, answer int64
+	// head, body and answer are what the request's head and body and the buffer of its answer have taken.
+	head, body, answer int64
 }
 
 // open takes the place of a connection.
@@ -226,6 +226,16 @@
 	return a.begun && a.raise(&a.head, n, usualHeadBytes)
 }
 
+// TakeBody raises the memory of the request's body to n bytes. It returns false if there is too little.
+func (a *Account) TakeBody(n int64) bool {
+	if a == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.raise(&a.body, n, usualBodyBytes)
+}
+
 // TakeAnswer takes n more bytes for what is buffered of the request's answer. It returns false if there is too little.
 func (a *Account) TakeAnswer(n int64) bool {
 	if a == nil {
@@ -250,7 +260,7 @@
 	if a.begun {
 		b.sockets.giveBack(requestSockets)
 	}
-	a.begun, a.used, a.large, a.head, a.answer = false, 0, 0, 0, 0
+	a.begun, a.used, a.large, a.head, a.body, a.answer = false, 0, 0, 0, 0, 0
 }
 
 // close returns all that the connection has taken. It may be called more than once.
--- a/hemlockd/internal/intake/budget_test.go
+++ b/hemlockd/internal/intake/budget_test.go
@@ -14,7 +14,7 @@
 		pick := func() *Account { return accounts[rapid.IntRange(0, len(accounts)-1).Draw(t, "account")] }
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			n := rapid.Int64Range(0, 1<<20).Draw(t, "bytes")
-			switch step := rapid.IntRange(0, 5).Draw(t, "step"); {
+			switch step := rapid.IntRange(0, 6).Draw(t, "step"); {
 			case step == 0 || len(accounts) == 0:
 				if a := (&Account{budget: b}); a.open() {
 					accounts = append(accounts, a)
@@ -26,8 +26,10 @@
 			case step == 3:
 				pick().TakeAnswer(n)
 			case step == 4:
-				pick().endRequest()
+				pick().TakeBody(n)
 			case step == 5:
+				pick().endRequest()
+			case step == 6:
 				pick().close()
 			}
 			for name, q := range map[string]*quantity{"memory": &b.memory, "large": &b.large, "sockets": &b.sockets} {
@@ -51,7 +53,7 @@
 	b := NewBudget(Capacity{MemoryBytes: 112e6, Descriptors: 4100})
 	for i := range requests {
 		a := &Account{budget: b}
-		if !a.open() || a.begin() != nil || !a.takeHead(costOfHead(600, 12)) {
+		if !a.open() || a.begin() != nil || !a.takeHead(costOfHead(600, 12)) || !a.TakeBody(11_000) {
 			t.Fatalf("request %d finds no place", i+1)
 		}
 	}
--- a/hemlockd/internal/intake/intake.go
+++ b/hemlockd/internal/intake/intake.go
@@ -1,13 +1,13 @@
-// Package intake bounds what clients can make a daemon hold, whatever they send: connections, heads of
-// requests, and answers that they do not read.
+// Package intake bounds what clients can make a daemon hold, whatever they send: connections, heads and
+// bodies of requests, and answers that they do not read.
 //
 // A [Guard] wraps the connections of a port below net/http. It counts the bytes and lines of each head as
 // they arrive, before they are parsed, and refuses the request once they exceed the port's limits or the
 // daemon's [Budget]. A request that finds no place, and whose head is not large, is refused by the port's own handler
-// for that, which can record it. What a request holds of its answer is taken from the same budget by its handler, see
-// [Of]. A request that is refused has not been handled.
+// for that, which can record it. What a request holds of its body and answer is taken from the same budget by its
+// handler, see [Of]. A request that is refused has not been handled.
 //
-// Small heads are served as long as there is any memory; large ones get a part of the budget
+// Small heads and bodies are served as long as there is any memory; large ones get a part of the budget
 // only, so that they can't shut out the others. An idle connection is closed if a new one needs its place.
 //
 // # Usage
@@ -16,6 +16,8 @@
 //	guard := intake.NewGuard(intake.Options{Log: log, Port: "callers", Budget: budget, Heads: heads})
 //	server := &http.Server{Handler: guard.Handler(handler), ConnState: guard.ConnState, ConnContext: guard.ConnContext}
 //	err := server.Serve(guard.Listener(listener))
+//
+//	body, err := intake.ReadBody(r.Context(), r.Body, r.ContentLength, limit) // in a handler
 package intake
 
 import (
--- a/hemlockd/internal/intake/intake_test.go
+++ b/hemlockd/internal/intake/intake_test.go
@@ -51,7 +51,7 @@
 // has left.
 func (s *testServer) serve(w http.ResponseWriter, r *http.Request) {
 	s.handled <- r.URL.Path
-	body, err := io.ReadAll(r.Body)
+	body, err := ReadBody(r.Context(), r.Body, r.ContentLength, 8<<20)
 	if err != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -217,6 +217,54 @@
 	t.Error("no request is served after a connection has been closed")
 }
 
+func TestBodies(t *testing.T) {
+	body := strings.Repeat("x", 3<<20)
+	withLength := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	inChunks := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	for _, c := range []struct {
+		name   string
+		budget int64
+		framed string
+		status int
+	}{
+		{"with a length", 64 << 20, withLength, 200},
+		{"in chunks", 64 << 20, inChunks, 200},
+		{"with a length, no memory", 4 << 20, withLength, 503},
+		{"in chunks, no memory", 4 << 20, inChunks, 503},
+		{"over the limit", 64 << 20, "Content-Length: 9000000\r\n\r\n", 503}, // the server of these tests has one status for all
+		{"short, little memory", 1 << 20, "Content-Length: 5\r\n\r\nhello", 200},
+		{"empty chunks", 1 << 20, "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 200},
+		{"none, little memory", 1 << 20, "\r\n", 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startServer(t, c.budget, 100, 0)
+			conn := s.dial()
+			go func() { _, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\n"+c.framed) }()
+			if status, _ := send(conn, ""); status != c.status {
+				t.Errorf("status %d, want %d", status, c.status)
+			}
+			_ = conn.Close()
+			s.awaitReturned()
+		})
+	}
+}
+
+// What is read is what was sent, whatever its length, with a length and in chunks.
+func TestReadBody(t *testing.T) {
+	for _, n := range []int{0, 1, firstBodyBytes - 1, firstBodyBytes, firstBodyBytes + 1, 3 * firstBodyBytes, 8 * firstBodyBytes, 100_000} {
+		body := strings.Repeat("body", n)[:n]
+		for _, length := range []int64{int64(n), -1} {
+			read, err := ReadBody(t.Context(), strings.NewReader(body), length, 1<<20)
+			if err != nil || string(read) != body {
+				t.Errorf("%d bytes, length %d: %d bytes, %v", n, length, len(read), err)
+			}
+		}
+	}
+	if _, err := ReadBody(t.Context(), strings.NewReader("abc"), 5, 10); err != io.ErrUnexpectedEOF {
+		t.Errorf("a body that ends early: %v", err)
+	}
+}
+
 // An answer of which nothing is read is given up. One that is read slowly is not.
 func TestUnreadAnswers(t *testing.T) {
 	const answerBytes = 4 << 20
