The port for daemons is under guard as well

What was seen: at the own door's port for daemons 60 connections without a key took a daemon to 0.9 to 1.1 GB of 96 MB with long heads or heads without an end, and 250 silent ones stayed for good (261 sockets of 200): its server had no limit of time at all.

Cause: the same as at the callers' ports, in a second server that had not even their 10 s for a head. The key is asked for only after the head has been read.

Change: the same guard, with a budget of its own, so that a crowd of callers does not keep the daemons from each other: a quarter of the memory and of the descriptors, heads of up to 1 MB (they hold the call that is handed over), 64 KB a request. Callers have half of the sockets where there is such a port.

--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -116,7 +116,7 @@
 // wire constructs and starts all parts, each after those that it depends on.
 func (d *Daemon) wire() error {
 	env, cfg := d.env, d.env.Config
-	capacity := intake.Capacity{MemoryBytes: int64(cfg.MemoryMB) * megabyte, Descriptors: cfg.MaxDescriptors}
+	capacity := intake.Capacity{MemoryBytes: int64(cfg.MemoryMB) * megabyte, Descriptors: cfg.MaxDescriptors, DaemonsPort: true}
 	d.intake = intake.NewBudget(capacity)
 	limitMemory(capacity)
 	table, closeTable := platform.NewTable(cfg.Table, cfg.PlatformToken, cfg.PlatformTimeoutMs)
@@ -174,7 +174,7 @@
 			k.CancelRunsOf(daemons.RunID(m))
 			recorder.DaemonDied(daemons.RunID(m), m.Name)
 		},
-	})
+	}, d.guard("daemons", maxDaemonsHeadBytes, nil, intake.NewDaemonsBudget(capacity)))
 	if err != nil {
 		return err
 	}
@@ -237,6 +237,9 @@
 	}
 }
 
+// maxDaemonsHeadBytes is the longest head of another daemon's request, which holds the call that is handed over.
+const maxDaemonsHeadBytes = 1 << 20
+
 // guard returns a guard of a port whose connections may take what the budget has; refuse answers what goes beyond it.
 func (d *Daemon) guard(name string, maxHeadBytes int, refuse http.Handler, budget *intake.Budget) *intake.Guard {
 	heads := intake.Heads{MaxBytes: maxHeadBytes, TimeoutMs: d.env.Config.HeaderTimeoutMs}
--- a/hemlockd/internal/daemons/daemons.go
+++ b/hemlockd/internal/daemons/daemons.go
@@ -32,6 +32,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/configuration"
+	"hemlockmux.example/hemlockd/internal/intake"
 	"hemlockmux.example/hemlockd/internal/membership"
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/prompts"
@@ -121,18 +122,29 @@
 	return d
 }
 
-// Start opens the port, starts the probe loop and returns the function that stops
-// both.
-func (d *Daemons) Start(handlers Handlers) (func(), error) {
+const (
+	// headerTimeout bounds the time from the acceptance of a connection to the end of a request's head.
+	headerTimeout = 10 * clock.Second
+	// idleTimeout is how long a connection that is no JSON-RPC connection may be idle.
+	idleTimeout = 2 * clock.Minute
+)
+
+// Start opens the port, whose connections are under guard, starts the probe loop and returns the function that
+// stops both.
+func (d *Daemons) Start(handlers Handlers, guard *intake.Guard) (func(), error) {
 	d.handlers = handlers
-	listener, err := net.Listen("tcp", d.env.Config.Daemons)
+	config := net.ListenConfig{Control: intake.ControlSocket}
+	listener, err := config.Listen(d.ctx, "tcp", d.env.Config.Daemons)
 	if err != nil {
 		d.cancel()
 		return nil, fmt.Errorf("listen for daemons: %w", err)
 	}
-	d.server = &http.Server{Handler: d.router(), ErrorLog: zap.NewStdLog(d.env.Log)}
+	d.server = &http.Server{
+		Handler: guard.Handler(d.router()), ErrorLog: zap.NewStdLog(d.env.Log), ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
+		ConnState: guard.ConnState, ConnContext: guard.ConnContext,
+	}
 	d.done.Add(2)
-	go d.runServer(listener)
+	go d.runServer(guard.Listener(listener))
 	go d.runProbes()
 	return d.close, nil
 }
--- a/hemlockd/internal/intake/budget.go
+++ b/hemlockd/internal/intake/budget.go
@@ -16,6 +16,8 @@
 	// requestBytes is that of a request beside its head, its body and what is buffered of its answer: the buffers of
 	// its connection and of the one to its upstream, also in the kernel.
 	requestBytes = 192 << 10
+	// daemonsRequestBytes is the same of a request that another daemon hands over. It reads its answers.
+	daemonsRequestBytes = 64 << 10
 	// headLineBytes and headByteFactor are the memory of a line of a head, with the copies that are made of it,
 	// and that of each of its bytes.
 	headLineBytes, headByteFactor = 768, 4
@@ -39,6 +41,9 @@
 	// minOwnSockets and ownSocketsShare are the number of sockets, and their share, that are kept for the daemon's own
 	// conversation with the platform, other daemons and upstreams.
 	minOwnSockets, ownSocketsShare = 64, 0.25
+	// daemonsShare is the share of the memory and the sockets for other daemons' connections, if they have a port of this
+	// kind, with minDaemonsSockets at least. As many sockets are kept from callers besides.
+	daemonsShare, minDaemonsSockets = 0.25, 48
 	// requestSockets is the number of sockets that a request may take to upstreams at once.
 	requestSockets = 2
 )
@@ -49,6 +54,8 @@
 	MemoryBytes int64
 	// Descriptors is the number of its descriptors; 0: what the system allows.
 	Descriptors int
+	// DaemonsPort is set if other daemons reach the process at a port under guard.
+	DaemonsPort bool
 }
 
 // withDefaults returns the capacity with what the system gives where it names nothing.
@@ -75,6 +82,7 @@
 // Budget is the memory and the sockets that clients may make a daemon hold. It is safe for concurrent use.
 type Budget struct {
 	memory, large, sockets quantity // in bytes; large is the part of memory for what is larger than usual
+	requestBytes           int64    // the memory of each request
 }
 
 // quantity is a limited quantity.
@@ -94,7 +102,7 @@
 
 // NewBudget returns the budget of a process.
 func NewBudget(c Capacity) *Budget {
-	b := &Budget{}
+	b := &Budget{requestBytes: requestBytes}
 	b.SetCapacity(c)
 	return b
 }
@@ -103,16 +111,32 @@
 func (b *Budget) SetCapacity(c Capacity) {
 	c = c.withDefaults()
 	sockets := c.Descriptors - reservedDescriptors
-	sockets -= max(minOwnSockets, int(ownSocketsShare*float64(sockets)))
+	share := ownSocketsShare
+	if c.DaemonsPort {
+		share += daemonsShare
+	}
+	sockets -= max(minOwnSockets, int(share*float64(sockets)))
 	bytes := int64(budgetShare * float64(c.MemoryBytes))
 	b.memory.limit.Store(bytes)
 	b.large.limit.Store(int64(largeShare * float64(bytes)))
 	b.sockets.limit.Store(int64(max(1+requestSockets, sockets)))
 }
 
+// NewDaemonsBudget returns the budget of the port for other daemons of a process. It has a share of the sockets that
+// are kept from callers.
+func NewDaemonsBudget(c Capacity) *Budget {
+	c = c.withDefaults()
+	b := &Budget{requestBytes: daemonsRequestBytes}
+	bytes := int64(daemonsShare * float64(c.MemoryBytes))
+	b.memory.limit.Store(bytes)
+	b.large.limit.Store(int64(largeShare * float64(bytes)))
+	b.sockets.limit.Store(max(minDaemonsSockets, int64(daemonsShare*float64(c.Descriptors-reservedDescriptors))))
+	return b
+}
+
 // NewPortBudget returns the budget of a port for few clients, such as the readiness check's.
 func NewPortBudget(connections int) *Budget {
-	b := &Budget{}
+	b := &Budget{requestBytes: requestBytes}
 	bytes := int64(connections) * (connectionBytes + requestBytes)
 	b.memory.limit.Store(bytes)
 	b.large.limit.Store(bytes)
@@ -170,7 +194,7 @@
 		return errClosed
 	case !b.sockets.take(requestSockets):
 		return errFull
-	case !a.takeLocked(requestBytes, false):
+	case !a.takeLocked(b.requestBytes, false):
 		b.sockets.giveBack(requestSockets)
 		return errFull
 	}
--- a/hemlockd/internal/intake/intake_test.go
+++ b/hemlockd/internal/intake/intake_test.go
@@ -27,7 +27,7 @@
 // startServer starts a server that may use so many bytes and sockets.
 func startServer(t *testing.T, bytes, sockets int64, unreadMs clock.Millis) *testServer {
 	t.Helper()
-	s := &testServer{t: t, budget: &Budget{}, handled: make(chan string, 1000)}
+	s := &testServer{t: t, budget: &Budget{requestBytes: requestBytes}, handled: make(chan string, 1000)}
 	s.budget.memory.limit.Store(bytes)
 	s.budget.large.limit.Store(bytes * 6 / 10)
 	s.budget.sockets.limit.Store(sockets)
--- a/hemlockd/internal/process/process.go
+++ b/hemlockd/internal/process/process.go
@@ -68,7 +68,7 @@
 	VMListMs          clock.Millis `toml:"vmListMs" doc:"Time between two reads of the VM list, in ms."`
 	LoadMs            clock.Millis `toml:"loadMs" doc:"Time between two load reports of an engine, in ms."`
 	MemoryMB          int          `toml:"memoryMb" doc:"Memory of the process, in MB; callers may use half of it. 0: that of the machine."`
-	MaxDescriptors    int          `toml:"maxFds" doc:"File descriptors of the process; 200 are not for connections. 0: what the system allows."`
+	MaxDescriptors    int          `toml:"maxFds" doc:"File descriptors of the process; callers may use half of those beyond 200. 0: what the system allows."`
 	MaxHeaderBytes    int          `toml:"maxHeaderBytes" doc:"Longest head of a request, in bytes."`
 	HeaderTimeoutMs   clock.Millis `toml:"headerTimeoutMs" doc:"Longest time from the first to the last byte of a request's head, in ms."`
 	UnreadAnswerMs    clock.Millis `toml:"unreadAnswerMs" doc:"Time after which an answer is given up whose reader takes nothing of it, in ms."`
