Verdicts of a crowd don't pile up in memory

What was seen: at the own door's callers' port 60 clients without a key that sent requests ahead took a daemon to 757 MB of 96 in 5 s, and still to 190 MB with heads and connections bounded.

Cause: each of these requests is refused with 401 and has a verdict. A verdict waits up to 10 s for its batch, is kept two minutes for lookups, and the holder of its copy keeps that some 30 s more. Nothing bounded their number.

Change: a batch is made, compressed and stored as soon as 4,096 verdicts wait; of those in a batch 8,192 are kept for lookups, the others are found in their batches; the holder compresses copies in the same way; batches that wait for a store that is away are bounded to 32 MB, the oldest are dropped and counted, as at the platform door. A batch that was merged with another one while it was being stored is not taken for stored.

--- a/hemlockd/internal/verdicts/copies.go
+++ b/hemlockd/internal/verdicts/copies.go
@@ -1,6 +1,11 @@
 package verdicts
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/problem"
 	"hemlockmux.example/common/verdict"
@@ -15,6 +20,8 @@
 type copies struct {
 	// byRun maps the ID of a daemon's run to its copies.
 	byRun map[string]*runCopies
+	// holder is the name of this daemon.
+	holder string
 }
 
 // runCopies holds the copies for one run of a daemon.
@@ -28,9 +35,11 @@
 	// dead is set once the run has been found dead and its copies have been returned
 	// by markDead.
 	dead bool
+	// compressed is the number of batches made of ended.
+	compressed int
 }
 
-func newCopies() copies { return copies{byRun: map[string]*runCopies{}} }
+func newCopies(holder string) copies { return copies{byRun: map[string]*runCopies{}, holder: holder} }
 
 // forRun returns the copies for a run, which are created if there are none.
 func (c copies) forRun(run string) *runCopies {
@@ -74,7 +83,30 @@
 			delete(held.batches, key)
 		}
 	}
-	return len(held.ended)
+	n := len(held.ended)
+	if n > maxUnsealed {
+		held.compress(req.From, c.holder)
+	}
+	return n
+}
+
+// compress makes a batch of the verdicts of ended requests that holder keeps for a run. It leaves them as they are if
+// that fails.
+func (h *runCopies) compress(run, holder string) {
+	verdicts := slices.Collect(maps.Values(h.ended))
+	var lastEndMs clock.Millis
+	for _, v := range verdicts {
+		lastEndMs = max(lastEndMs, v.EndMs)
+	}
+	h.compressed++
+	daemon, _, _ := strings.Cut(run, "~") // see [process.Environment.RunID]
+	s, err := newSegment(verdicts, daemon, fmt.Sprintf("copies-%s-%d", holder, h.compressed), lastEndMs)
+	if err != nil {
+		metrics.Add("copiesNotCompressed", 1)
+		return
+	}
+	h.batches[s.key] = s
+	clear(h.ended)
 }
 
 // find looks up the verdict of a request. Requests without a verdict are found only for
--- a/hemlockd/internal/verdicts/recorder.go
+++ b/hemlockd/internal/verdicts/recorder.go
@@ -37,6 +37,11 @@
 	// storedRetention is how long after its end a verdict stays in memory at least,
 	// for lookups.
 	storedRetention = 2 * clock.Minute
+	// maxUnsealed is the number of verdicts after which a batch is made before the interval ends.
+	maxUnsealed = 4096
+	// maxRecent is the number of verdicts of ended requests that are kept for lookups. The others are found in their
+	// batches.
+	maxRecent = 8192
 )
 
 // Peers reaches the daemons that hold copies.
@@ -62,13 +67,16 @@
 	// that they were handed off to.
 	copiedElsewhere map[string]bool
 	recent          map[string]verdict.Verdict // verdicts of ended requests, for lookups
+	recentOrder     []string                   // the ids of those, in the order of their ends
 	unstored        []verdict.Verdict          // verdicts not yet in a batch
 	segments        []segment                  // batches not yet in the object store
+	sealedBatches   int                        // batches made so far
 	pendingCopies   *copyBatch                 // verdicts of the next message to the holder
 	holder          string                     // the holder that was last sent copies, or ""
 	copies          copies                     // copies held for other daemons
 
 	wake   chan struct{} // signals that pendingCopies is not empty
+	sealed chan struct{} // signals that a batch was made before the interval ended
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -88,7 +96,7 @@
 	r := &Recorder{
 		env: env, store: store, peers: peers, uploadInterval: interval,
 		open: map[string]verdict.Verdict{}, sentToHolder: map[string]bool{}, copiedElsewhere: map[string]bool{}, recent: map[string]verdict.Verdict{},
-		pendingCopies: newCopyBatch(), copies: newCopies(), wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+		pendingCopies: newCopyBatch(), copies: newCopies(env.Config.Name), wake: make(chan struct{}, 1), sealed: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	r.done.Add(2)
 	go r.runCopies()
@@ -149,7 +157,15 @@
 	held := r.copiedElsewhere[v.RequestID] && v.Outcome == verdict.OutcomeRun
 	delete(r.copiedElsewhere, v.RequestID)
 	r.recent[v.RequestID] = v
+	r.recentOrder = append(r.recentOrder, v.RequestID)
 	r.unstored = append(r.unstored, v)
+	if len(r.unstored) >= maxUnsealed {
+		r.sealLocked(r.env.Clock.Now())
+		select {
+		case r.sealed <- struct{}{}:
+		default:
+		}
+	}
 	batch := r.pendingCopies
 	if !held {
 		batch.verdicts = append(batch.verdicts, v)
--- a/hemlockd/internal/verdicts/segments.go
+++ b/hemlockd/internal/verdicts/segments.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"path"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +27,9 @@
 // maxObjectBytes bounds the size of the objects into which waiting batches are merged.
 const maxObjectBytes = 1 << 20
 
+// maxWaitingBytes bounds the batches that wait for the object store: some 500,000 verdicts.
+const maxWaitingBytes = 32 << 20
+
 // segment is a batch of verdicts in its stored form. It is compressed, so that the
 // verdicts of a platform outage of hours fit in memory.
 type segment struct {
@@ -90,7 +94,7 @@
 	}
 }
 
-// runUploads stores a batch in the object store in every interval.
+// runUploads stores a batch in the object store in every interval, and sooner if there are many verdicts.
 func (r *Recorder) runUploads() {
 	defer r.done.Done()
 	for {
@@ -99,6 +103,8 @@
 		case <-r.ctx.Done():
 			timer.Stop()
 			return
+		case <-r.sealed:
+			timer.Stop()
 		case <-timer.C:
 		}
 		r.seal()
@@ -112,10 +118,15 @@
 	now := r.env.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.unstored) == 0 {
-		return
+	if len(r.unstored) > 0 {
+		r.sealLocked(now)
 	}
-	s, err := newSegment(r.unstored, r.env.Config.Name, r.env.RunID(), now)
+}
+
+// sealLocked is seal for a recorder that has such verdicts.
+func (r *Recorder) sealLocked(now clock.Millis) {
+	r.sealedBatches++
+	s, err := newSegment(r.unstored, r.env.Config.Name, fmt.Sprintf("%s-%d", r.env.RunID(), r.sealedBatches), now)
 	if err != nil {
 		r.env.Log.Error("verdicts can't be encoded", zap.Error(err))
 		return
@@ -124,6 +135,29 @@
 	r.segments = append(r.segments, s)
 	r.unstored = nil
 	r.mergeLocked()
+	r.trimRecentLocked()
+	r.trimWaitingLocked()
+}
+
+// trimWaitingLocked drops the oldest batches that wait for the object store beyond maxWaitingBytes.
+func (r *Recorder) trimWaitingLocked() {
+	total := 0
+	for _, s := range r.segments {
+		total += len(s.body)
+	}
+	for len(r.segments) > 1 && total > maxWaitingBytes {
+		total -= len(r.segments[0].body)
+		r.segments = r.segments[1:]
+		metrics.Add("droppedBatches", 1)
+	}
+}
+
+// trimRecentLocked keeps maxRecent verdicts for lookups. It is called when all are in a batch.
+func (r *Recorder) trimRecentLocked() {
+	for len(r.recentOrder) > maxRecent {
+		delete(r.recent, r.recentOrder[0])
+		r.recentOrder = r.recentOrder[1:]
+	}
 }
 
 // mergeLocked merges batches that are waiting for the object store, so that an outage
@@ -186,7 +220,9 @@
 		}
 		metrics.Add("uploads", 1)
 		r.mu.Lock()
-		r.segments = r.segments[1:]
+		if len(r.segments) > 0 && r.segments[0].key == s.key { // else it has been dropped or merged with others
+			r.segments = r.segments[1:]
+		}
 		r.mu.Unlock()
 	}
 }
@@ -205,6 +241,10 @@
 			delete(r.recent, id)
 		}
 	}
+	r.recentOrder = slices.DeleteFunc(r.recentOrder, func(id string) bool {
+		_, kept := r.recent[id]
+		return !kept
+	})
 }
 
 // FindStored looks up a verdict in the object store. It reads the batches of the daemon
--- a/hemlockd/internal/verdicts/verdicts_test.go
+++ b/hemlockd/internal/verdicts/verdicts_test.go
@@ -76,7 +76,7 @@
 func TestRequestHasOneVerdict(t *testing.T) {
 	var outage sync.Map
 	violated := 0
-	r := newTestRecorder(t, &fakePeers{held: newCopies()}, &outage, &violated)
+	r := newTestRecorder(t, &fakePeers{held: newCopies("vm-1")}, &outage, &violated)
 	id := record(r, 1000)
 	r.Close(context.Background(), verdict.Verdict{RequestID: id, Outcome: verdict.OutcomeRun})
 	if violated != 1 {
@@ -87,13 +87,52 @@
 	}
 }
 
+// TestVerdictsOfACrowd checks that a crowd of requests does not pile up verdicts in memory, here or at the holder of the
+// copies, beyond what is compressed, and that each is still found.
+func TestVerdictsOfACrowd(t *testing.T) {
+	var outage sync.Map
+	violated := 0
+	peers := &fakePeers{held: newCopies("vm-2")}
+	r := newTestRecorder(t, peers, &outage, &violated)
+	outage.Store("down", true)
+	const crowd = 4*maxUnsealed + 10
+	ids := make([]string, crowd)
+	var wg sync.WaitGroup
+	for worker := range 16 {
+		wg.Go(func() {
+			for i := worker; i < crowd; i += 16 {
+				ids[i] = record(r, clock.Millis(1000+i))
+			}
+		})
+	}
+	wg.Wait()
+	r.mu.Lock()
+	unstored, recent := len(r.unstored), len(r.recent)
+	r.mu.Unlock()
+	peers.mu.Lock()
+	copied := len(peers.held.forRun("vm-1~1").ended)
+	_, copyFound := peers.held.find(ids[0])
+	peers.mu.Unlock()
+	if unstored > maxUnsealed || recent > maxRecent+maxUnsealed || copied > 2*maxUnsealed {
+		t.Errorf("%d verdicts are in no batch, %d are kept for lookups, the holder has %d copies", unstored, recent, copied)
+	}
+	for _, i := range []int{0, 1, maxUnsealed, crowd - 1} {
+		if !r.Find(daemons.FindRequest{RequestID: ids[i]}).Found {
+			t.Errorf("verdict %d can't be found", i)
+		}
+	}
+	if !copyFound {
+		t.Error("the copy of the first verdict can't be found")
+	}
+}
+
 // TestVerdictsOutliveAnOutage checks that verdicts wait in batches, can be found and
 // keep their copies during an outage of the store, and are stored after it, so that the
 // copies may be deleted.
 func TestVerdictsOutliveAnOutage(t *testing.T) {
 	var outage sync.Map
 	violated := 0
-	peers := &fakePeers{held: newCopies()}
+	peers := &fakePeers{held: newCopies("vm-1")}
 	r := newTestRecorder(t, peers, &outage, &violated)
 	outage.Store("down", true)
 	var ids []string
@@ -131,7 +170,7 @@
 // TestCopiesOfADaemonThatWasTakenForDead checks that no copies are lost if a daemon is
 // frozen and so found dead, resumes, sends more copies and dies later.
 func TestCopiesOfADaemonThatWasTakenForDead(t *testing.T) {
-	c := newCopies()
+	c := newCopies("vm-1")
 	c.add(daemons.CopyRequest{From: "vm-2~1", Verdicts: []verdict.Verdict{{RequestID: "before", EndMs: 1000}}})
 	if verdicts, _ := c.markDead("vm-2~1", 2000); len(verdicts) != 1 {
 		t.Fatalf("first death: %v", verdicts)
@@ -147,7 +186,7 @@
 // copies: those of ended requests stay as they are, open requests get an unknown
 // outcome.
 func TestCopiesOfADeadDaemon(t *testing.T) {
-	c := newCopies()
+	c := newCopies("vm-1")
 	c.add(daemons.CopyRequest{From: "vm-2~1", Opened: []verdict.Verdict{{RequestID: "open"}, {RequestID: "ended"}}})
 	c.add(daemons.CopyRequest{From: "vm-2~1", Verdicts: []verdict.Verdict{
 		{RequestID: "ended", Outcome: verdict.OutcomeRefused, Ran: problem.RanNo, EndMs: 50_000}, {RequestID: "stored", EndMs: 10_000},
@@ -177,7 +216,7 @@
 	for _, elsewhere := range []bool{false, true} {
 		var outage sync.Map
 		violated := 0
-		peers := &fakePeers{held: newCopies()}
+		peers := &fakePeers{held: newCopies("vm-1")}
 		r := newTestRecorder(t, peers, &outage, &violated)
 		id := verdict.NewID("vm-1", 1000)
 		v := verdict.Verdict{RequestID: id, StartMs: 1000, Daemon: "vm-1"}
@@ -187,7 +226,7 @@
 		r.Close(context.Background(), v)
 		time.Sleep(2 * openCopyInterval.Duration()) // the holder is known by then
 		peers.mu.Lock()
-		peers.held = newCopies() // the process that held the copy has ended
+		peers.held = newCopies("vm-1") // the process that held the copy has ended
 		peers.mu.Unlock()
 		r.DaemonDied("holder~1", "holder")
 		found := false
