The port for daemons and operators of the platform door reads no endless message

What was seen: at the port Control 60 connections that sent a message said to be 1 GB took a daemon to 10.6 GB of 96 MB (8 that send 64 MB each: see below), and 250 silent ones took all its sockets (260 of 200).

Cause: the same as at the other ports, in the third place that reads from a connection: the codec reads a message of whatever length it names, for up to 5 s, and the number of connections was not limited. The answer to our own call was as long as its sender liked.

Refused ones are counted.

--- a/hemlockd/e2e/usersplatform_deployment_test.go
+++ b/hemlockd/e2e/usersplatform_deployment_test.go
@@ -31,14 +31,16 @@
 	daemonFlags   []string // additional flags of daemons that start from now on
 	probes        int      // orders sent by reaches
 	options       platformOptions
+	extraServices []any // services of the configuration beside desk and models
 }
 
 // platformOptions are the properties of a deployment that most tests leave as they are.
 type platformOptions struct {
-	daemons      int    // number of daemons
-	program      string // path of the daemons' program; "": the one that TestMain has built
-	limits       string // lines of [Limits] in the daemons' settings
-	maxBodyBytes int    // longest body of a request; 0: 65,536
+	daemons      int      // number of daemons
+	program      string   // path of the daemons' program; "": the one that TestMain has built
+	limits       string   // lines of [Limits] in the daemons' settings
+	maxBodyBytes int      // longest body of a request; 0: 65,536
+	flags        []string // flags of the daemons
 }
 
 // platformDaemon is one daemon of a usersPlatform.
@@ -93,7 +95,7 @@
 // deployUsersPlatformWith is deployUsersPlatform with options.
 func deployUsersPlatformWith(t *testing.T, o platformOptions) *usersPlatform {
 	t.Helper()
-	p := &usersPlatform{t: t, dir: t.TempDir(), options: o}
+	p := &usersPlatform{t: t, dir: t.TempDir(), options: o, daemonFlags: o.flags}
 	standin := exec.Command(filepath.Join(binaryDir, "standin"), "users-platform")
 	standin.Stderr = os.Stderr
 	out, err := standin.StdoutPipe()
@@ -260,12 +262,12 @@
 	}
 	p.callAdmin(http.MethodPut, "/config", map[string]any{
 		"Version": p.configVersion, "Routes": append(routes, extraRoutes...),
-		"Services": []any{
+		"Services": append([]any{
 			map[string]any{"Name": "desk", "HealthPath": "/health", "MaxConns": 90, "Protocol": "h1"},
 			map[string]any{"Name": "models", "HealthPath": "/health", "MaxConns": 90, "Protocol": "h1", "Engine": map[string]any{
 				"Slots": 8, "KvCapacity": 4000, "Stride": 10, "KvHoldS": 0.5, "SwapS": 1.0,
 			}},
-		},
+		}, p.extraServices...),
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": cmp.Or(p.options.maxBodyBytes, 65536), "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
 }
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -195,7 +195,7 @@
 	var closePeers func()
 	d.peers, closePeers, err = peers.New(peers.Options{
 		Log: d.log, Clock: d.clk, Name: d.settings.Name, DataCentre: d.settings.DataCentre,
-		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes, LinkMbps: d.settings.LinkMbps,
+		Address: d.datagramAddress(), Control: d.settings.Daemons, StartedMs: started, BytesPerSecond: d.controlBytes, LinkMbps: d.settings.LinkMbps, MaxCalls: intake.CallsAtOnce(capacityOf(d.settings)),
 	}, peers.Handlers{
 		Config: d.directory.ConfigRevision, List: d.directory.ListRevision, FollowsStore: d.directory.FollowsStore, View: view, Suspects: sus, Prompts: d.prompts, CapacityChanged: queue.RetrySoon,
 		Gate: d.gate, Leaving: d.upstreamsLeaving, Load: d.engineLoad,
--- a/hemlockd/internal/intake/budget.go
+++ b/hemlockd/internal/intake/budget.go
@@ -44,6 +44,9 @@
 	// daemonsShare is the share of the memory and the sockets for other daemons' connections, if they have a port of this
 	// kind, with minDaemonsSockets at least. As many sockets are kept from callers besides.
 	daemonsShare, minDaemonsSockets = 0.25, 48
+	// callsShare is the share of the descriptors for connections for short calls among daemons, which have at least
+	// minCalls.
+	callsShare, minCalls = 0.0625, 24
 	// requestSockets is the number of sockets that a request may take to upstreams at once.
 	requestSockets = 2
 )
@@ -122,6 +125,11 @@
 	b.sockets.limit.Store(int64(max(1+requestSockets, sockets)))
 }
 
+// CallsAtOnce returns the number of connections for short calls among daemons that a process may serve at once.
+func CallsAtOnce(c Capacity) int {
+	return max(minCalls, int(callsShare*float64(c.withDefaults().Descriptors)))
+}
+
 // NewDaemonsBudget returns the budget of the port for other daemons of a process. It has a share of the sockets that
 // are kept from callers.
 func NewDaemonsBudget(c Capacity) *Budget {
--- a/hemlockd/internal/peers/calls.go
+++ b/hemlockd/internal/peers/calls.go
@@ -28,8 +28,14 @@
 			}
 			continue
 		}
-		c := &incomingCall{p: p, conn: conn}
-		go c.run()
+		select {
+		case p.calls <- struct{}{}:
+			c := &incomingCall{p: p, conn: conn}
+			go c.run()
+		default:
+			metrics.Add("callsRefused", 1)
+			_ = conn.Close()
+		}
 	}
 }
 
@@ -46,6 +52,7 @@
 // run serves the connection until its other side closes it, nothing passes any more or its
 // time is over.
 func (c *incomingCall) run() {
+	defer func() { <-c.p.calls }()
 	ctx, cancel := context.WithTimeout(c.p.ctx, maxCallTime.Duration())
 	defer cancel()
 	c.ctx = ctx
@@ -144,7 +151,9 @@
 // Read implements [net.Conn].
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.received.Add(int64(n))
+	if c.received.Add(int64(n)) > maxAnswerBytes {
+		return 0, errTooLong
+	}
 	if n > 0 {
 		progress.Report(c.ctx)
 	}
--- a/hemlockd/internal/peers/peers.go
+++ b/hemlockd/internal/peers/peers.go
@@ -18,6 +18,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"expvar"
@@ -86,6 +87,8 @@
 	// LinkMbps is the rate of this VM's link, in Mbit/s; 0: DefaultLinkMbps. It bounds the
 	// snapshots that are sent to other daemons.
 	LinkMbps float64
+	// MaxCalls is the number of connections for calls that are served at once; 0: DefaultMaxCalls. Others are closed.
+	MaxCalls int
 	// Network opens the connections; nil: the machine's network.
 	Network Network
 }
@@ -185,6 +188,7 @@
 	conn     net.PacketConn
 	budget   *rate.Limiter // in bytes sent
 	listener net.Listener
+	calls    chan struct{} // holds an element for each connection for calls
 	serving  *serving
 	callLog  logs.CallLogger
 	ctx      context.Context
@@ -223,7 +227,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Peers{
-		options: o, handlers: h, conn: conn, listener: listener, ctx: ctx, lastDroppedMs: -staleAfterDrop, createdMs: o.Clock.Now(),
+		options: o, handlers: h, conn: conn, listener: listener, calls: make(chan struct{}, cmp.Or(o.MaxCalls, DefaultMaxCalls)), ctx: ctx, lastDroppedMs: -staleAfterDrop, createdMs: o.Clock.Now(),
 		serving: newServing(o.LinkMbps), callLog: logs.CallLogger{Log: o.Log, Metrics: metrics},
 		budget:  rate.NewLimiter(rate.Limit(o.BytesPerSecond), o.BytesPerSecond),
 		daemons: map[string]*Daemon{}, addresses: map[string]*peerAddress{}, loads: map[string]toldLoad{},
--- a/hemlockd/internal/peers/serving.go
+++ b/hemlockd/internal/peers/serving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -28,6 +29,12 @@
 	paceBytes = 8 << 10
 	// minBusyRetry is the shortest time after which a busy daemon asks callers to come back.
 	minBusyRetry = 50 * clock.Millisecond
+	// DefaultMaxCalls is the number of connections for calls that are served at once if the options do not give it.
+	DefaultMaxCalls = 256
+	// maxRequestBytes limits what a connection may send: requests for a snapshot or from an operator, which are short.
+	maxRequestBytes = 64 << 10
+	// maxAnswerBytes limits what is received of a snapshot.
+	maxAnswerBytes = 64 << 20
 	// maxCallTime limits a call between daemons as a whole.
 	maxCallTime = 5 * clock.Second
 	// callIdleTimeout limits the time without progress within a call.
@@ -86,13 +93,21 @@
 // callIdleTimeout, and what it sends keeps to the pace.
 type pacedConn struct {
 	net.Conn
-	ctx  context.Context
-	pace *rate.Limiter
+	ctx      context.Context
+	pace     *rate.Limiter
+	received int // bytes; used by the only reader
 }
 
+// errTooLong reports a request or an answer of another daemon that is longer than any can be.
+var errTooLong = errors.New("more bytes than any message has")
+
 // Read implements [net.Conn].
 func (c *pacedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if c.received += n; c.received > maxRequestBytes {
+		metrics.Add("callsTooLong", 1)
+		return 0, errTooLong
+	}
 	if n > 0 {
 		_ = c.SetDeadline(time.Now().Add(callIdleTimeout.Duration()))
 	}
