Answers with odd statuses, names and heads are refused where answers are read

What callers saw (MIXED): a server in trouble sent an answer in whose head the name of a field held a blank, and the client got it as an answer, with that line passed on, or with a body that was not the server's ('Content-Length : 2', 'Transfer-Encoding : chunked').

Cause: net/http accepts blanks in names, joins continued lines, takes any three digits for a status, and each place that reads answers checked something else of it.

Lines of heads are counted on the connection as 64 bytes at least, against the 64 KB that heads have: 64 KB of three-byte lines take some 10 MB.

TestHeadCounter: the count does not depend on how an answer is split into reads.

--- a/common/answers/answers_test.go
+++ b/common/answers/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // serve starts a server that has each request answered by answer, which gets the connection after the request's head.
@@ -68,7 +71,64 @@
 	return &http.Client{Transport: NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext})}
 }
 
-// A connection that is kept serves further requests.
+func TestAnswers(t *testing.T) {
+	whole := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	with := func(lines string) string { return "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 4\r\n\r\nbody" }
+	for _, c := range []struct {
+		name, text string
+		ok         bool
+	}{
+		{"whole", whole, true},
+		{"no length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody", true},
+		{"chunks and a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n", true},
+		{"usual fields", with("X-One: 1\r\nX-Empty:\r\nX-Tab: a\tb\r\n"), true},
+		{"many fields", with(strings.Repeat("X-A: 1\r\n", 900)), true},
+		{"interim answers", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + whole, true},
+		{"a body that looks like a head", with("") + " folded: 1\r\n", true},
+		{"line feeds only", "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody", true},
+		{"status 404", "HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\nbody", true},
+		{"status 000", "HTTP/1.1 000 Odd\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"status 099", "HTTP/1.1 099 Odd\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"status 600", "HTTP/1.1 600 Odd\r\nContent-Length: 4\r\n\r\nbody", false},
+		{"status 101", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nbody", false},
+		{"a blank in a name", with("X Odd: 1\r\n"), false},
+		{"a blank after a name", with("X-Odd : 1\r\n"), false},
+		{"a blank after the name of the length", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length : 2\r\n\r\nbody", false},
+		{"a control byte in a name", with("X-O\x01dd: 1\r\n"), false},
+		{"a control byte in a value", with("X-Odd: a\x01b\r\n"), false},
+		{"a continued line", with("X-One: 1\r\n continued\r\n"), false},
+		{"a continued line after a tab", with("X-One: 1\r\n\tcontinued\r\n"), false},
+		{"a trailer with a blank in a name", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Odd: 1\r\n\r\n", false},
+		{"an interim answer with a blank in a name", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + whole, false},
+		{"too many lines", with(strings.Repeat("a:\n", 5000)), false},
+		{"too many lines in interim answers", strings.Repeat("HTTP/1.1 103 Early Hints\r\n"+strings.Repeat("a:\n", 300)+"\r\n", 4) + whole, false},
+		{"a line too long", with("X-Long: " + strings.Repeat("x", 70_000) + "\r\n"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			url := serve(t, func(conn *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(conn, c.text)
+				_ = conn.Close()
+			})
+			text, err := get(t, newClient(), url, "")
+			if c.ok != (err == nil) || c.ok && text != "body" {
+				t.Errorf("%q, %v", text, err)
+			}
+		})
+	}
+}
+
+func TestMalformedAnswerIsTold(t *testing.T) {
+	url := serve(t, func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\nbody")
+	})
+	_, err := get(t, newClient(), url, "")
+	var bad *MalformedError
+	if !errors.As(err, &bad) || bad.Part != "field name" || bad.Text != "X Odd" {
+		t.Errorf("%v", err)
+	}
+}
+
+// A connection that is kept serves further requests; the head of each answer is counted anew.
 func TestKeptConnection(t *testing.T) {
 	var conns sync.Map
 	url := serve(t, func(conn *net.TCPConn, r *http.Request) {
@@ -127,3 +187,34 @@
 		}
 	}
 }
+
+// TestHeadCounter checks that the count does not depend on how an answer is split into reads.
+func TestHeadCounter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lines := rapid.SliceOfN(rapid.SampledFrom([]string{"A: 1\r\n", "b:\n", "\r\n", "\n", " folded\r\n", "HTTP/1.1 100 Continue\r\n"}), 0, 40).Draw(t, "lines")
+		text := []byte("HTTP/1.1 " + rapid.SampledFrom([]string{"200", "103", "404"}).Draw(t, "status") + " x\r\n" + strings.Join(lines, ""))
+		var whole, split headCounter
+		want := whole.count(text)
+		var got error
+		for rest := text; len(rest) > 0 && got == nil; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "read")
+			got = split.count(rest[:n])
+			rest = rest[n:]
+		}
+		if (want == nil) != (got == nil) || want == nil && (whole.done != split.done || whole.counted != split.counted) {
+			t.Fatalf("%q: whole %+v, %v; split %+v, %v", text, whole, want, split, got)
+		}
+	})
+}
+
+// The allocations of a head are bounded whatever its lines are.
+func TestHeadOfShortLinesIsRefusedEarly(t *testing.T) {
+	var h headCounter
+	lines := 0
+	for h.count([]byte("a:\n")) == nil {
+		lines++
+		if lines > MaxHeadBytes/lineBytes {
+			t.Fatalf("%d lines were let through", lines)
+		}
+	}
+}
--- a/common/answers/conn.go
+++ b/common/answers/conn.go
@@ -1,6 +1,7 @@
 package answers
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,9 @@
 	// writeMu is held during a write, so that a read that has found the end of the connection knows how the write has ended.
 	writeMu  sync.Mutex
 	writeErr error
+
+	headMu sync.Mutex
+	head   headCounter
 }
 
 // Write implements [net.Conn].
@@ -37,6 +41,11 @@
 			return n, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: fmt.Errorf("connection lost while the request was written: %w", writeErr)}
 		}
 	}
+	if n > 0 {
+		if err := c.countHead(b[:n]); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
@@ -46,3 +55,72 @@
 	defer c.writeMu.Unlock()
 	return c.writeErr
 }
+
+// beginHead is called before a request is written.
+func (c *conn) beginHead() {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = headCounter{}
+}
+
+func (c *conn) countHead(read []byte) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.head.count(read)
+}
+
+// headCounter counts the head of an answer as it arrives: net/http allocates for each line, however short.
+type headCounter struct {
+	// counted is the sum of the lines, each counted as lineBytes at least.
+	counted int
+	// lines is the number of lines of the current head, of the answer or of an interim answer before it.
+	lines int
+	// line is the number of bytes of the current line, and begin its first ones.
+	line  int
+	begin [len("HTTP/1.1 1")]byte
+	// interim is set in the head of an interim answer, another head follows it. done is set after the end of the last.
+	interim, done bool
+}
+
+// count counts bytes. It returns a *MalformedError if the head is too long, or if a line is a continuation of the one
+// before, which net/http joins.
+func (h *headCounter) count(read []byte) error {
+	for len(read) > 0 && !h.done {
+		part := read
+		end := bytes.IndexByte(read, '\n')
+		if end >= 0 {
+			part = read[:end+1]
+		}
+		read = read[len(part):]
+		if h.line < len(h.begin) {
+			copy(h.begin[h.line:], part)
+		}
+		if h.line == 0 && h.lines > 0 && (part[0] == ' ' || part[0] == '\t') {
+			return malformed("line", string(part))
+		}
+		h.line += len(part)
+		if h.counted+h.line > MaxHeadBytes {
+			return malformed("head of more bytes than", fmt.Sprint(MaxHeadBytes))
+		}
+		if end >= 0 {
+			h.endLine()
+		}
+	}
+	return nil
+}
+
+// endLine notes the end of a line.
+func (h *headCounter) endLine() {
+	empty := h.line == 1 || h.line == 2 && h.begin[0] == '\r'
+	h.counted += max(h.line, lineBytes)
+	h.line = 0
+	if !empty {
+		h.lines++
+		if h.lines == 1 {
+			h.interim = h.begin[len(h.begin)-1] == '1'
+		}
+		return
+	}
+	h.done = !h.interim
+	h.lines = 0
+}
--- a/hemlockd/e2e/odd_answers_test.go
+++ b/hemlockd/e2e/odd_answers_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -59,6 +61,44 @@
 	_ = conn.Close()
 }
 
+// oddAnswer is an answer that is not to reach a client as a success.
+type oddAnswer struct {
+	name string
+	// text is the answer. HEAD stands for the header lines of a whole answer of the protocol.
+	text string
+}
+
+// oddStatuses are answers whose status no final answer has.
+var oddStatuses = func() []oddAnswer {
+	var all []oddAnswer
+	for _, status := range []string{"000", "001", "099", "20", "2000", "600", "999", "+200", "-200", "2x0"} {
+		all = append(all, oddAnswer{"status " + status, "HTTP/1.1 " + status + " Odd\r\nHEADContent-Length: 4\r\n\r\nbody"})
+	}
+	return append(all, oddAnswer{"status 101", "HTTP/1.1 101 Switching Protocols\r\nHEADConnection: Upgrade\r\nUpgrade: x\r\n\r\nbody"})
+}()
+
+// oddHeads are answers with malformed heads and trailers.
+var oddHeads = func() []oddAnswer {
+	var all []oddAnswer
+	for _, line := range []string{
+		"X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", " X-Odd: 1", "X-O\x01dd: 1", "X-O\x7fdd: 1", "X-\xc3\x96dd: 1", ": 1", "X-Odd", "X(Odd): 1", "X-Odd: a\x01b",
+		"X-Odd: a\x00b", "Content-Length : 2", "Transfer-Encoding : chunked", "Connection : close",
+	} {
+		all = append(all, oddAnswer{"line " + strconv.Quote(line), "HTTP/1.1 200 OK\r\nHEAD" + line + "\r\nContent-Length: 4\r\n\r\nbody"})
+	}
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1", "X-O\x01dd: 1"} {
+		all = append(all,
+			oddAnswer{"trailer " + strconv.Quote(line), "HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n\r\n"},
+			oddAnswer{"interim line " + strconv.Quote(line), "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 4\r\n\r\nbody"},
+		)
+	}
+	return append(all,
+		oddAnswer{"two lengths", "HTTP/1.1 200 OK\r\nHEADContent-Length: 4\r\nContent-Length: 3\r\n\r\nbody"},
+		oddAnswer{"cut by its length", "HTTP/1.1 200 OK\r\nHEADContent-Length: 9\r\n\r\nbody"},
+		oddAnswer{"no last chunk", "HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"},
+	)
+}()
+
 // deployRaw starts a deployment with a plain service and one of model engines that raw servers serve.
 func deployRaw(t *testing.T, answer rawAnswer) *usersPlatform {
 	t.Helper()
@@ -111,6 +151,63 @@
 	return strings.Replace(text, "body", event, 1)
 }
 
+// rawCalls are the calls that reach the raw servers, by kind.
+var rawCalls = map[string]func(p *usersPlatform, attempt string) platformResponse{
+	"idempotent": func(p *usersPlatform, a string) platformResponse {
+		return p.send(p.daemons[0], a, "/rawlookup/"+a, "", nil)
+	},
+	"non-idempotent": func(p *usersPlatform, a string) platformResponse {
+		return p.send(p.daemons[0], a, "/raworder/"+a, "order", nil)
+	},
+	"resumable": func(p *usersPlatform, a string) platformResponse { return p.rawStream(a, "rawresumable") },
+	"stream":    func(p *usersPlatform, a string) platformResponse { return p.rawStream(a, "rawonce") },
+}
+
+// rawStream requests a stream of one event with a prompt of its own.
+func (p *usersPlatform) rawStream(attempt, route string) platformResponse {
+	return p.send(p.daemons[0], attempt, "/"+route+"/"+attempt, "a prompt", map[string]string{
+		"X-Model": "m", "X-Token-Count": "100,10", "X-Prompt-Prefix": fmt.Sprintf("%x:100", attempt), "X-Length-Hint": "10",
+	})
+}
+
+// testOddAnswers has raw servers give each answer to each kind of call and checks that no client takes one for a success.
+func testOddAnswers(t *testing.T, answers []oddAnswer) {
+	t.Helper()
+	const sound = "HTTP/1.1 200 OK\r\nHEADContent-Length: 4\r\n\r\nbody"
+	var odd atomic.Value
+	odd.Store(sound)
+	p := deployRaw(t, func(conn *net.TCPConn, r *http.Request, head string) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		text := sound
+		if r.Header.Get("X-Attempt-Id") != "" { // not a health check
+			text = odd.Load().(string)
+		}
+		_, _ = io.WriteString(conn, rawText(text, r, head))
+	})
+	n := 0
+	for kind, call := range rawCalls {
+		for _, answer := range append(answers, oddAnswer{"sound", sound}) {
+			odd.Store(answer.text)
+			var got platformResponse
+			p.eventually(10*time.Second, kind+" reaches the server", func() bool {
+				n++
+				got = call(p, fmt.Sprintf("odd-%d", n))
+				return got.status != http.StatusServiceUnavailable // an upstream that is marked down is tried again soon
+			})
+			whole := got.err == nil && got.status >= 200 && got.status < 300
+			if whole != (answer.name == "sound") {
+				t.Errorf("%s, %s: status %d, body %q, error %v", kind, answer.name, got.status, got.body, got.err)
+			}
+		}
+	}
+}
+
+// MIXED: an answer with a status that no answer has.
+func TestPlatformAnswersWithOddStatuses(t *testing.T) { testOddAnswers(t, oddStatuses) }
+
+// MIXED: an answer with a malformed head, interim head or trailer, or that ends early.
+func TestPlatformAnswersWithOddHeads(t *testing.T) { testOddAnswers(t, oddHeads) }
+
 // MIXED: a server answers a long upload at once, with no length, sends a part of the body and resets the connection while
 // the upload is still being written.
 func TestPlatformAnswerResetDuringUpload(t *testing.T) {
--- a/hemlockd/e2e/own_odd_answers_test.go
+++ b/hemlockd/e2e/own_odd_answers_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,46 @@
 	return m
 }
 
+// ownRawCalls are the calls that reach the raw server, by kind.
+var ownRawCalls = map[string]func(m *daemon, id string) response{
+	"idempotent": func(m *daemon, id string) response {
+		return m.call(http.MethodGet, "/services/order-desk/stock/"+id, "")
+	},
+	"non-idempotent": func(m *daemon, id string) response { return m.createPlacement(id, "{}") },
+}
+
+// MIXED at the own door: no odd answer reaches a caller as a success.
+func TestOddAnswersOfServices(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	var odd atomic.Value
+	odd.Store(sound)
+	m := deployOwnRaw(t, func(conn *net.TCPConn, r *http.Request, _ string) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		text := sound
+		if r.Header.Get("X-Request-Id") != "" { // not a health check
+			text = odd.Load().(string)
+		}
+		_, _ = io.WriteString(conn, strings.Replace(text, "HEAD", "", 1))
+	})
+	n := 0
+	for kind, call := range ownRawCalls {
+		answers := append(append([]oddAnswer{}, oddStatuses...), oddHeads...)
+		for _, answer := range append(answers, oddAnswer{"sound", sound}) {
+			odd.Store(answer.text)
+			var got response
+			m.deployment.eventually(kind+" reaches the server", 10*time.Second, func() bool {
+				n++
+				got = call(m, fmt.Sprintf("odd-%d", n))
+				return got.status != http.StatusServiceUnavailable // an instance that counts as down is tried again soon
+			})
+			whole := got.err == nil && got.status >= 200 && got.status < 300
+			if whole != (answer.name == "sound") {
+				t.Errorf("%s, %s: status %d, body %q, error %v", kind, answer.name, got.status, got.body, got.err)
+			}
+		}
+	}
+}
+
 // MIXED at the own door: see TestPlatformAnswerResetDuringUpload.
 func TestAnswerOfServiceResetDuringUpload(t *testing.T) {
 	body := strings.Repeat("x", crowdBodyBytes)
