--- a/hemlockd/internal/dispatch/blame_test.go
+++ b/hemlockd/internal/dispatch/blame_test.go
@@ -22,7 +22,7 @@
 	w := httptest.NewRecorder()
 	r := newRequest(id, path)
 	r.Header.Set("Parts", parts)
-	r.Body = io.NopCloser(strings.NewReader(id)) // no two are alike
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(id)), int64(len(id)) // no two are alike
 	func() {
 		defer func() { _ = recover() }() // a cut connection
 		s.dispatcher.ServeHTTP(w, r)
