A body has until its answer is due

What callers would have seen: with the number of requests at once bounded, a client that sends a byte of a body now and then holds the place of a request for as long as it likes, and enough of them keep everybody else out with 503. Before that nothing bounded the time of a body either: TestUploadEndsWhenTheAnswerIsDue hangs.

Change: at the platform door a body is read until the answer is due (the route's time-out, or the caller's), at the own door for bodyTimeoutMs (60 s, checked). Then the request is answered with 408, it has not run (uploadTimeout, with a verdict), and its connection closed.

Measured: both new tests, with and without a length: 408 and not run; the callers' and dispatch's tests pass under the race detector.

--- a/common/problem/problem.go
+++ b/common/problem/problem.go
@@ -48,6 +48,7 @@
 	TeamLimit             Reason = "teamLimit"
 	Overloaded            Reason = "overloaded"
 	NoMemory              Reason = "noMemory"
+	UploadTimeout         Reason = "uploadTimeout"
 	NoUpstream            Reason = "noUpstream"
 	UpstreamFailed        Reason = "upstreamFailed"
 	UpstreamLimited       Reason = "upstreamLimited"
@@ -77,6 +78,7 @@
 	PlatformUnavailable: http.StatusServiceUnavailable, OutcomeUnknown: http.StatusConflict,
 	NotReady:             http.StatusServiceUnavailable,
 	NoMemory:             http.StatusServiceUnavailable,
+	UploadTimeout:        http.StatusRequestTimeout,
 	UpstreamLimited:      http.StatusServiceUnavailable,
 	UpstreamsPaused:      http.StatusServiceUnavailable,
 	UpstreamsLeaving:     http.StatusServiceUnavailable,
--- a/hemlockd/internal/callers/models.go
+++ b/hemlockd/internal/callers/models.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
@@ -77,6 +78,8 @@
 func (e *exchange) readBody() ([]byte, *problem.Problem) {
 	limit := e.tree.System.Policy.MaxBodyBytes
 	ended := e.c.env.Shutdown.Ended()
+	_ = e.controller.SetReadDeadline(time.Now().Add(e.c.env.Config.BodyTimeoutMs.Duration())) // fails only if the connection is closed
+	defer func() { _ = e.controller.SetReadDeadline(time.Time{}) }()
 	defer context.AfterFunc(ended, func() { _ = e.controller.SetReadDeadline(time.Now()) })()
 	body, err := intake.ReadBody(e.r.Context(), http.MaxBytesReader(e.w, e.r.Body, limit), e.r.ContentLength, limit)
 	if err == nil && !intake.Of(e.r.Context()).TakeBody(parsedBodyFactor*int64(len(body))) {
@@ -95,6 +98,9 @@
 	if err != nil && ended.Err() != nil {
 		return nil, process.ShutdownProblem(0, 0)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, problem.New(problem.UploadTimeout, "the body has not come within %d ms", e.c.env.Config.BodyTimeoutMs)
+	}
 	if err != nil {
 		return nil, problem.New(problem.BadRequest, "the body could not be read completely: %v", err)
 	}
--- a/hemlockd/internal/dispatch/body.go
+++ b/hemlockd/internal/dispatch/body.go
@@ -27,6 +27,9 @@
 	case errors.As(err, &tooLarge):
 		x.closeUnread()
 		x.respondError(http.StatusRequestEntityTooLarge, reasonTooLarge, 0)
+	case errors.Is(err, errUploadTimeout):
+		x.closeUnread()
+		x.respondError(http.StatusRequestTimeout, reasonUploadTimeout, 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.uploadCut = true
 		x.respondError(http.StatusServiceUnavailable, reasonShutdown, x.d.shutdownRetryAfter())
@@ -40,12 +43,18 @@
 // closeUnread has the connection closed after an answer to a request whose body has not been read to its end.
 func (x *exchange) closeUnread() { x.w.Header().Set("Connection", "close") }
 
+// errUploadTimeout reports that the answer to a request was due before its body had come.
+var errUploadTimeout = errors.New("the body has not come in time")
+
 // readAll reads the request's body, of at most limit bytes. If the daemon is about to exit before the end of the body, the error is
-// [os.ErrDeadlineExceeded].
+// [os.ErrDeadlineExceeded]; if the answer is due before that, errUploadTimeout.
 func (x *exchange) readAll(limit int64) ([]byte, error) {
 	conn := http.NewResponseController(x.w)
 	stopped := make(chan struct{})
-	stop := context.AfterFunc(x.d.uploads.Load().ended, func() {
+	uploads := x.d.uploads.Load().ended
+	ctx, cancel := context.WithTimeout(uploads, (x.dueMs() - x.now()).Duration())
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
 		defer close(stopped)
 		_ = conn.SetReadDeadline(time.Now().Add(lastReadTime.Duration())) // fails only if the connection is closed
 	})
@@ -57,6 +66,9 @@
 		if err == nil && x.r.Context().Err() != nil { // the deadline has passed after the end of the body
 			err = os.ErrDeadlineExceeded
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) && uploads.Err() == nil {
+			err = errUploadTimeout
+		}
 	}
 	return read, err
 }
--- a/hemlockd/internal/dispatch/exchange.go
+++ b/hemlockd/internal/dispatch/exchange.go
@@ -21,24 +21,26 @@
 
 // Reasons recorded for requests, and sent to callers with refusals and failures.
 const (
-	reasonNoConfig    = "noConfiguration"
-	reasonNoRoute     = "noRoute"
-	reasonBadRequest  = "badRequest"
-	reasonTooLarge    = "tooLarge"
-	reasonNoMemory    = "noMemory"
-	reasonNoUpstream  = "noUpstream"
-	reasonNoCapacity  = "noRoom"
-	reasonBusy        = "upstreamsBusy"
-	reasonSuspect     = "crashSuspect"
-	reasonShutdown    = "shuttingDown"
-	reasonTimeout     = "timeout"
-	reasonUnknown     = "outcomeUnknown"
-	reasonCallerGone  = "callerGone"
-	reasonStreamCut   = "streamCut"
-	reasonServed      = "served"
-	reasonUnreachable = "upstreamsUnreachable"
-	reasonInternal    = "internal"
-	reasonPart        = "crashingPart"
+	reasonNoConfig   = "noConfiguration"
+	reasonNoRoute    = "noRoute"
+	reasonBadRequest = "badRequest"
+	reasonTooLarge   = "tooLarge"
+	reasonNoMemory   = "noMemory"
+	// The body has not come before the answer was due.
+	reasonUploadTimeout = "uploadTimeout"
+	reasonNoUpstream    = "noUpstream"
+	reasonNoCapacity    = "noRoom"
+	reasonBusy          = "upstreamsBusy"
+	reasonSuspect       = "crashSuspect"
+	reasonShutdown      = "shuttingDown"
+	reasonTimeout       = "timeout"
+	reasonUnknown       = "outcomeUnknown"
+	reasonCallerGone    = "callerGone"
+	reasonStreamCut     = "streamCut"
+	reasonServed        = "served"
+	reasonUnreachable   = "upstreamsUnreachable"
+	reasonInternal      = "internal"
+	reasonPart          = "crashingPart"
 	// The software version that began the stream is not known, or none of its engines is left.
 	reasonVersionUnknown = "streamVersionUnknown"
 	reasonVersionGone    = "streamVersionGone"
@@ -92,8 +94,8 @@
 	// neededMs and leftMs are the time that the request was expected to take and the time until the daemon's
 	// exit when it was admitted or refused during the shutdown; 0 otherwise.
 	neededMs, leftMs clock.Millis
-	// uploadCut is set if the shutdown has ended the reading of the body, or was about to. The request's context may be
-	// done then, though the caller is there.
+	// uploadCut is set if the reading of the body has been ended, by the shutdown or since the answer was due, or was
+	// about to be. The request's context may be done then, though the caller is there.
 	uploadCut bool
 	// silentMs is the time without an event before the last stream that ended early.
 	silentMs clock.Millis
--- a/hemlockd/internal/process/process.go
+++ b/hemlockd/internal/process/process.go
@@ -71,6 +71,7 @@
 	MaxDescriptors    int          `toml:"maxFds" doc:"File descriptors of the process; callers may use half of those beyond 200. 0: what the system allows."`
 	MaxHeaderBytes    int          `toml:"maxHeaderBytes" doc:"Longest head of a request, in bytes."`
 	HeaderTimeoutMs   clock.Millis `toml:"headerTimeoutMs" doc:"Longest time from the first to the last byte of a request's head, in ms."`
+	BodyTimeoutMs     clock.Millis `toml:"bodyTimeoutMs" doc:"Longest time from the end of a request's head to the end of its body, in ms."`
 	UnreadAnswerMs    clock.Millis `toml:"unreadAnswerMs" doc:"Time after which an answer is given up whose reader takes nothing of it, in ms."`
 	DrainMs           clock.Millis `toml:"drainMs" doc:"Longest time that a shutdown waits for requests in flight, in ms."`
 }
@@ -93,7 +94,7 @@
 	return Config{
 		Bucket: "hemlockmux", PlatformTimeoutMs: 2 * clock.Second, ProbeMs: 500, PollMs: clock.Second,
 		VMListMs: 2 * clock.Second, LoadMs: clock.Second, DrainMs: 60 * clock.Second,
-		MaxHeaderBytes: 64 << 10, HeaderTimeoutMs: 10 * clock.Second, UnreadAnswerMs: 30 * clock.Second,
+		MaxHeaderBytes: 64 << 10, HeaderTimeoutMs: 10 * clock.Second, BodyTimeoutMs: clock.Minute, UnreadAnswerMs: 30 * clock.Second,
 	}
 }
 
@@ -181,7 +182,7 @@
 	for key, v := range map[string]clock.Millis{
 		"platformTimeoutMs": c.PlatformTimeoutMs, "probeMs": c.ProbeMs, "pollMs": c.PollMs,
 		"vmListMs": c.VMListMs, "loadMs": c.LoadMs, "drainMs": c.DrainMs,
-		"headerTimeoutMs": c.HeaderTimeoutMs, "unreadAnswerMs": c.UnreadAnswerMs,
+		"headerTimeoutMs": c.HeaderTimeoutMs, "bodyTimeoutMs": c.BodyTimeoutMs, "unreadAnswerMs": c.UnreadAnswerMs,
 	} {
 		if v < 1 || v > clock.Hour {
 			errs = append(errs, fmt.Errorf("%s is %d, outside 1 to %d", key, v, clock.Hour))
