Long answers of services take their memory from the budget

What was seen: 40 callers that ask the own door for an answer of 8 MB and read nothing took a daemon to 384 MB of 96 (TestCrowdWithLongAnswersOfServices, new).

Cause: the own door reads an answer of a service whole, up to 16 MB, before it passes it on, and nothing added up what all of them hold.

Change: intake.ReadAnswer, for both doors: the buffer doubles, and each time the memory is taken from the budget of callers. At the platform door what is there is forwarded as before; at the own door a lookup whose answer finds no memory fails with 502 (it has run). Placements are read whole as before: their answers are recorded.

--- a/hemlockd/e2e/own_odd_answers_test.go
+++ b/hemlockd/e2e/own_odd_answers_test.go
@@ -18,11 +18,10 @@
 var serviceAddress = regexp.MustCompile(`(?s)(\[upstreams\.brandon-a-service-1\].*?address = )"[^"]*"`)
 
 // deployOwnRaw starts a deployment of one daemon whose plain service is served by a raw server.
-func deployOwnRaw(t *testing.T, answer rawAnswer) *daemon {
+func deployOwnRaw(t *testing.T, o options, answer rawAnswer) *daemon {
 	t.Helper()
-	d := deploy(t, options{
-		daemons: 1, policy: fmt.Sprintf("maxBodyBytes = %d", crowdBodyBytes), team: "requestsPerSecond = 1000.0\nburst = 1000",
-	})
+	o.daemons, o.policy, o.team = 1, fmt.Sprintf("maxBodyBytes = %d", crowdBodyBytes), "requestsPerSecond = 1000.0\nburst = 1000"
+	d := deploy(t, o)
 	s := startRawServer(t, "desk", answer)
 	text := serviceAddress.ReplaceAllString(d.systemSettings, fmt.Sprintf("${1}%q", s.address))
 	if text == d.systemSettings {
@@ -47,7 +46,7 @@
 	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 	var odd atomic.Value
 	odd.Store(sound)
-	m := deployOwnRaw(t, func(conn *net.TCPConn, r *http.Request, _ string) {
+	m := deployOwnRaw(t, options{}, func(conn *net.TCPConn, r *http.Request, _ string) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		text := sound
 		if r.Header.Get("X-Request-Id") != "" { // not a health check
@@ -77,7 +76,7 @@
 // MIXED at the own door: see TestPlatformAnswerResetDuringUpload.
 func TestAnswerOfServiceResetDuringUpload(t *testing.T) {
 	body := strings.Repeat("x", crowdBodyBytes)
-	m := deployOwnRaw(t, func(conn *net.TCPConn, r *http.Request, _ string) {
+	m := deployOwnRaw(t, options{}, func(conn *net.TCPConn, r *http.Request, _ string) {
 		if r.ContentLength < int64(len(body)) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
 			return
@@ -94,3 +93,29 @@
 		}
 	}
 }
+
+// Clients that ask for long answers and do not read them.
+func TestCrowdWithLongAnswersOfServices(t *testing.T) {
+	answer := strings.Repeat("x", 8<<20)
+	m := deployOwnRaw(t, options{program: plainProgram(t), daemon: ownCrowdLimits}, func(conn *net.TCPConn, r *http.Request, _ string) {
+		text := "sound"
+		if strings.HasSuffix(r.URL.Path, "/long") {
+			text = answer
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	})
+	watcher := watchUsage(m.cmd.Process.Pid)
+	request := "GET /services/order-desk/stock/long HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + teamKey + "\r\n\r\n"
+	crowd(m.callers, 40, func(conn net.Conn, _ int) {
+		_, _ = io.WriteString(conn, request)
+		waitCrowdEnd(conn)
+	})
+	m.deployment.eventually("an ordinary request is served", 20*time.Second, func() bool {
+		return m.call(http.MethodGet, "/services/order-desk/stock/ash", "").status == http.StatusOK
+	})
+	peak := watcher.end()
+	t.Logf("peak: %v", peak)
+	if peak.memoryBytes >= crowdMemoryMB*1_000_000 || m.exited() {
+		t.Errorf("peak: %v, exited: %v", peak, m.exited())
+	}
+}
--- a/hemlockd/internal/dispatch/plain.go
+++ b/hemlockd/internal/dispatch/plain.go
@@ -16,11 +16,9 @@
 
 const (
 	// maxBufferedBytes is the size up to which an answer is buffered before it is
-	// forwarded. If the connection is lost before that, the call can be retried at
+	// forwarded, if there is memory for it. If the connection is lost before that, the call can be retried at
 	// another upstream.
 	maxBufferedBytes = 256 << 10
-	// minBufferedBytes is the first part of an answer, for which there is always memory.
-	minBufferedBytes = 1 << 10
 	// maxUpstreamsTried limits the upstreams that one call is sent to, including those
 	// that refuse it or can't be reached.
 	maxUpstreamsTried = 4
@@ -113,7 +111,8 @@
 		_ = reply.Body.Close()
 		return nil, failure(calls.CauseMismatchedReply, fmt.Errorf("status %d is not that of an answer", reply.Status))
 	}
-	body, partial, err := x.bufferAnswer(reply.Body)
+	body, whole, err := intake.ReadAnswer(x.r.Context(), reply.Body, maxBufferedBytes)
+	partial := !whole
 	if !partial || err != nil {
 		_ = reply.Body.Close()
 	}
@@ -134,29 +133,6 @@
 	return &bufferedReply{reply: reply, body: body, partial: partial}, nil
 }
 
-// bufferAnswer reads an answer's body up to maxBufferedBytes, or less if there is no memory for it. It reports whether
-// that may be a part of the body only.
-func (x *exchange) bufferAnswer(body io.Reader) (read []byte, partial bool, err error) {
-	account := intake.Of(x.r.Context())
-	for {
-		if len(read) == cap(read) {
-			room := min(maxBufferedBytes, max(minBufferedBytes, 2*len(read)))
-			if len(read) >= maxBufferedBytes || !account.TakeAnswer(int64(room)) && len(read) > 0 {
-				return read, true, nil
-			}
-			read = append(make([]byte, 0, room), read...)
-		}
-		n, err := body.Read(read[len(read):cap(read)])
-		read = read[:len(read)+n]
-		if err == io.EOF {
-			return read, false, nil
-		}
-		if err != nil {
-			return read, false, err
-		}
-	}
-}
-
 // validStatus reports whether an upstream's status can be that of a final answer. Others
 // can't be sent to a caller.
 func validStatus(status int) bool { return status >= http.StatusOK && status < 600 }
--- a/hemlockd/internal/dispatch/stream.go
+++ b/hemlockd/internal/dispatch/stream.go
@@ -13,6 +13,7 @@
 	"hemlockmux.example/common/calls"
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/hemlockd/internal/capacity"
+	"hemlockmux.example/hemlockd/internal/intake"
 	"hemlockmux.example/hemlockd/internal/peers"
 )
 
@@ -161,13 +162,13 @@
 // than 200, or returns true if the request may be sent to another engine instead.
 func (m *modelRun) forwardNonStream(reply *calls.Reply) bool {
 	m.possibleRuns++
-	body, partial, err := m.bufferAnswer(reply.Body)
+	body, whole, err := intake.ReadAnswer(m.r.Context(), reply.Body, maxBufferedBytes)
 	unsealed := !reply.Sealed && reply.Status < http.StatusMultipleChoices
 	if err != nil || unsealed || !validStatus(reply.Status) || impliesNotRun(reply.Status) || m.answered {
 		m.outcome = calls.Unknown
 		return m.prepareRetry()
 	}
-	m.deliver(&bufferedReply{reply: reply, body: body, partial: partial})
+	m.deliver(&bufferedReply{reply: reply, body: body, partial: !whole})
 	return false
 }
 
--- a/hemlockd/internal/intake/body.go
+++ b/hemlockd/internal/intake/body.go
@@ -43,3 +43,29 @@
 		room = 2 * int64(len(read))
 	}
 }
+
+// firstAnswerBytes is the first part of an answer, for which there is always memory.
+const firstAnswerBytes = 1 << 10
+
+// ReadAnswer reads the body of an answer to a request up to limit, or less if the account of ctx has no memory for more. It
+// returns whole if it has read the end.
+func ReadAnswer(ctx context.Context, body io.Reader, limit int) (read []byte, whole bool, err error) {
+	account := Of(ctx)
+	for {
+		if len(read) == cap(read) {
+			room := min(limit, max(firstAnswerBytes, 2*len(read)))
+			if len(read) >= limit || !account.TakeAnswer(int64(room)) && len(read) > 0 {
+				return read, false, nil
+			}
+			read = append(make([]byte, 0, room), read...)
+		}
+		n, err := body.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		if err == io.EOF {
+			return read, true, nil
+		}
+		if err != nil {
+			return read, false, err
+		}
+	}
+}
--- a/hemlockd/internal/services/send.go
+++ b/hemlockd/internal/services/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 
@@ -15,6 +14,7 @@
 	"hemlockmux.example/common/clock"
 	"hemlockmux.example/common/settings"
 	"hemlockmux.example/common/verdict"
+	"hemlockmux.example/hemlockd/internal/intake"
 	"hemlockmux.example/hemlockd/internal/placements"
 	"hemlockmux.example/hemlockd/internal/upstreamgate"
 	"hemlockmux.example/hemlockd/internal/upstreamlimits"
@@ -109,10 +109,14 @@
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		return nil, &callError{result: verdict.AttemptUnknown, err: fmt.Errorf("status %d is not that of a final response", resp.StatusCode)}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, whole, err := intake.ReadAnswer(ctx, resp.Body, maxResponseBytes+1)
 	if err != nil {
 		return nil, &callError{result: verdict.AttemptUnknown, err: err}
 	}
+	if !whole && len(body) <= maxResponseBytes {
+		metrics.Add("noMemoryForResponse", 1)
+		return nil, &callError{result: verdict.AttemptRan, err: errors.New("the daemon has no memory for the response")}
+	}
 	if len(body) > maxResponseBytes {
 		return nil, &callError{result: verdict.AttemptRan, err: fmt.Errorf("response body exceeds %d bytes", maxResponseBytes)}
 	}
