The answer to a request for JSON-RPC has a longest head

What was seen: whoever listens at the address of a daemon that is gone can answer the request for JSON-RPC with a head without end; 123 MB of it were read in the 5 s that the call of the test had, and kept.

Cause: the upgrade reads its answer with http.ReadResponse from the connection itself, which has no limit of a head, and does not pass common/answers.

Change: 16 KB for it.

--- a/hemlockd/internal/daemons/rpc.go
+++ b/hemlockd/internal/daemons/rpc.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +21,9 @@
 	"hemlockmux.example/hemlockd/internal/process"
 )
 
+// maxUpgradeBytes bounds the answer to the request for JSON-RPC, and what is read ahead with it.
+const maxUpgradeBytes = 16 << 10
+
 // dialTimeout bounds the wait for a connection to a peer.
 const dialTimeout = 300 * clock.Millisecond
 
@@ -196,11 +201,13 @@
 	if err := req.Write(conn); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(conn)
+	limited := &io.LimitedReader{R: conn, N: maxUpgradeBytes}
+	reader := bufio.NewReader(limited)
 	resp, err := http.ReadResponse(reader, req)
 	if err != nil {
 		return nil, err
 	}
+	limited.N = math.MaxInt64 // messages follow
 	if resp.StatusCode != http.StatusSwitchingProtocols {
 		return nil, fmt.Errorf("peer %s refused the upgrade to JSON-RPC: %s", address, resp.Status)
 	}
