A hand-over that is refused for want of memory has not run

Cause: no answer with 503 had been possible there until the daemons' port got its guard.

Change: 503 counts as not run, as at models already; the body of a hand-over takes its memory from the daemons' budget and is refused in the same way.

--- a/hemlockd/internal/handoff/handoff.go
+++ b/hemlockd/internal/handoff/handoff.go
@@ -325,7 +325,7 @@
 		return services.Outcome{}, noResultError(ctx, address, err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode >= 400 && resp.StatusCode < 500 { // see readCall
+	if resp.StatusCode >= 400 && resp.StatusCode < 500 || resp.StatusCode == http.StatusServiceUnavailable { // see readCall and [intake.Guard]
 		return services.Outcome{}, &NoResultError{Address: address, Result: verdict.AttemptNotRun, Err: errors.New(resp.Status)}
 	}
 	var result serviceResult
--- a/hemlockd/internal/handoff/server.go
+++ b/hemlockd/internal/handoff/server.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,6 +19,7 @@
 	"hemlockmux.example/common/verdict"
 	"hemlockmux.example/hemlockd/internal/configuration"
 	"hemlockmux.example/hemlockd/internal/daemons"
+	"hemlockmux.example/hemlockd/internal/intake"
 	"hemlockmux.example/hemlockd/internal/keeper"
 	"hemlockmux.example/hemlockd/internal/process"
 	"hemlockmux.example/hemlockd/internal/services"
@@ -69,13 +69,17 @@
 }
 
 // readCall decodes the call header into out and reads the body. It answers a malformed header or a
-// body that can't be read with status 400, a body that is too long with 413.
+// body that can't be read with status 400, a body that is too long with 413, one without memory for it with 503.
 func readCall(w http.ResponseWriter, r *http.Request, out any) ([]byte, bool) {
 	if err := json.Unmarshal([]byte(r.Header.Get(headerCall)), out); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return nil, false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := intake.ReadBody(r.Context(), http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, maxBodyBytes)
+	if errors.Is(err, intake.ErrNoMemory) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return nil, false
+	}
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
