Long ids of callers don't hold up the records of streams

What callers would have seen: one caller with an X-Attempt-Id of more than 200 bytes, on a stream of another software version than the base, and from then on the daemon records no version of any stream; a stream of the other version that is taken up is joined from two versions (TestLongIDsDoNotHoldUpRecords: a stream of v2 is looked up as v1, for the long id and for a usual one after it). A head may have ids of up to 16 KB.

Cause: the id is the key of the record. The store takes keys of at most 200 bytes and refuses the whole transaction, which is tried again for good, with all that wait behind it.

--- a/hemlockd/internal/streamversions/anystream.go
+++ b/hemlockd/internal/streamversions/anystream.go
@@ -57,7 +57,7 @@
 
 // entry returns the record of a stream that an attempt has begun.
 func (s *stream) entry(attempt string) directory.Entry {
-	return directory.Entry{Key: attempt, Value: []byte(s.software + recordSeparator + s.digest)}
+	return directory.Entry{Key: recordKey(attempt), Value: []byte(s.software + recordSeparator + s.digest)}
 }
 
 // parseRecord returns the version and the digest of a record. The digest is empty in records of earlier daemons.
--- a/hemlockd/internal/streamversions/scans_test.go
+++ b/hemlockd/internal/streamversions/scans_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -64,3 +65,30 @@
 		}
 	})
 }
+
+// TestLongIDsDoNotHoldUpRecords guards against a caller whose id is longer than a key of the store may be: the store refused each
+// transaction with its record, and no version of a stream of the daemon was recorded any more.
+func TestLongIDsDoNotHoldUpRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		defer f.stop()
+		f.pass(25 * clock.Second)
+		f.list("v1", "v2")
+		long := strings.Repeat("long", 1000)
+		for _, attempt := range []string{long, "usual"} {
+			if !f.begin(0, attempt, "v2") {
+				t.Errorf("the stream of an id of %d bytes is not recorded", len(attempt))
+			}
+		}
+		for _, attempt := range []string{long, "usual"} {
+			if software, err := f.lookup(1, attempt); err != nil || software != "v2" {
+				t.Errorf("the stream of an id of %d bytes: %q, %v", len(attempt), software, err)
+			}
+		}
+		f.daemons[0].End(long)
+		f.pass(10 * clock.Second)
+		if page, err := f.store.Read(t.Context(), directory.Streams); err != nil || len(page.Entries) != 1 {
+			t.Errorf("%d records after one stream has ended, %v", len(page.Entries), err)
+		}
+	})
+}
--- a/hemlockd/internal/streamversions/streamversions.go
+++ b/hemlockd/internal/streamversions/streamversions.go
@@ -22,6 +22,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"expvar"
 	"fmt"
 	"slices"
@@ -226,7 +228,7 @@
 	st := v.streams[attempt]
 	delete(v.streams, attempt)
 	if st != nil && st.recorded {
-		v.writer.add(directory.Entry{Key: attempt, Removed: true})
+		v.writer.add(directory.Entry{Key: recordKey(attempt), Removed: true})
 	}
 }
 
@@ -251,6 +253,19 @@
 	return software, nil
 }
 
+// maxKeyBytes is the longest key that the store takes.
+const maxKeyBytes = 200
+
+// recordKey returns the key of the record of a stream that an attempt began. Callers choose ids as long as a head may be,
+// and the store refuses a whole transaction for one key that is too long.
+func recordKey(attempt string) string {
+	if len(attempt) <= maxKeyBytes {
+		return attempt
+	}
+	digest := sha256.Sum256([]byte(attempt))
+	return "sha256-" + hex.EncodeToString(digest[:])
+}
+
 // lookupStored returns what the store tells of a stream. The record is read after the base: it is written
 // before the first event, and the base moves only when no stream of the one before is left.
 func (v *Versions) lookupStored(ctx context.Context, begun Stream) (string, error) {
@@ -258,7 +273,7 @@
 	if err != nil {
 		return "", err
 	}
-	record, err := v.o.Store.Entry(ctx, directory.Streams, begun.Attempt)
+	record, err := v.o.Store.Entry(ctx, directory.Streams, recordKey(begun.Attempt))
 	if err != nil {
 		return "", err
 	}
@@ -295,7 +310,7 @@
 		}
 		delete(v.streams, attempt)
 		if st.recorded {
-			v.writer.add(directory.Entry{Key: attempt, Removed: true})
+			v.writer.add(directory.Entry{Key: recordKey(attempt), Removed: true})
 		}
 	}
 }
--- a/hemlockd/internal/streamversions/streamversions_test.go
+++ b/hemlockd/internal/streamversions/streamversions_test.go
@@ -55,6 +55,11 @@
 	if f.down {
 		return directory.Revision{}, errDown
 	}
+	for _, e := range entries {
+		if len(e.Key) > 200 { // as the platform's store
+			return directory.Revision{}, &directory.StatusError{Call: "rows-tx", Status: 400}
+		}
+	}
 	f.writes++
 	for _, e := range entries {
 		f.putLocked(topic, e)
