Runs of long ids fit into the daemons' messages

What was seen: an id of 10,000 bytes, which a head may have, is the id of its run in what daemons tell each other of their runs; six such streams exceed the 60 KB of a message, and the other daemons then learn of none of that daemon's runs.

Cause: the caller's id is used as it is. Measured: TestRunsOfLongIDsFitIntoMessages, red before (ids of 10,000 and 10,001 bytes); that messages got lost was not played.

--- a/hemlockd/internal/dispatch/continuation.go
+++ b/hemlockd/internal/dispatch/continuation.go
@@ -79,7 +79,7 @@
 	m.excluded[current.run.Engine] = true
 	m.placement = placement{run: m.restOfRun()}
 	// The current run stays placed until the stream moves.
-	m.run.ID = fmt.Sprintf("%s.%d", m.call.ID, m.continuations)
+	m.run.ID = fmt.Sprintf("%s.%d", runID(m.call.ID), m.continuations)
 	m.run.Engine, m.run.Prefill = "", ""
 	m.prefillCalls, m.refusedReservations = min(prefillCalls, 1), 0 // one prefill is no repeat
 	ready := m.placeAndReserve(0) && m.prefill()
--- a/hemlockd/internal/dispatch/model.go
+++ b/hemlockd/internal/dispatch/model.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"math"
@@ -73,13 +75,26 @@
 	accepted *calls.Reply
 }
 
+// maxRunIDBytes is the longest id of a caller that identifies a run as it is. All runs of a daemon fit into one message to
+// the others.
+const maxRunIDBytes = 64
+
+// runID returns the id of the run of an attempt.
+func runID(attempt string) string {
+	if len(attempt) <= maxRunIDBytes {
+		return attempt
+	}
+	digest := sha256.Sum256([]byte(attempt))
+	return hex.EncodeToString(digest[:])
+}
+
 // serve runs the request at one engine after another, as far as it may be repeated,
 // until one has completed the answer.
 func (m *modelRun) serve() {
 	p := m.call.Prompt
 	done := eventsUpTo(m.call.ResumeAfter) * m.spec.EventTokens
 	m.run = capacity.Run{
-		ID: m.call.ID, Service: m.service, PromptTokens: p.Tokens + done, MaxTokens: max(1, p.MaxOutputTokens-done), ExpectedTokens: max(0, p.ExpectedOutputTokens-done),
+		ID: runID(m.call.ID), Service: m.service, PromptTokens: p.Tokens + done, MaxTokens: max(1, p.MaxOutputTokens-done), ExpectedTokens: max(0, p.ExpectedOutputTokens-done),
 	}
 	m.stream.lastEventID = m.call.ResumeAfter
 	defer m.releaseAll()
