An answer beside an upload that its server does not read is delivered

Found in reading the change: a server that ends an answer without a length in order, and neither reads the rest of the upload nor closes, held its answer up until the request's time was over, since the end was believed only after the write under way. Such a write waits; one that has met a reset returns at once. So the read waits 1 s for it and then takes the end for what it is (TestAnswerEndsInOrderBesideAnUploadThatIsNotRead).

And: a connection that is refused discards what comes in one of its calls of Close only, so that the close of a server does not wait for each of them.

--- a/common/answers/answers.go
+++ b/common/answers/answers.go
@@ -68,7 +68,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: nc}, nil
+		return newConn(nc), nil
 	}
 	if inner.MaxResponseHeaderBytes == 0 {
 		inner.MaxResponseHeaderBytes = MaxHeadBytes
--- a/common/answers/answers_test.go
+++ b/common/answers/answers_test.go
@@ -188,6 +188,19 @@
 	}
 }
 
+// It is whole also if the server has ended it in order and reads nothing of the request.
+func TestAnswerEndsInOrderBesideAnUploadThatIsNotRead(t *testing.T) {
+	upload := strings.Repeat("x", uploadBytes)
+	url := serve(t, func(conn *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		_ = conn.CloseWrite()
+		<-t.Context().Done()
+	})
+	if text, err := get(t, newClient(), url, upload); err != nil || text != "whole" {
+		t.Errorf("%q, %v", text, err)
+	}
+}
+
 // TestHeadCounter checks that the count does not depend on how an answer is split into reads.
 func TestHeadCounter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/common/answers/conn.go
+++ b/common/answers/conn.go
@@ -6,14 +6,25 @@
 	"io"
 	"net"
 	"sync"
+	"time"
+
+	"hemlockmux.example/common/clock"
 )
 
+// writeEndTime is how long a write that has met a reset may take to return, also in a process with a small share of a
+// core.
+const writeEndTime = clock.Second
+
+// newConn returns a connection to a server.
+func newConn(inner net.Conn) *conn { return &conn{Conn: inner, writing: make(chan struct{}, 1)} }
+
 // conn is a connection to a server.
 type conn struct {
 	net.Conn
 
-	// writeMu is held during a write, so that a read that has found the end of the connection knows how the write has ended.
-	writeMu  sync.Mutex
+	// writing holds an element during a write, so that a read that has found the end of the connection knows how the write
+	// has ended. writeErr is the error of a write that has failed.
+	writing  chan struct{}
 	writeErr error
 
 	headMu sync.Mutex
@@ -22,8 +33,8 @@
 
 // Write implements [net.Conn].
 func (c *conn) Write(b []byte) (int, error) {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
 	n, err := c.Conn.Write(b)
 	if err != nil {
 		c.writeErr = err
@@ -49,11 +60,18 @@
 	return n, err
 }
 
-// failedWrite returns the error of a write that has failed.
+// failedWrite returns the error of a write that has failed. It waits for one that is under way, unless that goes on for
+// long: a write that has met a reset returns at once, and one that waits for a server that does not read has met none.
 func (c *conn) failedWrite() error {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	return c.writeErr
+	timer := time.NewTimer(writeEndTime.Duration())
+	defer timer.Stop()
+	select {
+	case c.writing <- struct{}{}:
+		defer func() { <-c.writing }()
+		return c.writeErr
+	case <-timer.C:
+		return nil
+	}
 }
 
 // beginHead is called before a request is written.
--- a/hemlockd/internal/intake/conn.go
+++ b/hemlockd/internal/intake/conn.go
@@ -64,6 +64,7 @@
 	// begun is set once a part of the head has come.
 	begun   bool
 	refused bool
+	closing bool  // Close has been called
 	heads   Heads // in force for the head that is being read
 	// headBytes and headLines have been read of it.
 	headBytes, headLines int
@@ -214,9 +215,10 @@
 // Close implements [net.Conn].
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	refused := c.refused
+	discards := c.refused && !c.closing
+	c.closing = true
 	c.mu.Unlock()
-	if refused {
+	if discards {
 		c.discard()
 	}
 	c.guard.noteIdle(c, false)
