--- a/hemlockd/internal/verdicts/segments.go
+++ b/hemlockd/internal/verdicts/segments.go
@@ -27,8 +27,8 @@
 // maxObjectBytes bounds the size of the objects into which waiting batches are merged.
 const maxObjectBytes = 1 << 20
 
-// maxWaitingBytes bounds the batches that wait for the object store: some 500,000 verdicts.
-const maxWaitingBytes = 32 << 20
+// maxWaitingBytes bounds the batches that wait for the object store: some eight hours of them at the size of docs/CAPACITY.md.
+const maxWaitingBytes = 40 << 20
 
 // segment is a batch of verdicts in its stored form. It is compressed, so that the
 // verdicts of a platform outage of hours fit in memory.
