Verdicts quote at most 512 bytes; refused connections linger in calm only

Two places of the same cause, found by asking what else is kept of what a stranger sends: - A verdict of the own door quotes the caller's path and the upstream's error, each as long as a head may be, and 12,288 of them may be in memory: some 700 MB. Texts are kept up to 512 bytes (TestVerdictsQuoteLittle); the receipt does not cover them. - A refused connection keeps its place for up to half a second, so that the client gets the refusal; clients that come back at once could hold all places in that way. It does so only while most places are free.

Measured: the tests of verdicts, intake and callers under the race detector. The size of 700 MB is reckoned, not played.

--- a/hemlockd/internal/intake/budget.go
+++ b/hemlockd/internal/intake/budget.go
@@ -152,6 +152,9 @@
 	return b
 }
 
+// calm reports whether most of the sockets are free.
+func (b *Budget) calm() bool { return b.sockets.used.Load() < b.sockets.limit.Load()/2 }
+
 // Used returns the memory that is taken, in bytes.
 func (b *Budget) Used() int64 { return b.memory.used.Load() }
 
--- a/hemlockd/internal/intake/conn.go
+++ b/hemlockd/internal/intake/conn.go
@@ -215,7 +215,7 @@
 // Close implements [net.Conn].
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	discards := c.refused && !c.closing
+	discards := c.refused && !c.closing && c.guard.o.Budget.calm()
 	c.closing = true
 	c.mu.Unlock()
 	if discards {
@@ -227,7 +227,8 @@
 	return err
 }
 
-// discard reads what the client of a refused request goes on to send, so that it gets the refusal.
+// discard reads what the client of a refused request goes on to send, so that it gets the refusal. It keeps the place of
+// the connection meanwhile, so that it is for calm only.
 func (c *Conn) discard() {
 	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(refusalReadTime.Duration())) != nil {
 		return
--- a/hemlockd/internal/verdicts/recorder.go
+++ b/hemlockd/internal/verdicts/recorder.go
@@ -12,6 +12,8 @@
 import (
 	"context"
 	"expvar"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +39,8 @@
 	// storedRetention is how long after its end a verdict stays in memory at least,
 	// for lookups.
 	storedRetention = 2 * clock.Minute
+	// maxTextBytes is the longest text of a verdict that is kept as it is.
+	maxTextBytes = 512
 	// maxUnsealed is the number of verdicts after which a batch is made before the interval ends.
 	maxUnsealed = 4096
 	// maxRecent is the number of verdicts of ended requests that are kept for lookups. The others are found in their
@@ -143,6 +147,7 @@
 // Close records the verdict of an open request. It waits until another daemon holds a
 // copy, at most copyTimeout.
 func (r *Recorder) Close(ctx context.Context, v verdict.Verdict) {
+	v = shortened(v)
 	r.mu.Lock()
 	_, open := r.open[v.RequestID]
 	r.env.Invariants.Check(invariant.OneVerdict, open, "requestId", v.RequestID)
@@ -198,6 +203,23 @@
 	}
 }
 
+// shortened returns a verdict whose texts are no longer than maxTextBytes: they quote callers and upstreams.
+func shortened(v verdict.Verdict) verdict.Verdict {
+	v.Detail = shortText(v.Detail)
+	v.Attempts = slices.Clone(v.Attempts)
+	for i := range v.Attempts {
+		v.Attempts[i].Cause = shortText(v.Attempts[i].Cause)
+	}
+	return v
+}
+
+func shortText(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxTextBytes], "") + "..."
+}
+
 // logUncopied logs that only this VM has the verdict when its request ends: if the VM
 // fails before the verdict is stored or copied, the verdict is lost.
 func (r *Recorder) logUncopied(requestID, why string) {
--- a/hemlockd/internal/verdicts/verdicts_test.go
+++ b/hemlockd/internal/verdicts/verdicts_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
@@ -87,6 +89,28 @@
 	}
 }
 
+// TestVerdictsQuoteLittle guards against callers whose paths are as long as a head may be, and upstreams with long errors: the
+// verdicts that are kept quoted all of it.
+func TestVerdictsQuoteLittle(t *testing.T) {
+	var outage sync.Map
+	violated := 0
+	r := newTestRecorder(t, &fakePeers{held: newCopies("vm-2")}, &outage, &violated)
+	v := verdict.Verdict{RequestID: verdict.NewID("vm-1", 1000)}
+	r.Open(v)
+	v.Detail, v.Attempts = strings.Repeat("\u00e4", 30_000), []verdict.Attempt{{Upstream: "u", Cause: strings.Repeat("x", 60_000)}}
+	r.Close(context.Background(), v)
+	kept := r.Find(daemons.FindRequest{RequestID: v.RequestID}).Verdict
+	if n := len(kept.Detail); n > maxTextBytes+len("...") || n < maxTextBytes/2 || !utf8.ValidString(kept.Detail) {
+		t.Errorf("a detail of %d bytes is kept", n)
+	}
+	if n := len(kept.Attempts[0].Cause); n > maxTextBytes+len("...") {
+		t.Errorf("a cause of %d bytes is kept", n)
+	}
+	if len(v.Attempts[0].Cause) != 60_000 {
+		t.Error("the caller's verdict was changed")
+	}
+}
+
 // TestVerdictsOfACrowd checks that a crowd of requests does not pile up verdicts in memory, here or at the holder of the
 // copies, beyond what is compressed, and that each is still found.
 func TestVerdictsOfACrowd(t *testing.T) {
