Limits of callers have a file of their own in app; one check of statuses

Moved without a change: what a daemon of either door may use, and the limits of heads (app/capacity.go). The range of statuses at services is what common/answers has checked before.

--- a/hemlockd/internal/app/app.go
+++ b/hemlockd/internal/app/app.go
@@ -116,7 +116,7 @@
 // wire constructs and starts all parts, each after those that it depends on.
 func (d *Daemon) wire() error {
 	env, cfg := d.env, d.env.Config
-	capacity := intake.Capacity{MemoryBytes: int64(cfg.MemoryMB) * megabyte, Descriptors: cfg.MaxDescriptors, DaemonsPort: true}
+	capacity := ownCapacity(cfg)
 	d.intake = intake.NewBudget(capacity)
 	limitMemory(capacity)
 	table, closeTable := platform.NewTable(cfg.Table, cfg.PlatformToken, cfg.PlatformTimeoutMs)
--- a/hemlockd/internal/app/onplatform.go
+++ b/hemlockd/internal/app/onplatform.go
@@ -273,25 +273,6 @@
 	return p, err
 }
 
-// headLimits returns the limits of heads in the configuration.
-func (d *platformDaemon) headLimits() intake.Heads {
-	limits := intake.Heads{MaxBytes: intake.DefaultMaxHeadBytes}
-	table := d.directory.Table()
-	if table == nil {
-		return limits
-	}
-	limits.TimeoutMs = table.Config.Limits.HeaderTimeoutMs
-	if n := table.Config.Limits.MaxHeaderBytes; n > 0 {
-		limits.MaxBytes = n
-	}
-	return limits
-}
-
-// capacityOf returns what the process may use.
-func capacityOf(settings platform.Settings) intake.Capacity {
-	return intake.Capacity{MemoryBytes: int64(settings.MemoryMB) * megabyte, Descriptors: settings.MaxDescriptors}
-}
-
 // serveReady answers the balancer's readiness checks.
 func (d *platformDaemon) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if d.isStopping() || !d.directory.Ready() {
--- a/hemlockd/internal/app/port.go
+++ b/hemlockd/internal/app/port.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,15 +19,6 @@
 // headerTimeout bounds the time that a caller may take to send a request's headers, if no shorter one is in force.
 const headerTimeout = 10 * clock.Second
 
-// controlConns is the number of connections that a port for the platform's or an operator's programs has places for.
-const controlConns = 16
-
-// megabyte is the unit of memory in settings.
-const megabyte = 1_000_000
-
-// limitMemory has the Go runtime collect garbage in time for the process to stay within its memory.
-func limitMemory(c intake.Capacity) { debug.SetMemoryLimit(c.CollectBytes()) }
-
 // port serves HTTP on one address.
 type port struct {
 	name     string
--- a/hemlockd/internal/services/send.go
+++ b/hemlockd/internal/services/send.go
@@ -106,9 +106,6 @@
 		return nil, &callError{result: verdict.AttemptUnknown, err: err}
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
-		return nil, &callError{result: verdict.AttemptUnknown, err: fmt.Errorf("status %d is not that of a final response", resp.StatusCode)}
-	}
 	body, whole, err := intake.ReadAnswer(ctx, resp.Body, maxResponseBytes+1)
 	if err != nil {
 		return nil, &callError{result: verdict.AttemptUnknown, err: err}
--- a/hemlockd/internal/services/services.go
+++ b/hemlockd/internal/services/services.go
@@ -40,9 +40,6 @@
 	healthTimeout = clock.Second
 	// maxResponseBytes bounds the body of a service's response.
 	maxResponseBytes = 16 << 20
-	// maxStatus is the largest status of a response that HTTP defines. A larger or smaller one can't
-	// be passed on.
-	maxStatus = 599
 	// failuresToDown is the number of consecutive health checks that must fail before an instance
 	// counts as down.
 	failuresToDown = 2
