make test runs the tests of crowds by themselves

They measure the memory of a process while a crowd is at it, and the users ask that one such test runs at a time, apart from other load; in the run of all packages others ran beside them.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 # The process tests take some 18 minutes beside load. It bounds the run of a whole package, no test.
 TEST_TIMEOUT := 30m
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+# Tests of crowds of clients measure a process's memory: they run one at a time, apart from all others.
+CROWD := TestPlatformCrowd.*|TestCrowd.*
+SKIP_CROWD := -skip '^($(if $(KNOWN_RED),$(KNOWN_RED)|)$(CROWD))$$'
 
 # On arm64 the race detector itself crashes now and then in the tests of whole fleets in virtual time
 # (SIGSEGV in its runtime, synctest); they run without it there.
@@ -35,8 +38,9 @@
 test:
 	@echo "known red: $(or $(KNOWN_RED),none)"
 	go test -race -count=1 $(SKIP) $(RAPID_PACKAGES) $(RAPID_SEED:%=-rapid.seed=%)
-	go test -race -count=1 -timeout $(TEST_TIMEOUT) $(SKIP) $$(go list $(PACKAGES) | grep -v -E '$(NO_RACE)' | grep -v -x -F "$$(go list $(RAPID_PACKAGES))")
+	go test -race -count=1 -timeout $(TEST_TIMEOUT) $(SKIP_CROWD) $$(go list $(PACKAGES) | grep -v -E '$(NO_RACE)' | grep -v -x -F "$$(go list $(RAPID_PACKAGES))")
 	go test -count=1 $(SKIP) $$(go list $(PACKAGES) | grep -E '$(NO_RACE)')
+	go test -race -count=1 -run '^($(CROWD))$$' $(SKIP) ./hemlockd/e2e
 
 red:
 	scripts/red.sh
