--- a/hemlockd/internal/intake/budget_test.go
+++ b/hemlockd/internal/intake/budget_test.go
@@ -65,3 +65,21 @@
 		t.Errorf("limits %d and %d", b.memory.limit.Load(), b.sockets.limit.Load())
 	}
 }
+
+// Settings may change while the daemon runs: what is taken then stays, and new requests meet the new limits.
+func TestCapacityChanges(t *testing.T) {
+	b := NewBudget(Capacity{MemoryBytes: 100e6, Descriptors: 1000})
+	a := &Account{budget: b}
+	if !a.open() || a.begin() != nil || !a.TakeBody(20e6) {
+		t.Fatal("no memory for a large body in calm")
+	}
+	b.SetCapacity(Capacity{MemoryBytes: 10e6, Descriptors: 1000})
+	other := &Account{budget: b}
+	if other.open() {
+		t.Error("a connection finds a place beyond the new limit")
+	}
+	a.close()
+	if !other.open() || other.begin() != nil || other.TakeBody(20e6) {
+		t.Error("the new limits are not in force")
+	}
+}
