--- a/hemlockd/internal/dispatch/body.go
+++ b/hemlockd/internal/dispatch/body.go
@@ -31,7 +31,6 @@
 		x.closeUnread()
 		x.respondError(http.StatusRequestTimeout, reasonUploadTimeout, 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.uploadCut = true
 		x.respondError(http.StatusServiceUnavailable, reasonShutdown, x.d.shutdownRetryAfter())
 	case err != nil:
 		x.respondError(http.StatusBadRequest, reasonBadRequest, 0)
@@ -47,7 +46,7 @@
 var errUploadTimeout = errors.New("the body has not come in time")
 
 // readAll reads the request's body, of at most limit bytes. If the daemon is about to exit before the end of the body, the error is
-// [os.ErrDeadlineExceeded]; if the answer is due before that, errUploadTimeout.
+// [os.ErrDeadlineExceeded]; if the answer is due and the daemon does not shut down, errUploadTimeout.
 func (x *exchange) readAll(limit int64) ([]byte, error) {
 	conn := http.NewResponseController(x.w)
 	stopped := make(chan struct{})
@@ -66,7 +65,7 @@
 		if err == nil && x.r.Context().Err() != nil { // the deadline has passed after the end of the body
 			err = os.ErrDeadlineExceeded
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && uploads.Err() == nil {
+		if _, draining := x.d.draining(); errors.Is(err, os.ErrDeadlineExceeded) && !draining {
 			err = errUploadTimeout
 		}
 	}
