What is sent to clients is not bounded in the kernel

Cause: since the kernel's buffer of what is sent was 64 KB. A daemon that stops leaves the rest of its answers to the kernel, which took megabytes before. Change: only the buffer of what is received is bounded.

--- a/hemlockd/internal/intake/conn.go
+++ b/hemlockd/internal/intake/conn.go
@@ -29,9 +29,9 @@
 	refusalWriteTime, refusalReadTime = 100 * clock.Millisecond, 500 * clock.Millisecond
 	// writePartBytes is the size of the parts in which an answer must make progress.
 	writePartBytes = 16 << 10
-	// socketBufferBytes is the size of the kernel's buffers of a connection, each way. Without it the kernel lets a
-	// client that sends ahead, or does not read, fill some megabytes.
-	socketBufferBytes = 64 << 10
+	// receiveBufferBytes is the size of the kernel's buffer of what a client sends. Without it a client that sends ahead
+	// can fill some megabytes.
+	receiveBufferBytes = 64 << 10
 )
 
 // refusal is a reason to refuse a request before it is handled.
@@ -75,12 +75,12 @@
 	writeDeadline time.Time // what the user of the connection has set
 }
 
-// ControlSocket limits the kernel's buffers of a socket. It is for [net.ListenConfig].
+// ControlSocket limits the kernel's buffer of what a socket receives. What is sent is not limited: a daemon that shuts
+// down leaves the rest of its answers to the kernel. It is for [net.ListenConfig].
 func ControlSocket(_, _ string, raw syscall.RawConn) error {
 	// A system that does not allow it has limits of its own.
 	return raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
-		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
 	})
 }
 
