Guard: the place of a request is taken without a result that nobody reads

Both callers of beginLocked dropped its result, since a request without a place is refused by its handler. The loop says the same without it; behaviour stays.

--- a/hemlockd/internal/intake/conn.go
+++ b/hemlockd/internal/intake/conn.go
@@ -101,7 +101,7 @@
 		c.waiting = false
 		c.setHeadDeadlineLocked(time.Time{})
 		c.guard.noteIdle(c, false)
-		_ = c.beginLocked()
+		c.beginLocked()
 	case http.StateHijacked, http.StateClosed:
 		c.waiting = false
 		c.guard.noteIdle(c, false)
@@ -164,7 +164,7 @@
 		if c.heads.TimeoutMs > 0 {
 			c.setHeadDeadlineLocked(time.Now().Add(c.heads.TimeoutMs.Duration()))
 		}
-		_ = c.beginLocked() // without a place, the handler refuses a request whose head is not large
+		c.beginLocked() // without a place, the handler refuses a request whose head is not large
 	}
 	c.headBytes += len(read)
 	c.headLines += bytes.Count(read, []byte{'\n'})
@@ -178,13 +178,9 @@
 	return refusal{}, true
 }
 
-// beginLocked takes the place of a request. Connections that wait give way. It returns false if there is no place.
-func (c *Conn) beginLocked() bool {
-	for {
-		err := c.account.begin()
-		if err != errFull || !c.guard.closeIdle() {
-			return err == nil
-		}
+// beginLocked takes the place of a request, if there is one. Connections that wait give way.
+func (c *Conn) beginLocked() {
+	for c.account.begin() == errFull && c.guard.closeIdle() {
 	}
 }
 
